--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/ChatId.java
@@ -0,0 +1,20 @@
+package org.fescueport.internal.decision;
+
+import java.util.Objects;
+
+/** Name of a returning chat, unique within its team. */
+public record ChatId(String name) {
+    public ChatId {
+        Objects.requireNonNull(name, "name");
+    }
+
+    /** Returns the value for this name. */
+    public static ChatId of(String name) {
+        return new ChatId(name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/Declarations.java
@@ -0,0 +1,95 @@
+package org.fescueport.internal.decision;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Everything that operators declared, as it is in force at one version.
+ *
+ * <p>Immutable: a node replaces it whole when it applies a newer version.
+ */
+public final class Declarations {
+    private static final Declarations NONE = of(0, Map.of(), Map.of(), Map.of());
+
+    private final long mVersion;
+    private final Map<String, ModelDeclaration> mModels;
+    private final Map<String, ServiceDeclaration> mServices;
+    private final Map<TeamId, TeamDeclaration> mTeams;
+    private final Map<String, TeamDeclaration> mTeamsByKeyHash;
+
+    private Declarations(
+            long version,
+            Map<String, ModelDeclaration> models,
+            Map<String, ServiceDeclaration> services,
+            Map<TeamId, TeamDeclaration> teams) {
+        mVersion = version;
+        mModels = Map.copyOf(models);
+        mServices = Map.copyOf(services);
+        mTeams = Map.copyOf(teams);
+        mTeamsByKeyHash = byKeyHash(mTeams);
+    }
+
+    /** Returns declarations with nothing in them, at version 0. */
+    public static Declarations none() {
+        return NONE;
+    }
+
+    /** Returns declarations at {@code version}, an offset in the log. */
+    public static Declarations of(
+            long version,
+            Map<String, ModelDeclaration> models,
+            Map<String, ServiceDeclaration> services,
+            Map<TeamId, TeamDeclaration> teams) {
+        return new Declarations(version, models, services, teams);
+    }
+
+    /** Returns the version, an offset in the log; 0 before the first. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the declared models by name. */
+    public Map<String, ModelDeclaration> models() {
+        return mModels;
+    }
+
+    /** Returns the declared plain services by name. */
+    public Map<String, ServiceDeclaration> services() {
+        return mServices;
+    }
+
+    /** Returns the declared teams. */
+    public Map<TeamId, TeamDeclaration> teams() {
+        return mTeams;
+    }
+
+    /** Returns the team that holds this API key. */
+    public Optional<TeamDeclaration> teamOfKey(String apiKey) {
+        return Optional.ofNullable(mTeamsByKeyHash.get(hashOfKey(apiKey)));
+    }
+
+    /** Returns the form in which declarations name an API key. */
+    public static String hashOfKey(String apiKey) {
+        try {
+            var digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(apiKey.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("this JDK has no SHA-256", e);
+        }
+    }
+
+    private static Map<String, TeamDeclaration> byKeyHash(Map<TeamId, TeamDeclaration> teams) {
+        var byHash = new HashMap<String, TeamDeclaration>();
+        for (var team : teams.values()) {
+            for (var hash : team.keyHashes()) {
+                byHash.put(hash, team);
+            }
+        }
+        return Map.copyOf(byHash);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/TeamId.java
@@ -0,0 +1,20 @@
+package org.fescueport.internal.decision;
+
+import java.util.Objects;
+
+/** Name of a team that shares the services. */
+public record TeamId(String name) {
+    public TeamId {
+        Objects.requireNonNull(name, "name");
+    }
+
+    /** Returns the team with this name. */
+    public static TeamId of(String name) {
+        return new TeamId(name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
