--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/attempt/AttemptRegister.java
@@ -0,0 +1,304 @@
+package org.fescueport.internal.decision.attempt;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.Invariants;
+import org.fescueport.internal.decision.RequestId;
+
+/**
+ * What one incarnation of an agent knows of the attempts that were sent to it.
+ *
+ * <p>It makes <em>not run</em> true: a refusal is recorded before it is told, and {@link #start} is
+ * the one gate to the backend server, so a late or duplicate frame of a refused attempt is refused
+ * as well. Entries outlive the deadline by {@link Limits#keepNanos}; when the memory is full, new
+ * work is refused and nothing is forgotten early.
+ *
+ * <pre>{@code
+ * switch (register.submit(attempt, repeatable, deadline, now)) {
+ *     case Submission.Accepted accepted -> admit(attempt);
+ *     case Submission.Refused refused -> tellNotRun(attempt, refused.reason());
+ *     case Submission.Duplicate duplicate -> ignore();
+ *     case Submission.Unrecorded unrecorded -> tellUnknown(attempt);
+ * }
+ * if (register.start(attempt, now)) run(attempt);
+ * }</pre>
+ */
+public final class AttemptRegister {
+    /**
+     * Bounds of the memory.
+     *
+     * @param workEntries attempts up to which new work is accepted
+     * @param refusalEntries further attempts of which only a refusal is recorded
+     * @param keepNanos time for which an ended attempt is remembered after its deadline: longer
+     *     than any frame of it can be late
+     */
+    public record Limits(int workEntries, int refusalEntries, long keepNanos) {
+        int all() {
+            return workEntries + refusalEntries;
+        }
+    }
+
+    private static final class Entry {
+        private final AttemptId mId;
+        private final boolean mRepeatable;
+        private final long mDeadlineNanos;
+        private AttemptState mState;
+        private RefusalReason mReason;
+        private long mDueNanos;
+        private long mSerial;
+
+        private Entry(AttemptId id, boolean repeatable, long deadlineNanos, AttemptState state) {
+            mId = id;
+            mRepeatable = repeatable;
+            mDeadlineNanos = deadlineNanos;
+            mState = state;
+            mDueNanos = deadlineNanos;
+        }
+    }
+
+    private final Limits mLimits;
+    private final Map<RequestId, TreeMap<Integer, Entry>> mRequests = new HashMap<>();
+    private final TreeSet<Entry> mDue =
+            new TreeSet<>(
+                    Comparator.<Entry>comparingLong(entry -> entry.mDueNanos)
+                            .thenComparingLong(entry -> entry.mSerial));
+    private int mEntries;
+    private long mNextSerial;
+
+    private AttemptRegister(Limits limits) {
+        mLimits = limits;
+    }
+
+    /** Returns an empty register, as a new incarnation has. */
+    public static AttemptRegister create(Limits limits) {
+        return new AttemptRegister(limits);
+    }
+
+    /** Takes note of a frame that submits an attempt and tells what to do with it. */
+    public synchronized Submission submit(
+            AttemptId id, boolean repeatable, long deadlineNanos, long nowNanos) {
+        sweep(nowNanos);
+        Entry known = find(id);
+        if (known != null) {
+            return repeated(known);
+        }
+        RefusalReason reason = reasonAgainst(id, repeatable, deadlineNanos, nowNanos);
+        if (reason != null) {
+            return record(id, deadlineNanos, nowNanos, reason)
+                    ? new Submission.Refused(reason)
+                    : new Submission.Unrecorded();
+        }
+        List<AttemptId> superseded = supersedeOlder(id, nowNanos);
+        add(new Entry(id, repeatable, deadlineNanos, AttemptState.RECEIVED));
+        return new Submission.Accepted(superseded);
+    }
+
+    /** Notes that an accepted attempt waits; returns false when it was refused meanwhile. */
+    public synchronized boolean enqueue(AttemptId id) {
+        Entry entry = find(id);
+        if (entry == null || entry.mState != AttemptState.RECEIVED) {
+            return false;
+        }
+        entry.mState = AttemptState.QUEUED;
+        return true;
+    }
+
+    /**
+     * The one gate to the backend server. Returns true at most once for an attempt, and never for
+     * one that was refused or whose deadline has passed; in that case the refusal is recorded.
+     */
+    public synchronized boolean start(AttemptId id, long nowNanos) {
+        Entry entry = find(id);
+        if (entry == null || !entry.mState.isBeforeStart()) {
+            return false;
+        }
+        if (nowNanos - entry.mDeadlineNanos >= 0) {
+            end(entry, AttemptState.REFUSED, RefusalReason.DEADLINE_PASSED, nowNanos);
+            return false;
+        }
+        if (hasRunBesides(entry)) {
+            end(entry, AttemptState.REFUSED, RefusalReason.ALREADY_RUN, nowNanos);
+            return false;
+        }
+        entry.mState = AttemptState.STARTED;
+        checkRunsOnce(entry);
+        return true;
+    }
+
+    /** Notes that the backend server is done with a started attempt. */
+    public synchronized void finish(AttemptId id, long nowNanos) {
+        Entry entry = find(id);
+        Invariants.check(
+                entry != null && entry.mState == AttemptState.STARTED,
+                "attempt %s finished at an agent that had not started it",
+                id);
+        end(entry, AttemptState.FINISHED, null, nowNanos);
+    }
+
+    /**
+     * Records that an attempt is never to be run, whether or not it has arrived.
+     *
+     * @param deadlineNanos the latest deadline that the attempt can have; used when it is not known
+     */
+    public synchronized Refusal refuse(
+            AttemptId id, RefusalReason reason, long deadlineNanos, long nowNanos) {
+        sweep(nowNanos);
+        Entry entry = find(id);
+        if (entry == null) {
+            return record(id, deadlineNanos, nowNanos, reason)
+                    ? new Refusal.Recorded(reason)
+                    : new Refusal.Unrecorded();
+        }
+        if (entry.mState.mayHaveRun()) {
+            return new Refusal.TooLate(entry.mState);
+        }
+        if (entry.mState != AttemptState.REFUSED) {
+            end(entry, AttemptState.REFUSED, reason, nowNanos);
+        }
+        return new Refusal.Recorded(entry.mReason);
+    }
+
+    /** Returns the state of an attempt, or null when it is not known here. */
+    public synchronized AttemptState state(AttemptId id) {
+        Entry entry = find(id);
+        return entry == null ? null : entry.mState;
+    }
+
+    /** Returns whether a newer attempt at the request is known; frames of this one are stale. */
+    public synchronized boolean isSuperseded(AttemptId id) {
+        TreeMap<Integer, Entry> attempts = mRequests.get(id.request());
+        return attempts != null && attempts.lastKey() > id.number();
+    }
+
+    /** Forgets what no frame can ask for any more, and refuses waiting work past its deadline. */
+    public synchronized void sweep(long nowNanos) {
+        while (!mDue.isEmpty() && nowNanos - mDue.first().mDueNanos >= 0) {
+            Entry entry = mDue.pollFirst();
+            if (entry.mState.isBeforeStart()) {
+                end(entry, AttemptState.REFUSED, RefusalReason.DEADLINE_PASSED, nowNanos);
+            } else if (entry.mState != AttemptState.STARTED) {
+                remove(entry);
+            }
+        }
+    }
+
+    /** Returns how many attempts are remembered. */
+    public synchronized int size() {
+        return mEntries;
+    }
+
+    private static Submission repeated(Entry known) {
+        return known.mState == AttemptState.REFUSED
+                ? new Submission.Refused(known.mReason)
+                : new Submission.Duplicate(known.mState);
+    }
+
+    private RefusalReason reasonAgainst(
+            AttemptId id, boolean repeatable, long deadlineNanos, long nowNanos) {
+        TreeMap<Integer, Entry> others = mRequests.get(id.request());
+        if (others != null && others.lastKey() > id.number()) {
+            return RefusalReason.SUPERSEDED;
+        }
+        if (others != null && anyMayHaveRun(others) && !(repeatable && allRepeatable(others))) {
+            return RefusalReason.ALREADY_RUN;
+        }
+        if (nowNanos - deadlineNanos >= 0) {
+            return RefusalReason.DEADLINE_PASSED;
+        }
+        return mEntries >= mLimits.workEntries() ? RefusalReason.REGISTER_FULL : null;
+    }
+
+    private List<AttemptId> supersedeOlder(AttemptId id, long nowNanos) {
+        List<AttemptId> superseded = new ArrayList<>();
+        TreeMap<Integer, Entry> others = mRequests.getOrDefault(id.request(), new TreeMap<>());
+        for (Entry entry : others.headMap(id.number()).values()) {
+            if (entry.mState.isBeforeStart()) {
+                end(entry, AttemptState.REFUSED, RefusalReason.SUPERSEDED, nowNanos);
+                superseded.add(entry.mId);
+            }
+        }
+        return superseded;
+    }
+
+    private boolean record(AttemptId id, long deadlineNanos, long nowNanos, RefusalReason reason) {
+        if (mEntries >= mLimits.all()) {
+            return false;
+        }
+        Entry entry = new Entry(id, true, deadlineNanos, AttemptState.REFUSED);
+        entry.mReason = reason;
+        entry.mDueNanos = keepUntil(entry, nowNanos);
+        add(entry);
+        return true;
+    }
+
+    private void end(Entry entry, AttemptState state, RefusalReason reason, long nowNanos) {
+        Invariants.check(
+                state != AttemptState.REFUSED || entry.mState.isBeforeStart(),
+                "attempt %s refused after it was %s",
+                entry.mId,
+                entry.mState);
+        mDue.remove(entry);
+        entry.mState = state;
+        entry.mReason = reason;
+        entry.mDueNanos = keepUntil(entry, nowNanos);
+        mDue.add(entry);
+    }
+
+    private long keepUntil(Entry entry, long nowNanos) {
+        long untilDeadline = Math.max(0, entry.mDeadlineNanos - nowNanos);
+        return nowNanos + untilDeadline + mLimits.keepNanos();
+    }
+
+    private boolean hasRunBesides(Entry entry) {
+        TreeMap<Integer, Entry> attempts = mRequests.get(entry.mId.request());
+        return anyMayHaveRun(attempts) && !allRepeatable(attempts);
+    }
+
+    private void checkRunsOnce(Entry started) {
+        TreeMap<Integer, Entry> attempts = mRequests.get(started.mId.request());
+        long runs = attempts.values().stream().filter(e -> e.mState.mayHaveRun()).count();
+        Invariants.check(
+                runs == 1 || allRepeatable(attempts),
+                "request %s may not be repeated and was started %d times",
+                started.mId.request(),
+                runs);
+    }
+
+    private static boolean anyMayHaveRun(TreeMap<Integer, Entry> attempts) {
+        return attempts.values().stream().anyMatch(entry -> entry.mState.mayHaveRun());
+    }
+
+    private static boolean allRepeatable(TreeMap<Integer, Entry> attempts) {
+        return attempts.values().stream().allMatch(entry -> entry.mRepeatable);
+    }
+
+    private Entry find(AttemptId id) {
+        TreeMap<Integer, Entry> attempts = mRequests.get(id.request());
+        return attempts == null ? null : attempts.get(id.number());
+    }
+
+    private void add(Entry entry) {
+        mRequests
+                .computeIfAbsent(entry.mId.request(), request -> new TreeMap<>())
+                .put(entry.mId.number(), entry);
+        entry.mSerial = mNextSerial++;
+        mDue.add(entry);
+        mEntries++;
+        Invariants.check(mEntries <= mLimits.all(), "%d attempts are remembered", mEntries);
+    }
+
+    private void remove(Entry entry) {
+        TreeMap<Integer, Entry> attempts = mRequests.get(entry.mId.request());
+        attempts.remove(entry.mId.number());
+        if (attempts.isEmpty()) {
+            mRequests.remove(entry.mId.request());
+        }
+        mEntries--;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/attempt/RefusalReason.java
@@ -0,0 +1,27 @@
+package org.fescueport.internal.decision.attempt;
+
+/** Why an attempt is never to be run. */
+public enum RefusalReason {
+    /** Admission said no: above the bound, the limits or the team's share. */
+    OVERLOADED,
+    /** Its deadline passed before it was started. */
+    DEADLINE_PASSED,
+    /** The router gave it up. */
+    GIVEN_UP,
+    /** The caller went away before it was started. */
+    CANCELLED,
+    /** A newer attempt at the same request has arrived. */
+    SUPERSEDED,
+    /** Another attempt at a request that may not be repeated was started here. */
+    ALREADY_RUN,
+    /** The agent is leaving. */
+    LEAVING,
+    /** The agent has no memory left to follow another request. */
+    REGISTER_FULL,
+    /** The frame was meant for another incarnation of the agent. */
+    OTHER_INCARNATION,
+    /** The claim of its idempotency key was not won. */
+    CLAIM_REFUSED,
+    /** The request has killed two backend servers. */
+    POISON
+}
