--- a/src/main/java/org/fescueport/internal/http/HttpCaller.java
+++ b/src/main/java/org/fescueport/internal/http/HttpCaller.java
@@ -20,6 +20,9 @@
 
     /** Receives an answer piece by piece, on an I/O thread. */
     interface StreamListener {
+        /** A header of the answer, before {@link #onHead}. */
+        default void onHeader(String name, String value) {}
+
         /** The head of the answer arrived. */
         void onHead(int status, String contentType);
 
