--- /dev/null
+++ b/src/main/java/org/fescueport/internal/router/AgentLink.java
@@ -0,0 +1,155 @@
+package org.fescueport.internal.router;
+
+import io.micrometer.core.instrument.Counter;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.wire.FrameConnection;
+import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.WireException;
+import org.fescueport.internal.wire.generated.Call;
+import org.fescueport.internal.wire.generated.Frame;
+import org.fescueport.internal.wire.generated.Hello;
+import org.fescueport.internal.wire.generated.Reply;
+
+/** An open connection to one agent, shared by many attempts. */
+final class AgentLink {
+    private final NodeId mNode;
+    private final FrameConnection mConnection;
+    private final Counter mStaleFrames;
+    private final Map<AttemptId, AttemptListener> mAttempts = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Reply>> mCalls = new ConcurrentHashMap<>();
+    private final AtomicLong mNextCall = new AtomicLong();
+    private final CompletableFuture<Hello> mHello = new CompletableFuture<>();
+    private volatile long mLastUsedNanos;
+
+    private AgentLink(NodeId node, FrameConnection connection, Counter staleFrames) {
+        mNode = node;
+        mConnection = connection;
+        mStaleFrames = staleFrames;
+    }
+
+    static AgentLink of(NodeId node, FrameConnection connection, Counter staleFrames) {
+        return new AgentLink(node, connection, staleFrames);
+    }
+
+    NodeId node() {
+        return mNode;
+    }
+
+    /** Completes when the agent has said who it is. */
+    CompletableFuture<Hello> hello() {
+        return mHello;
+    }
+
+    /** Sends the first frame of an attempt; its listener hears everything until an outcome. */
+    void submit(AttemptId id, Frame frame, AttemptListener listener, long nowNanos) {
+        mLastUsedNanos = nowNanos;
+        mAttempts.put(id, listener);
+        mConnection.send(frame);
+        if (!mConnection.isOpen()) {
+            loseAttempt(id);
+        }
+    }
+
+    void send(Frame frame) {
+        mConnection.send(frame);
+    }
+
+    /** Stops listening to an attempt; frames of it that still arrive are dropped and counted. */
+    void forget(AttemptId id) {
+        mAttempts.remove(id);
+    }
+
+    CompletableFuture<Reply> call(String method, com.google.protobuf.ByteString payload) {
+        long id = mNextCall.incrementAndGet();
+        var reply = new CompletableFuture<Reply>();
+        mCalls.put(id, reply);
+        var call = Call.newBuilder().setId(id).setMethod(method).setPayload(payload);
+        mConnection.send(Frame.newBuilder().setCall(call).build());
+        if (!mConnection.isOpen()) {
+            loseCall(id);
+        }
+        return reply;
+    }
+
+    boolean isOpen() {
+        return mConnection.isOpen();
+    }
+
+    boolean isIdleSince(long nanos) {
+        return mAttempts.isEmpty() && mCalls.isEmpty() && mLastUsedNanos - nanos < 0;
+    }
+
+    void close() {
+        mConnection.close();
+    }
+
+    void onFrame(Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HELLO -> mHello.complete(frame.getHello());
+            case STARTED -> {
+                var listener = listenerOf(Frames.idOf(frame.getStarted().getKey()));
+                if (listener != null) {
+                    listener.onStarted(frame.getStarted());
+                }
+            }
+            case CHUNK -> {
+                var listener = listenerOf(Frames.idOf(frame.getChunk().getKey()));
+                if (listener != null) {
+                    listener.onChunk(frame.getChunk());
+                }
+            }
+            case OUTCOME -> {
+                var id = Frames.idOf(frame.getOutcome().getKey());
+                var listener = listenerOf(id);
+                if (listener != null) {
+                    mAttempts.remove(id, listener);
+                    listener.onOutcome(frame.getOutcome());
+                }
+            }
+            case REPLY -> {
+                var reply = mCalls.remove(frame.getReply().getId());
+                if (reply != null) {
+                    reply.complete(frame.getReply());
+                }
+            }
+            default -> mStaleFrames.increment();
+        }
+    }
+
+    void onClosed() {
+        mHello.completeExceptionally(WireException.of("lost " + mNode, null));
+        for (var id : mAttempts.keySet()) {
+            loseAttempt(id);
+        }
+        for (var id : mCalls.keySet()) {
+            loseCall(id);
+        }
+    }
+
+    private AttemptListener listenerOf(AttemptId id) {
+        var listener = mAttempts.get(id);
+        if (listener == null) {
+            mStaleFrames.increment();
+        }
+        return listener;
+    }
+
+    private void loseAttempt(AttemptId id) {
+        var listener = mAttempts.remove(id);
+        if (listener != null) {
+            listener.onLost();
+        }
+    }
+
+    private void loseCall(long id) {
+        var reply = mCalls.remove(id);
+        if (reply != null) {
+            reply.completeExceptionally(WireException.of("lost " + mNode + " during a call", null));
+        }
+    }
+}
