Place requests by ticket and weighted rendezvous hash

Ruled out: A ring hash was ruled out because a leaving replica's chats fall on one neighbour. A hierarchical rendezvous hash was left for later because its order changes for other replicas when a cluster fills; a pass over primitive arrays is tried first. Before/After: Nothing was there before. Conclusion: The router can be joined to Placement, ReplicaDirectory and LoadBook.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/placement/Placement.java
@@ -0,0 +1,183 @@
+package org.fescueport.internal.decision.placement;
+
+import java.util.Optional;
+import org.fescueport.internal.decision.FailureDomain;
+
+/**
+ * Chooses the replica for a request: the one that the ticket names, else the ranks of the weighted
+ * rendezvous hash in order, passing over replicas that are known to be above their load bound.
+ *
+ * <p>The ranks do not depend on who asks, so a chat that spills goes to the same second place each
+ * time and from every router. Immutable and safe for use by several threads.
+ *
+ * <pre>{@code
+ * Placement placement = Placement.create(ownDomain);
+ * switch (placement.choose(set, request, bound, loads, filter, now)) {
+ *     case Choice.Chosen chosen -> submit(chosen.replica());
+ *     case Choice.AllBusy busy -> refuse(busy.retryAfterMillis());
+ *     case Choice.NoReplica none -> refuseUnavailable();
+ * }
+ * }</pre>
+ */
+public final class Placement {
+    /** Busy replicas that are passed over before the request is refused. */
+    private static final int MAX_BUSY = 8;
+
+    private static final long MIN_RETRY_AFTER_MILLIS = 100;
+
+    private final FailureDomain mOwnDomain;
+
+    private Placement(FailureDomain ownDomain) {
+        mOwnDomain = ownDomain;
+    }
+
+    /** Returns the placement of a router in this failure domain. */
+    public static Placement create(FailureDomain ownDomain) {
+        return new Placement(ownDomain);
+    }
+
+    /**
+     * Chooses for one attempt.
+     *
+     * @param filter passes over what it does not allow, such as replicas tried by earlier attempts
+     */
+    public Choice choose(
+            ReplicaSet set,
+            PlacementRequest request,
+            LoadBound bound,
+            LoadBook loads,
+            ReplicaFilter filter,
+            long nowNanos) {
+        return new Search(set, request, bound, loads, filter, nowNanos).run();
+    }
+
+    /** One search through the ranks. */
+    private final class Search {
+        private final ReplicaSet mSet;
+        private final PlacementRequest mRequest;
+        private final LoadBound mBound;
+        private final LoadBook mLoads;
+        private final ReplicaFilter mFilter;
+        private final long mNowNanos;
+        private final Ranking mRanking;
+        private final int mTicketIndex;
+        private final double mMean;
+        private int mBusy;
+        private int mRank = -1;
+        private long mRetryAfterMillis = Long.MAX_VALUE;
+
+        Search(
+                ReplicaSet set,
+                PlacementRequest request,
+                LoadBound bound,
+                LoadBook loads,
+                ReplicaFilter filter,
+                long nowNanos) {
+            mSet = set;
+            mRequest = request;
+            mBound = bound;
+            mLoads = loads;
+            mFilter = filter;
+            mNowNanos = nowNanos;
+            mRanking = Ranking.of(set, request.affinity());
+            mTicketIndex = ticketIndex();
+            mMean = loads.mean(nowNanos);
+        }
+
+        Choice run() {
+            if (mTicketIndex >= 0 && fits(mSet.replica(mTicketIndex))) {
+                return chosen(mTicketIndex, Choice.Reason.TICKET);
+            }
+            int first = nextFitting();
+            if (first < 0) {
+                return nothingFits();
+            }
+            if (mRank > 0 || mTicketIndex >= 0) {
+                return chosen(first, Choice.Reason.SPILL);
+            }
+            return mRequest.returning()
+                    ? chosen(first, Choice.Reason.FIRST_RANK)
+                    : betterOfFirstTwo(first);
+        }
+
+        private int ticketIndex() {
+            if (mRequest.ticket().isEmpty()) {
+                return -1;
+            }
+            ChatTicket ticket = mRequest.ticket().get();
+            int index = mSet.indexOf(ticket.node());
+            boolean held = index >= 0 && mSet.replica(index).mayBe(ticket.incarnation());
+            return held ? index : -1;
+        }
+
+        private int nextFitting() {
+            while (mBusy < MAX_BUSY) {
+                int index = mRanking.next();
+                if (index < 0) {
+                    return -1;
+                }
+                mRank++;
+                if (index != mTicketIndex && fits(mSet.replica(index))) {
+                    return index;
+                }
+            }
+            return -1;
+        }
+
+        private boolean fits(Replica replica) {
+            if (!mFilter.allows(replica)) {
+                return false;
+            }
+            double load = mLoads.loadOf(replica.node(), mNowNanos);
+            if (mMean == 0 || mBound.admits(load, mRequest.tokens(), mMean)) {
+                return true;
+            }
+            mBusy++;
+            double limit = mBound.limit(mMean) - mRequest.tokens();
+            long wait = mLoads.millisUntil(replica.node(), limit, mNowNanos);
+            mRetryAfterMillis = Math.min(mRetryAfterMillis, wait);
+            return false;
+        }
+
+        /** Near for a new chat, less loaded for a request without a prefix; else the first. */
+        private Choice betterOfFirstTwo(int first) {
+            if (mRequest.affinity().cacheable() && isNear(first)) {
+                return chosen(first, Choice.Reason.FIRST_RANK);
+            }
+            int second = nextFitting();
+            if (second < 0 || mRank > 1) {
+                return chosen(first, Choice.Reason.FIRST_RANK);
+            }
+            if (mRequest.affinity().cacheable()) {
+                return isNear(second)
+                        ? chosen(second, Choice.Reason.NEAR)
+                        : chosen(first, Choice.Reason.FIRST_RANK);
+            }
+            return loadAt(second) < loadAt(first)
+                    ? chosen(second, Choice.Reason.LESS_LOADED)
+                    : chosen(first, Choice.Reason.FIRST_RANK);
+        }
+
+        private boolean isNear(int index) {
+            return mSet.replica(index).domain().equals(mOwnDomain);
+        }
+
+        private double loadAt(int index) {
+            return mLoads.loadOf(mSet.replica(index).node(), mNowNanos);
+        }
+
+        private Choice nothingFits() {
+            return mBusy == 0
+                    ? new Choice.NoReplica()
+                    : new Choice.AllBusy(Math.max(MIN_RETRY_AFTER_MILLIS, mRetryAfterMillis));
+        }
+
+        private Choice chosen(int index, Choice.Reason reason) {
+            boolean elsewhere = mTicketIndex >= 0 && mTicketIndex != index;
+            return new Choice.Chosen(
+                    mSet.replica(index),
+                    reason,
+                    elsewhere ? Optional.of(mSet.replica(mTicketIndex)) : Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/placement/Ranking.java
@@ -0,0 +1,92 @@
+package org.fescueport.internal.decision.placement;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * The replicas of a set in the order of their weighted rendezvous hash for one key.
+ *
+ * <p>A replica's cost is {@code -ln(u) / weight}, with {@code u} uniform in (0, 1] from the hash of
+ * key and node, and the lowest cost ranks first. The order of any two replicas depends on these two
+ * alone, so processes that hold different lists agree on the replicas that both hold.
+ *
+ * <p>One pass over the set finds the next few ranks; later ranks need a further pass. Not safe for
+ * use by several threads.
+ */
+public final class Ranking {
+    /** Ranks that one pass finds. */
+    private static final int RANKS_PER_PASS = 4;
+
+    private static final double UNIT = 0x1p-53;
+    private static final Hasher64 HASHER = Hashing.komihash5_0();
+
+    private final ReplicaSet mSet;
+    private final long mKey;
+    private final double[] mCosts = new double[RANKS_PER_PASS];
+    private final int[] mIndexes = new int[RANKS_PER_PASS];
+    private int mFound;
+    private int mNext;
+    private int mTaken;
+    private double mLastCost = -1;
+    private int mLastIndex = -1;
+
+    private Ranking(ReplicaSet set, long key) {
+        mSet = set;
+        mKey = key;
+    }
+
+    /** Returns a ranking that stands before its first rank. */
+    public static Ranking of(ReplicaSet set, Affinity affinity) {
+        return new Ranking(set, affinity.key());
+    }
+
+    /** Returns the index of the next replica, or -1 after the last. */
+    public int next() {
+        if (mTaken == mSet.size()) {
+            return -1;
+        }
+        if (mNext == mFound) {
+            findNextRanks();
+        }
+        mLastCost = mCosts[mNext];
+        mLastIndex = mIndexes[mNext];
+        mNext++;
+        mTaken++;
+        return mLastIndex;
+    }
+
+    private void findNextRanks() {
+        long[] seeds = mSet.seeds();
+        double[] inverseWeights = mSet.inverseWeights();
+        mNext = 0;
+        mFound = 0;
+        double worst = Double.POSITIVE_INFINITY;
+        for (int i = 0; i < seeds.length; i++) {
+            double rest = (HASHER.hashLongLongToLong(mKey, seeds[i]) >>> 11) * UNIT;
+            // -ln(1 - rest) >= rest, so most replicas are passed over without a logarithm.
+            if (rest * inverseWeights[i] > worst) {
+                continue;
+            }
+            double cost = -Math.log1p(-rest) * inverseWeights[i];
+            if (isAfterLast(cost, i) && cost < worst) {
+                insert(cost, i);
+                worst = mFound < RANKS_PER_PASS ? worst : mCosts[RANKS_PER_PASS - 1];
+            }
+        }
+    }
+
+    private boolean isAfterLast(double cost, int index) {
+        return cost > mLastCost || (cost == mLastCost && index > mLastIndex);
+    }
+
+    private void insert(double cost, int index) {
+        int at = mFound < RANKS_PER_PASS ? mFound++ : RANKS_PER_PASS - 1;
+        while (at > 0 && mCosts[at - 1] > cost) {
+            mCosts[at] = mCosts[at - 1];
+            mIndexes[at] = mIndexes[at - 1];
+            at--;
+        }
+        mCosts[at] = cost;
+        mIndexes[at] = index;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
@@ -0,0 +1,163 @@
+package org.fescueport.internal.decision.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+
+/**
+ * Builds a pool's {@link ReplicaSet} from the platform's list of VMs and from what this process saw
+ * itself.
+ *
+ * <p>The list lags and flaps. A replica that answered lately stays for a while after it has dropped
+ * out of the list; one that said that it leaves goes at once, and comes back as another incarnation
+ * or when the list still has it long after. Not safe for use by several threads; the sets that it
+ * returns are.
+ *
+ * <pre>{@code
+ * directory.onList(listed, now);
+ * directory.onHello(node, incarnation, leaving, now);
+ * ReplicaSet set = directory.replicas(now);
+ * }</pre>
+ */
+public final class ReplicaDirectory {
+    /** A replica as the list of VMs has it. */
+    public record Listed(
+            NodeId node, FailureDomain domain, String address, double weight, boolean leaving) {}
+
+    /** Time for which a replica that answered lately stays after it left the list. */
+    private static final long UNLISTED_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    /** Time for which the word of a replica that it leaves outweighs the list. */
+    private static final long LEAVING_HOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** What is known of one replica. */
+    private static final class Seen {
+        private Replica mReplica;
+        private long mListedAtNanos;
+        private long mAnsweredAtNanos;
+        private boolean mEverAnswered;
+        private boolean mListed;
+        private boolean mListedLeaving;
+        private boolean mSaidLeaving;
+        private long mSaidLeavingAtNanos;
+
+        boolean isLive(long nowNanos) {
+            if (isHeldAsLeaving(nowNanos) || mListedLeaving) {
+                return false;
+            }
+            return mListed || (mEverAnswered && nowNanos - lastSign() < UNLISTED_GRACE_NANOS);
+        }
+
+        boolean isHeldAsLeaving(long nowNanos) {
+            return mSaidLeaving && nowNanos - mSaidLeavingAtNanos < LEAVING_HOLD_NANOS;
+        }
+
+        private long lastSign() {
+            return mListedAtNanos - mAnsweredAtNanos > 0 ? mListedAtNanos : mAnsweredAtNanos;
+        }
+    }
+
+    private final PoolId mPool;
+    private final Map<NodeId, Seen> mSeen = new HashMap<>();
+    private ReplicaSet mCurrent;
+
+    private ReplicaDirectory(PoolId pool) {
+        mPool = pool;
+        mCurrent = ReplicaSet.of(pool, List.of());
+    }
+
+    /** Returns a directory that knows of no replica. */
+    public static ReplicaDirectory create(PoolId pool) {
+        return new ReplicaDirectory(pool);
+    }
+
+    /** Takes the pool's part of the list of VMs as it was just read. */
+    public void onList(List<Listed> listed, long nowNanos) {
+        mSeen.values().forEach(seen -> seen.mListed = false);
+        for (var entry : listed) {
+            list(entry, nowNanos);
+        }
+    }
+
+    /** Notes that a replica said hello, or answered in any way. */
+    public void onHello(NodeId node, long incarnation, boolean leaving, long nowNanos) {
+        Seen seen = mSeen.get(node);
+        if (seen == null) {
+            return;
+        }
+        if (seen.mReplica.incarnation() != incarnation) {
+            seen.mReplica = seen.mReplica.withIncarnation(incarnation);
+            seen.mSaidLeaving = false;
+        }
+        if (leaving && !seen.mSaidLeaving) {
+            seen.mSaidLeaving = true;
+            seen.mSaidLeavingAtNanos = nowNanos;
+        }
+        seen.mEverAnswered = true;
+        seen.mAnsweredAtNanos = nowNanos;
+    }
+
+    /** Notes that a replica said that this incarnation of it leaves. */
+    public void onLeaving(NodeId node, long incarnation, long nowNanos) {
+        onHello(node, incarnation, true, nowNanos);
+    }
+
+    /** Notes that a replica could not be reached; it no longer stays without the list. */
+    public void onUnreachable(NodeId node) {
+        Seen seen = mSeen.get(node);
+        if (seen != null) {
+            seen.mEverAnswered = false;
+        }
+    }
+
+    /** Returns the live replicas; the same object as before while nothing has changed. */
+    public ReplicaSet replicas(long nowNanos) {
+        mSeen.values().removeIf(seen -> isGone(seen, nowNanos));
+        var live = new ArrayList<Replica>(mSeen.size());
+        for (var seen : mSeen.values()) {
+            if (seen.isLive(nowNanos)) {
+                live.add(seen.mReplica);
+            }
+        }
+        if (!sameAsCurrent(live)) {
+            mCurrent = ReplicaSet.of(mPool, live);
+        }
+        return mCurrent;
+    }
+
+    private static boolean isGone(Seen seen, long nowNanos) {
+        return !seen.mListed && !seen.isLive(nowNanos) && !seen.isHeldAsLeaving(nowNanos);
+    }
+
+    private void list(Listed entry, long nowNanos) {
+        Seen seen = mSeen.computeIfAbsent(entry.node(), node -> new Seen());
+        long incarnation = 0;
+        if (seen.mReplica != null && seen.mReplica.address().equals(entry.address())) {
+            incarnation = seen.mReplica.incarnation();
+        }
+        seen.mReplica =
+                new Replica(
+                        entry.node(), entry.domain(), entry.address(), entry.weight(), incarnation);
+        seen.mListed = true;
+        seen.mListedAtNanos = nowNanos;
+        seen.mListedLeaving = entry.leaving();
+    }
+
+    private boolean sameAsCurrent(List<Replica> live) {
+        if (live.size() != mCurrent.size()) {
+            return false;
+        }
+        for (var replica : live) {
+            int index = mCurrent.indexOf(replica.node());
+            if (index < 0 || !mCurrent.replica(index).equals(replica)) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
