Configuration as a pure fold of its stream, declarations in YAML

Ruled out: Parsing YAML on every node was ruled out, because it costs each node time for each change and ties acceptance to a parser's release; records carry the typed declarations. Refusing a change in the fold because it names a missing team was ruled out, because two files that name each other could then never be published.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/config/ConfigFold.java
@@ -0,0 +1,191 @@
+package org.fescueport.internal.decision.config;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.fescueport.internal.decision.Declarations;
+import org.fescueport.internal.decision.Invariants;
+
+/**
+ * The configuration as a function of its stream alone.
+ *
+ * <p>Records are applied in the order of their offsets. A change is accepted if its base is the
+ * version of its file at that place, and if it clashes with no other file in force; its offset is
+ * the new version. A snapshot in the stream changes nothing here: it only lets another fold start
+ * later. Not thread-safe.
+ *
+ * <pre>{@code
+ * var fold = ConfigFold.empty();
+ * fold.apply(1, change);          // Accepted[version=1]
+ * fold.declarations().version();  // 1
+ * }</pre>
+ */
+public final class ConfigFold {
+    private static final int KEPT_DIGESTS = 256;
+
+    private final Map<String, FileState> mFiles = new HashMap<>();
+    private final ClashIndex mIndex = new ClashIndex();
+    private final TreeMap<Long, Long> mDigests = new TreeMap<>();
+    private long mPosition;
+    private long mVersion;
+    private long mDigest;
+    private long mWrongSnapshots;
+    private boolean mNewerFormat;
+    private FoldCounts mCounts = FoldCounts.ZERO;
+    private Declarations mDeclarations = Declarations.none();
+
+    private ConfigFold() {}
+
+    /** Returns the fold of a stream with no records. */
+    public static ConfigFold empty() {
+        return new ConfigFold();
+    }
+
+    /** Returns the fold as a snapshot has it; goes on at the snapshot's position. */
+    public static ConfigFold at(ConfigRecord.Snapshot snapshot) {
+        var fold = new ConfigFold();
+        fold.mPosition = snapshot.position();
+        fold.mVersion = snapshot.version();
+        fold.mCounts = snapshot.counts();
+        snapshot.files().forEach(fold::put);
+        fold.mDigests.put(fold.mVersion, fold.mDigest);
+        return fold;
+    }
+
+    /** Applies the record at {@code offset}; one below the position was applied before. */
+    public Verdict apply(long offset, ConfigRecord record) {
+        if (offset < mPosition) {
+            return new Verdict.NoChange();
+        }
+        mPosition = offset + 1;
+        var verdict = judge(offset, record);
+        mCounts = mCounts.plus(verdict);
+        return verdict;
+    }
+
+    /** Moves over offsets that the log surely holds no record for. */
+    public void skipTo(long position) {
+        mPosition = Math.max(mPosition, position);
+    }
+
+    /** Returns the offset of the next record to apply. */
+    public long position() {
+        return mPosition;
+    }
+
+    /** Returns the offset of the last accepted change; 0 before the first. */
+    public long version() {
+        return mVersion;
+    }
+
+    /** Returns the named file's state. */
+    public FileState file(String name) {
+        return mFiles.getOrDefault(name, FileState.ABSENT);
+    }
+
+    /** Returns every file that was ever declared, by name. */
+    public Map<String, FileState> files() {
+        return Map.copyOf(mFiles);
+    }
+
+    /** Returns the counts of verdicts. */
+    public FoldCounts counts() {
+        return mCounts;
+    }
+
+    /** Returns snapshots met that did not agree with this fold. */
+    public long wrongSnapshots() {
+        return mWrongSnapshots;
+    }
+
+    /** Returns whether a record of a newer release was met, which this one can't read. */
+    public boolean metNewerFormat() {
+        return mNewerFormat;
+    }
+
+    /** Returns everything up to here as a snapshot. */
+    public ConfigRecord.Snapshot snapshot() {
+        return new ConfigRecord.Snapshot(mPosition, mVersion, mFiles, mCounts);
+    }
+
+    /** Returns what is in force. */
+    public Declarations declarations() {
+        if (mDeclarations.version() != mVersion) {
+            mDeclarations = DeclarationsBuilder.build(mVersion, mFiles.values());
+        }
+        return mDeclarations;
+    }
+
+    private Verdict judge(long offset, ConfigRecord record) {
+        return switch (record) {
+            case ConfigRecord.Change change -> judgeChange(offset, change);
+            case ConfigRecord.Snapshot snapshot -> check(offset, snapshot);
+            case ConfigRecord.Opening opening -> new Verdict.NoChange();
+            case ConfigRecord.Unreadable unreadable -> skip(unreadable);
+        };
+    }
+
+    private Verdict judgeChange(long offset, ConfigRecord.Change change) {
+        var current = file(change.file());
+        // Offset 0 stands for "never declared" and can't be a version.
+        if (change.base() != current.version() || offset == 0) {
+            return new Verdict.Lost(current.version());
+        }
+        var clashes = change.content().map(mIndex::clashesOf).orElse(List.of());
+        if (!clashes.isEmpty()) {
+            return new Verdict.Refused(clashes);
+        }
+        Invariants.check(offset > mVersion, "a configuration's version went backward");
+        mVersion = offset;
+        put(change.file(), new FileState(offset, change.content()));
+        remember();
+        return new Verdict.Accepted(offset);
+    }
+
+    private Verdict skip(ConfigRecord.Unreadable unreadable) {
+        mNewerFormat |= unreadable.newerFormat();
+        return new Verdict.Skipped(unreadable.why());
+    }
+
+    private Verdict check(long offset, ConfigRecord.Snapshot snapshot) {
+        var known = Optional.ofNullable(mDigests.get(snapshot.version()));
+        var wrong = known.isPresent() && known.get() != digestOf(snapshot.files());
+        if (wrong || snapshot.position() > offset) {
+            mWrongSnapshots++;
+        }
+        return new Verdict.NoChange();
+    }
+
+    private void put(String name, FileState state) {
+        var former = mFiles.put(name, state);
+        if (former != null) {
+            former.content().ifPresent(mIndex::remove);
+            mDigest -= digestOf(name, former);
+        }
+        state.content().ifPresent(mIndex::add);
+        mDigest += digestOf(name, state);
+    }
+
+    private void remember() {
+        mDigests.put(mVersion, mDigest);
+        if (mDigests.size() > KEPT_DIGESTS) {
+            mDigests.pollFirstEntry();
+        }
+    }
+
+    private static long digestOf(Map<String, FileState> files) {
+        var sum = 0L;
+        for (var file : files.entrySet()) {
+            sum += digestOf(file.getKey(), file.getValue());
+        }
+        return sum;
+    }
+
+    private static long digestOf(String name, FileState state) {
+        var mixed = (name.hashCode() * 0x9E3779B97F4A7C15L) ^ state.version();
+        mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/config/DeclarationParser.java
@@ -0,0 +1,265 @@
+package org.fescueport.internal.decision.config;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.fescueport.internal.decision.ModelDeclaration;
+import org.fescueport.internal.decision.OperationDeclaration;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.ServiceDeclaration;
+import org.fescueport.internal.decision.TeamDeclaration;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.WorkKind;
+
+/**
+ * Parses one declaration file strictly, and tells every problem at once.
+ *
+ * <pre>{@code
+ * DeclarationParser.parse("booking.yaml", text)
+ *         .peekLeft(problems -> problems.forEach(System.err::println))
+ *         .peek(parsed -> publish(parsed.file()));
+ * }</pre>
+ */
+public final class DeclarationParser {
+    /** The schema that this release reads. */
+    public static final int SCHEMA = 1;
+
+    /** Kinds of a file. */
+    private static final String KINDS = "model, service or teams";
+
+    private static final int PRIORITY_MAX = 7;
+    private static final int REPLICAS_MAX = 10_000;
+    private static final double LOAD_BOUND_MIN = 1.05;
+    private static final double LOAD_BOUND_MAX = 10;
+    private static final double WEIGHT_MIN = 0.001;
+    private static final double WEIGHT_MAX = 1_000_000;
+    private static final Duration DEADLINE_MAX = Duration.ofDays(1);
+    private static final Duration KEY_WINDOW_MAX = Duration.ofDays(1);
+    private static final Pattern KEY_HASH = Pattern.compile("[0-9a-f]{64}");
+
+    private final String mPath;
+    private final List<Problem> mProblems = new ArrayList<>();
+    private final Map<String, Integer> mLines = new HashMap<>();
+
+    private DeclarationParser(String path) {
+        mPath = path;
+    }
+
+    /** Parses the text of the file at {@code path}, which is used in messages only. */
+    public static Either<List<Problem>, ParsedFile> parse(String path, String text) {
+        var read = YamlReader.read(path, text);
+        if (read.isLeft()) {
+            return Either.left(List.of(read.getLeft()));
+        }
+        var parser = new DeclarationParser(path);
+        var file = parser.file(read.get());
+        if (!parser.mProblems.isEmpty()) {
+            return Either.left(List.copyOf(parser.mProblems));
+        }
+        return Either.right(new ParsedFile(path, file, parser.mLines));
+    }
+
+    private DeclarationFile file(YamlNode root) {
+        var head = Fields.of(mPath, mProblems, "the file", root);
+        var schema = head.integer("schema", 1, Integer.MAX_VALUE);
+        if (schema > SCHEMA) {
+            var why = "this release reads schemas up to " + SCHEMA;
+            head.problem(head.lineOf("schema"), "schema: " + schema, why, "schema: " + SCHEMA);
+            return null;
+        }
+        var kind = head.text("kind", KINDS);
+        return switch (kind) {
+            case "model" -> model(root);
+            case "service" -> service(root);
+            case "teams" -> teams(root);
+            case "" -> null;
+            default -> {
+                var why = "there is no such kind";
+                head.problem(head.lineOf("kind"), "kind: " + kind, why, "kind: " + KINDS);
+                yield null;
+            }
+        };
+    }
+
+    private Fields fields(String where, YamlNode node, String... known) {
+        return Fields.of(mPath, mProblems, where, node, known);
+    }
+
+    private DeclarationFile model(YamlNode root) {
+        var fields =
+                fields(
+                        "a model",
+                        root,
+                        "schema",
+                        "kind",
+                        "name",
+                        "pool",
+                        "artifact",
+                        "replicas",
+                        "loadBound",
+                        "checksFencing",
+                        "work",
+                        "defaultWork",
+                        "teams");
+        var name = named(fields);
+        var work = work(fields);
+        var defaultWork = fields.name("defaultWork");
+        if (!defaultWork.isEmpty() && !work.containsKey(defaultWork)) {
+            var instead = "defaultWork: one of " + work.keySet();
+            var line = fields.lineOf("defaultWork");
+            fields.problem(line, defaultWork, "no such kind of work is declared", instead);
+        }
+        var model =
+                new ModelDeclaration(
+                        name,
+                        pool(fields),
+                        fields.number("loadBound", LOAD_BOUND_MIN, LOAD_BOUND_MAX),
+                        work,
+                        defaultWork,
+                        fields.flag("checksFencing"),
+                        fields.integer("replicas", 1, REPLICAS_MAX),
+                        fields.text("artifact", "the artifact's name in the weight store"));
+        return new DeclarationFile.ModelFile(model, grants(fields));
+    }
+
+    private DeclarationFile service(YamlNode root) {
+        var fields =
+                fields(
+                        "a service",
+                        root,
+                        "schema",
+                        "kind",
+                        "name",
+                        "pool",
+                        "loadBound",
+                        "checksFencing",
+                        "operations",
+                        "teams");
+        var service =
+                new ServiceDeclaration(
+                        named(fields),
+                        pool(fields),
+                        fields.number("loadBound", LOAD_BOUND_MIN, LOAD_BOUND_MAX),
+                        operations(fields),
+                        fields.flag("checksFencing"));
+        return new DeclarationFile.ServiceFile(service, grants(fields));
+    }
+
+    private DeclarationFile teams(YamlNode root) {
+        var fields = fields("a teams file", root, "schema", "kind", "name", "teams");
+        var name = named(fields);
+        var teams = new ArrayList<TeamDeclaration>();
+        var holders = new HashMap<String, String>();
+        for (var entry : section(fields, "teams")) {
+            teams.add(team(fields, entry, holders));
+        }
+        return DeclarationFile.TeamsFile.of(name, teams);
+    }
+
+    private TeamDeclaration team(Fields teams, YamlNode.Entry entry, Map<String, String> holders) {
+        var name = teams.entryName(entry, "team");
+        mLines.put("team:" + name, entry.line());
+        var where = "team " + name;
+        var fields = fields(where, entry.value(), "weight", "keyHashes", "targets");
+        var weight = fields.number("weight", WEIGHT_MIN, WEIGHT_MAX);
+        var hashes = keyHashes(fields, name, holders);
+        var targets = fields.names("targets");
+        targets.forEach(target -> mLines.put("target:" + target, fields.lineOf("targets")));
+        return new TeamDeclaration(TeamId.of(name), weight, hashes, Set.copyOf(targets));
+    }
+
+    private Set<String> keyHashes(Fields fields, String team, Map<String, String> holders) {
+        var hashes = new HashSet<String>();
+        if (!fields.has("keyHashes")) {
+            fields.text("keyHashes", "[SHA-256 of an API key]");
+        }
+        for (var item : fields.items("keyHashes")) {
+            var hash = item instanceof YamlNode.Scalar scalar ? scalar.text() : "";
+            if (!KEY_HASH.matcher(hash).matches()) {
+                var why = "it must be the SHA-256 of an API key, never the key itself";
+                var instead = "64 lower-case hex digits: printf %s \"$KEY\" | sha256sum";
+                fields.problem(item.line(), "a key hash of team " + team, why, instead);
+                continue;
+            }
+            var holder = holders.putIfAbsent(hash, team);
+            if (holder != null) {
+                var why = "team " + holder + " has the same key";
+                fields.problem(item.line(), "a key hash of team " + team, why, "a key of its own");
+            }
+            mLines.put("key:" + hash, item.line());
+            hashes.add(hash);
+        }
+        return hashes;
+    }
+
+    private String named(Fields fields) {
+        mLines.put("name", fields.lineOf("name"));
+        return fields.name("name");
+    }
+
+    private PoolId pool(Fields fields) {
+        mLines.put("pool", fields.lineOf("pool"));
+        return PoolId.of(fields.name("pool"));
+    }
+
+    private Set<String> grants(Fields fields) {
+        var teams = fields.names("teams");
+        teams.forEach(team -> mLines.put("grant:" + team, fields.lineOf("teams")));
+        return Set.copyOf(teams);
+    }
+
+    private List<YamlNode.Entry> section(Fields fields, String name) {
+        if (fields.node(name) instanceof YamlNode.Mapping mapping && !mapping.entries().isEmpty()) {
+            return fields(name, mapping).entries();
+        }
+        var line = fields.lineOf(name);
+        fields.problem(line, "field " + name, "it must be a mapping with entries", name + ": …");
+        return List.of();
+    }
+
+    private Map<String, WorkKind> work(Fields model) {
+        var kinds = new LinkedHashMap<String, WorkKind>();
+        for (var entry : section(model, "work")) {
+            var name = model.entryName(entry, "kind of work");
+            var fields = fields("work " + name, entry.value(), "priority", "deadline");
+            kinds.put(name, workKind(name, fields));
+        }
+        return kinds;
+    }
+
+    private static WorkKind workKind(String name, Fields fields) {
+        var priority = fields.integer("priority", 0, PRIORITY_MAX);
+        return new WorkKind(name, priority, fields.duration("deadline", DEADLINE_MAX));
+    }
+
+    private Map<String, OperationDeclaration> operations(Fields service) {
+        var operations = new LinkedHashMap<String, OperationDeclaration>();
+        for (var entry : section(service, "operations")) {
+            var name = service.entryName(entry, "operation");
+            operations.put(name, operation(name, entry.value()));
+        }
+        return operations;
+    }
+
+    private OperationDeclaration operation(String name, YamlNode node) {
+        var where = "operation " + name;
+        var fields = fields(where, node, "idempotent", "keyWindow", "priority", "deadline");
+        var idempotent = fields.flag("idempotent");
+        var window = Duration.ZERO;
+        if (!idempotent) {
+            window = fields.duration("keyWindow", KEY_WINDOW_MAX);
+        } else if (fields.has("keyWindow")) {
+            var why = "an idempotent operation needs no key";
+            var line = fields.lineOf("keyWindow");
+            fields.problem(line, "field keyWindow", why, "idempotent: false, or no keyWindow");
+        }
+        return new OperationDeclaration(name, idempotent, workKind(name, fields), window);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/config/DeclarationsBuilder.java
@@ -0,0 +1,68 @@
+package org.fescueport.internal.decision.config;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.fescueport.internal.decision.Declarations;
+import org.fescueport.internal.decision.ModelDeclaration;
+import org.fescueport.internal.decision.ServiceDeclaration;
+import org.fescueport.internal.decision.TeamDeclaration;
+import org.fescueport.internal.decision.TeamId;
+
+/** Joins files into what is in force. */
+public final class DeclarationsBuilder {
+    // No model or service can have this name, so a team with this target may call nothing.
+    private static final Set<String> NO_TARGET = Set.of("-");
+
+    private final Map<String, ModelDeclaration> mModels = new HashMap<>();
+    private final Map<String, ServiceDeclaration> mServices = new HashMap<>();
+    private final Map<TeamId, TeamDeclaration> mTeams = new HashMap<>();
+    private final Map<String, Set<String>> mTeamsByTarget = new HashMap<>();
+
+    private DeclarationsBuilder() {}
+
+    /** Returns the declarations of these files at {@code version}. */
+    public static Declarations build(long version, Collection<FileState> files) {
+        var builder = new DeclarationsBuilder();
+        files.forEach(file -> file.content().ifPresent(builder::add));
+        builder.mTeams.replaceAll((id, team) -> builder.withTargets(team));
+        return Declarations.of(version, builder.mModels, builder.mServices, builder.mTeams);
+    }
+
+    private void add(DeclarationFile file) {
+        switch (file) {
+            case DeclarationFile.ModelFile f -> {
+                mModels.put(f.name(), f.model());
+                mTeamsByTarget.put(f.name(), f.teams());
+            }
+            case DeclarationFile.ServiceFile f -> {
+                mServices.put(f.name(), f.service());
+                mTeamsByTarget.put(f.name(), f.teams());
+            }
+            case DeclarationFile.TeamsFile f -> mTeams.putAll(f.teams());
+        }
+    }
+
+    /** A team may call a target if its own file and the target's file both allow it. */
+    private TeamDeclaration withTargets(TeamDeclaration team) {
+        var open = mTeamsByTarget.values().stream().allMatch(Set::isEmpty);
+        if (open) {
+            return team;
+        }
+        var targets = new HashSet<String>();
+        for (var target : mTeamsByTarget.entrySet()) {
+            var teams = target.getValue();
+            var granted = teams.isEmpty() || teams.contains(team.id().name());
+            if (granted && team.mayCall(target.getKey())) {
+                targets.add(target.getKey());
+            }
+        }
+        return new TeamDeclaration(
+                team.id(),
+                team.weight(),
+                team.keyHashes(),
+                targets.isEmpty() ? NO_TARGET : targets);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/config/YamlReader.java
@@ -0,0 +1,105 @@
+package org.fescueport.internal.decision.config;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLParser;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+
+/** Reads one YAML document into nodes that know their lines. */
+final class YamlReader {
+    private static final int DEPTH_LIMIT = 16;
+    private static final YAMLFactory FACTORY = new YAMLFactory();
+
+    private final String mFile;
+    private final YAMLParser mParser;
+
+    private YamlReader(String file, YAMLParser parser) {
+        mFile = file;
+        mParser = parser;
+    }
+
+    /** Returns the document, or where its syntax is broken. */
+    static Either<Problem, YamlNode> read(String file, String text) {
+        try (var parser = FACTORY.createParser(text)) {
+            var reader = new YamlReader(file, parser);
+            if (parser.nextToken() == null) {
+                return Either.left(problem(file, 1, "an empty file", "nothing is declared"));
+            }
+            var root = reader.node(0);
+            if (parser.nextToken() != null) {
+                var why = "a file declares one thing";
+                return Either.left(problem(file, reader.line(), "a second document", why));
+            }
+            return Either.right(root);
+        } catch (JsonProcessingException e) {
+            var line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
+            var why = reasonOf(e);
+            return Either.left(problem(file, line, "not YAML", why));
+        } catch (IOException e) {
+            return Either.left(problem(file, 1, "unreadable text", e.getMessage()));
+        }
+    }
+
+    private static Problem problem(String file, int line, String what, String why) {
+        return new Problem(file, line, what, why, "one YAML mapping with schema, kind and name");
+    }
+
+    /** The parser's reason without its excerpts of the text, which may hold a secret. */
+    private static String reasonOf(JsonProcessingException e) {
+        var reasons =
+                e.getOriginalMessage()
+                        .lines()
+                        .filter(line -> !line.startsWith(" ") && !line.isBlank())
+                        .toList();
+        return String.join(", ", reasons);
+    }
+
+    private YamlNode node(int depth) throws IOException {
+        var line = line();
+        if (depth > DEPTH_LIMIT) {
+            throw new YamlFault(mParser, "values are nested too deeply");
+        }
+        if (mParser.isCurrentAlias() || mParser.getObjectId() != null) {
+            throw new YamlFault(mParser, "anchors and aliases aren't taken");
+        }
+        return switch (mParser.currentToken()) {
+            case START_OBJECT -> mapping(line, depth);
+            case START_ARRAY -> sequence(line, depth);
+            default -> new YamlNode.Scalar(line, mParser.getText());
+        };
+    }
+
+    private YamlNode mapping(int line, int depth) throws IOException {
+        var entries = new ArrayList<YamlNode.Entry>();
+        while (mParser.nextToken() != JsonToken.END_OBJECT) {
+            var key = mParser.currentName();
+            var keyLine = line();
+            mParser.nextToken();
+            entries.add(new YamlNode.Entry(key, keyLine, node(depth + 1)));
+        }
+        return new YamlNode.Mapping(line, entries);
+    }
+
+    private YamlNode sequence(int line, int depth) throws IOException {
+        var items = new ArrayList<YamlNode>();
+        while (mParser.nextToken() != JsonToken.END_ARRAY) {
+            items.add(node(depth + 1));
+        }
+        return new YamlNode.Sequence(line, items);
+    }
+
+    private int line() {
+        return Math.max(1, mParser.currentTokenLocation().getLineNr());
+    }
+
+    private static final class YamlFault extends JsonProcessingException {
+        private static final long serialVersionUID = 1L;
+
+        YamlFault(YAMLParser parser, String message) {
+            super(message, parser.currentTokenLocation());
+        }
+    }
+}
