--- a/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
@@ -19,31 +19,31 @@
     private final HttpHandler mNext;
     private final FaultSwitch mFaults;
     private final ScheduledExecutorService mExecutor;
-    private final String mOutageCode;
+    private final String mOutageError;
     private final ArrayDeque<HttpExchange> mFrozen = new ArrayDeque<>();
 
     private FaultyHandler(
             HttpHandler next,
             FaultSwitch faults,
             ScheduledExecutorService executor,
-            String outageCode) {
+            String outageError) {
         mNext = next;
         mFaults = faults;
         mExecutor = executor;
-        mOutageCode = outageCode;
+        mOutageError = outageError;
     }
 
     /**
      * Returns a handler around {@code next}.
      *
-     * @param outageCode error code of a call that is refused in an outage
+     * @param outageError type of the error for a call that is refused in an outage
      */
     public static FaultyHandler create(
             HttpHandler next,
             FaultSwitch faults,
             ScheduledExecutorService executor,
-            String outageCode) {
-        return new FaultyHandler(next, faults, executor, outageCode);
+            String outageError) {
+        return new FaultyHandler(next, faults, executor, outageError);
     }
 
     @Override
@@ -85,7 +85,7 @@
 
     private void strike(HttpExchange exchange) {
         if (mFaults.current().outage()) {
-            Json.respondError(exchange, 503, mOutageCode, "outage; nothing was done");
+            Json.respondError(exchange, 503, mOutageError, "outage; nothing was done");
             return;
         }
         long slowMillis = mFaults.current().slowMillis();
--- a/src/main/java/org/fescueport/internal/standin/Json.java
+++ b/src/main/java/org/fescueport/internal/standin/Json.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import org.fescueport.internal.http.HttpExchange;
+import org.fescueport.internal.http.JsonError;
 
 /** JSON in and out of the stand-ins' HTTP forms. */
 public final class Json {
@@ -77,11 +78,9 @@
         exchange.respond(status, TEXT_HEADERS, text.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Answers with an error that a program can tell by its code. */
+    /** Answers with an error that a program can tell by its type. */
     public static void respondError(
-            HttpExchange exchange, int status, String code, String message) {
-        var body = object();
-        body.putObject("error").put("code", code).put("message", message);
-        respond(exchange, status, body);
+            HttpExchange exchange, int status, String type, String message) {
+        JsonError.respond(exchange, status, type, message);
     }
 }
