Admit by predicted completion and share a replica fairly among teams

Ruled out: Exact waiting times from the whole queue were ruled out, as each offer would walk it; the own team's entries ahead are counted up to 64. Change: AdmissionQueue with priority classes, start-time fair queueing over teams, earliest deadline first inside a team, displacement of lower classes and of teams above their share, and slots that are left to teams below theirs. The benchmark moved to the test tree and runs by bin/bench.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/admission/TeamState.java
@@ -0,0 +1,21 @@
+package org.fescueport.internal.decision.admission;
+
+import org.fescueport.internal.decision.TeamId;
+
+/** What a replica knows of one team that was active lately. */
+final class TeamState {
+    final TeamId mTeam;
+    double mWeight;
+    int mRunning;
+    int mQueued;
+    long mLastActiveNanos;
+
+    TeamState(TeamId team, double weight) {
+        mTeam = team;
+        mWeight = weight;
+    }
+
+    boolean isIdle() {
+        return mRunning == 0 && mQueued == 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/admission/WorkOffer.java
@@ -0,0 +1,21 @@
+package org.fescueport.internal.decision.admission;
+
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.Work;
+
+/**
+ * A request that asks to be run here.
+ *
+ * @param teamWeight share of its team beside the other teams' weights; positive
+ * @param priority class of priority; 0 is the most urgent
+ * @param deadlineNanos time by which the whole answer is due
+ */
+public record WorkOffer(
+        AttemptId id, TeamId team, double teamWeight, int priority, long deadlineNanos, Work work) {
+    public WorkOffer {
+        if (!(teamWeight > 0)) {
+            throw new IllegalArgumentException("weight of " + team + " is not positive");
+        }
+    }
+}
--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -4,15 +4,14 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
-import org.fescueport.internal.load.bench.BenchCommand;
 import org.fescueport.internal.settings.ExitCode;
 
 /** Entry point of the program. */
 @Cli(
         name = "fescue-load",
-        description = "Load, experiments and benchmarks",
+        description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class, BenchCommand.class})
+        commands = {Help.class})
 public final class LoadMain {
     private LoadMain() {}
 
@@ -31,11 +30,11 @@
             return ExitCode.USAGE;
         }
         return switch (command) {
-            case Callable<?> callable -> (Integer) callable.call();
-            case Runnable help -> {
+            case Help<?> help -> {
                 help.run();
                 yield ExitCode.OK;
             }
+            case Callable<?> callable -> (Integer) callable.call();
             default -> throw new IllegalStateException("not a command: " + command);
         };
     }
