Stand-in engine sends a span for each generation

Cause: a trace ended at the agent, so that the time in the engine could not be told from the time on the way. Ruled out: spans made by the agent on the engine's behalf, which cannot see the queue of the engine. Conclusion: the last hop of a request is in its trace.

--- a/src/main/java/org/fescueport/internal/router/ChatBody.java
+++ b/src/main/java/org/fescueport/internal/router/ChatBody.java
@@ -82,7 +82,12 @@
         }
         if (!value.isInt() || value.intValue() < 1 || value.intValue() > MOST_MAX_TOKENS) {
             throw RequestException.invalid(
-                    "\"" + field + "\" is " + value + ": give a number from 1 to " + MOST_MAX_TOKENS);
+                    "\""
+                            + field
+                            + "\" is "
+                            + value
+                            + ": give a number from 1 to "
+                            + MOST_MAX_TOKENS);
         }
         return value.intValue();
     }
--- a/src/main/java/org/fescueport/internal/standin/AllCommand.java
+++ b/src/main/java/org/fescueport/internal/standin/AllCommand.java
@@ -32,11 +32,14 @@
 
     @Override
     void start(StandinProcess process, StandinSettings given) {
-        var settings = given.withPort(0);
+        var bare = given.withPort(0);
+        var collector = Standin.collector(bare);
+        var settings =
+                given.collector().isPresent() ? bare : bare.withCollector(collector.address());
         process.add("log", Standin.log(settings));
         process.add("vms", Standin.vms(settings));
         process.add("weights", Standin.weights(settings, WeightsCommand.ARTIFACT_BYTES));
-        process.add("collector", Standin.collector(settings));
+        process.add("collector", collector);
         for (int i = 1; i <= mEngineCount; i++) {
             process.add("engine-" + i, Standin.engine(settings, mEngineSettings));
         }
--- a/src/main/java/org/fescueport/internal/standin/Standin.java
+++ b/src/main/java/org/fescueport/internal/standin/Standin.java
@@ -44,7 +44,14 @@
         var executor = executor();
         var faults = settings.newFaultSwitch();
         Runnable crash = () -> Runtime.getRuntime().halt(EXIT_CRASHED);
-        var engine = EngineHandler.create(size, Clock.SYSTEM, executor, faults, crash);
+        var engine =
+                EngineHandler.create(
+                        size,
+                        Clock.SYSTEM,
+                        executor,
+                        faults,
+                        settings.newTelemetry("standin-engine"),
+                        crash);
         var server = start(settings, engine, faults, UNAVAILABLE, executor);
         return new Standin(server, faults, engine::isIdle);
     }
--- a/src/main/java/org/fescueport/internal/standin/StandinCommand.java
+++ b/src/main/java/org/fescueport/internal/standin/StandinCommand.java
@@ -39,6 +39,12 @@
                     "Time for which the health check says \"leaving\" before a stop. Default: 1000")
     private String mNotice;
 
+    @Option(
+            name = "--collector-url",
+            title = "URL",
+            description = "Where an engine sends its spans by OTLP over HTTP. Default: nowhere")
+    private String mCollectorUrl;
+
     /** Checks the settings, starts the stand-ins and waits until the process is told to stop. */
     final void run() throws InterruptedException {
         if (mHelp.showHelpIfRequested()) {
@@ -50,11 +56,12 @@
         var faults = readFaults(reader);
         Duration notice =
                 reader.millis("--notice-millis", mNotice, NOTICE_MILLIS, 0, MOST_NOTICE_MILLIS);
+        var collector = reader.url("--collector-url", mCollectorUrl);
         readSettings(reader);
         reader.requireValid();
         var process = StandinProcess.create(notice);
         var host = listen.getAddress().getHostAddress();
-        start(process, new StandinSettings(host, listen.getPort(), faults, seed));
+        start(process, new StandinSettings(host, listen.getPort(), faults, seed, collector));
         process.run();
     }
 
--- a/src/main/java/org/fescueport/internal/standin/engine/EngineHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/engine/EngineHandler.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.standin.engine;
 
 import io.micrometer.core.instrument.Clock;
+import io.opentelemetry.api.trace.SpanKind;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
@@ -10,11 +11,13 @@
 import org.fescueport.internal.standin.BadRequestException;
 import org.fescueport.internal.standin.FaultSwitch;
 import org.fescueport.internal.standin.Json;
+import org.fescueport.internal.telemetry.Telemetry;
 
 /** HTTP form of a stand-in engine. */
 public final class EngineHandler implements HttpHandler {
     private static final int EVENTS_PER_ANSWER = 1000;
 
+    private final Telemetry mTelemetry;
     private final Clock mClock;
     private final FaultSwitch mFaults;
     private final CacheEvents mEvents;
@@ -29,7 +32,9 @@
             Clock clock,
             ScheduledExecutorService executor,
             FaultSwitch faults,
+            Telemetry telemetry,
             Runnable crash) {
+        mTelemetry = telemetry;
         mClock = clock;
         mFaults = faults;
         mExecutor = executor;
@@ -50,8 +55,9 @@
             Clock clock,
             ScheduledExecutorService executor,
             FaultSwitch faults,
+            Telemetry telemetry,
             Runnable crash) {
-        return new EngineHandler(settings, clock, executor, faults, crash);
+        return new EngineHandler(settings, clock, executor, faults, telemetry, crash);
     }
 
     /** Returns whether no request runs or waits. */
@@ -96,8 +102,15 @@
                 request.stream()
                         ? StreamedAnswer.create(exchange, head)
                         : WholeAnswer.create(exchange, head);
-        var handle = mScheduler.submit(request, answer);
-        exchange.onAbort(handle::cancel);
+        var span =
+                mTelemetry.startSpan(
+                        "engine.generate", SpanKind.SERVER, exchange.header("traceparent"));
+        var handle = mScheduler.submit(request, new TracedGeneration(answer, span));
+        exchange.onAbort(
+                () -> {
+                    handle.cancel();
+                    span.end();
+                });
         if (answer instanceof StreamedAnswer streamed) {
             streamed.whenDrained(handle::resume);
         }
--- a/src/test/java/org/fescueport/internal/platform/HttpEngineGenerationTest.java
+++ b/src/test/java/org/fescueport/internal/platform/HttpEngineGenerationTest.java
@@ -29,8 +29,8 @@
     private static final Duration LIMIT = Duration.ofSeconds(5);
     private static final String FIRST =
             "data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\","
-                + "\"content\":\"\"},\"finish_reason\":null}],\"usage\":{\"prompt_tokens\":9,"
-                + "\"completion_tokens\":0,\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
+                    + "\"content\":\"\"},\"finish_reason\":null}],\"usage\":{\"prompt_tokens\":9,"
+                    + "\"completion_tokens\":0,\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
     private static final String TEXT =
             ": comment\r\ndata: {\"choices\":[{\"delta\":{\"content\":\"Niño \\\"a\\\"\"}}]}\r\n"
                     + "\r\n";
@@ -66,8 +66,7 @@
                             body.end();
                         });
 
-        assertThat(
-                events, is("started 9 4|text Niño \"a\"|text Niño \"a\"|completed stop 9 4 2|"));
+        assertThat(events, is("started 9 4|text Niño \"a\"|text Niño \"a\"|completed stop 9 4 2|"));
     }
 
     @ParameterizedTest
@@ -136,8 +135,7 @@
                 "{\"a\":{}}\n | {\"a\":{},\"stream\":true,\"priority\":2}"
             })
     void shouldAddFieldsToBody(String body, String wanted) {
-        Engine.Generation generation =
-                new Engine.Generation(body.getBytes(UTF_8), 2, "", "");
+        Engine.Generation generation = new Engine.Generation(body.getBytes(UTF_8), 2, "", "");
 
         assertThat(new String(HttpEngine.bodyOf(generation), UTF_8), is(wanted));
     }
--- a/src/test/java/org/fescueport/internal/platform/PlatformAdaptersTest.java
+++ b/src/test/java/org/fescueport/internal/platform/PlatformAdaptersTest.java
@@ -51,8 +51,7 @@
         long offset = log(url).append("config", List.of(new byte[] {1, 2}, new byte[] {3})).join();
 
         assertThat(offset, is(17L));
-        assertThat(
-                mSeen, is("POST /v1/streams/config/records {\"records\":[\"AQI=\",\"Aw==\"]}"));
+        assertThat(mSeen, is("POST /v1/streams/config/records {\"records\":[\"AQI=\",\"Aw==\"]}"));
     }
 
     @ParameterizedTest
@@ -230,7 +229,6 @@
     }
 
     private static PlatformException failureOf(CompletableFuture<?> future) {
-        return (PlatformException)
-                assertThrows(CompletionException.class, future::join).getCause();
+        return (PlatformException) assertThrows(CompletionException.class, future::join).getCause();
     }
 }
--- a/src/test/java/org/fescueport/internal/standin/engine/EngineHandlerTest.java
+++ b/src/test/java/org/fescueport/internal/standin/engine/EngineHandlerTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescueport.internal.standin.BadRequestException;
@@ -19,6 +20,7 @@
 import org.fescueport.internal.standin.FaultSwitch;
 import org.fescueport.internal.standin.Faults;
 import org.fescueport.internal.standin.Json;
+import org.fescueport.internal.telemetry.Telemetry;
 import org.jmock.lib.concurrent.DeterministicScheduler;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +33,8 @@
     private final MockClock mClock = new MockClock();
     private final DeterministicScheduler mScheduler = new DeterministicScheduler();
     private final FaultSwitch mFaults = FaultSwitch.create(Faults.none(), 7);
+    private final Telemetry mTelemetry =
+            Telemetry.create("standin-engine", "test", Optional.empty(), mClock);
     private final AtomicInteger mCrashes = new AtomicInteger();
     private final EngineHandler mEngine = engine(8, 1000, 4096);
 
@@ -254,7 +258,7 @@
 
     private EngineHandler engine(EngineSettings settings) {
         return EngineHandler.create(
-                settings, mClock, mScheduler, mFaults, mCrashes::incrementAndGet);
+                settings, mClock, mScheduler, mFaults, mTelemetry, mCrashes::incrementAndGet);
     }
 
     private static EngineSettings settings(
