Add gossip of the mean, retries, ejection and moves of a chat

Ruled out: Averaging that only conserves the sum was ruled out, because lost answers would leave a lasting error; the estimate leaks towards the own load. Change: The packages decision.gossip, decision.retry, decision.ejection and decision.transfer, and gossip.proto for the exchange. Before/After: Nothing was there before. The tests of the decisions and of the layers pass. In the full run HttpServerTest.shouldHoldBackWriterWhileCallerDoesNotRead, which this change does not touch, failed once on a busy machine.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/gossip/GossipPeers.java
@@ -0,0 +1,58 @@
+package org.fescueport.internal.decision.gossip;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fescueport.internal.decision.ChatId;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+
+/**
+ * The few peers that an agent exchanges with, in turn.
+ *
+ * <p>They are the first ranks of the rendezvous hash for the agent's name: a change of the set
+ * replaces few of them, so connections stay, and the pool as a whole forms a random graph, in which
+ * averages spread fast.
+ */
+public final class GossipPeers {
+    private static final TeamId GRAPH = TeamId.of("gossip");
+
+    private final List<Replica> mPeers;
+    private int mNext;
+
+    private GossipPeers(List<Replica> peers) {
+        mPeers = List.copyOf(peers);
+    }
+
+    /** Returns the peers of {@code self} in the set, at most {@code count}. */
+    public static GossipPeers of(ReplicaSet set, NodeId self, int count) {
+        var ranking = Ranking.of(set, Affinity.ofChat(GRAPH, ChatId.of(self.name())));
+        var peers = new ArrayList<Replica>();
+        for (int index = ranking.next(); index >= 0; index = ranking.next()) {
+            if (!set.replica(index).node().equals(self)) {
+                peers.add(set.replica(index));
+            }
+            if (peers.size() == count) {
+                break;
+            }
+        }
+        return new GossipPeers(peers);
+    }
+
+    /** Returns the peers. */
+    public List<Replica> all() {
+        return mPeers;
+    }
+
+    /** Returns the peer for the next round; null when there is none. */
+    public Replica next() {
+        if (mPeers.isEmpty()) {
+            return null;
+        }
+        mNext = (mNext + 1) % mPeers.size();
+        return mPeers.get(mNext);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/transfer/RecentChats.java
@@ -0,0 +1,87 @@
+package org.fescueport.internal.decision.transfer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+
+/**
+ * The chats whose KV cache a replica held lately, so that it can hand over the hottest first before
+ * a planned leave. Keeps a bounded number, the ones used last. Not safe for use by several threads.
+ *
+ * @param <P> what the agent needs to export a chat, such as its prompt
+ */
+public final class RecentChats<P> {
+    /** A chat to hand over. */
+    public record Chat<P>(Affinity affinity, P payload, long tokens, long usedAtNanos) {}
+
+    /** A chat and the replica that will rank first for it. */
+    public record Handover<P>(Chat<P> chat, Replica target) {}
+
+    /** Age at which a chat is half as likely to return soon. */
+    private static final double HALF_LIFE_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+    private static final float LOAD_FACTOR = 0.75f;
+    private static final int INITIAL_CAPACITY = 16;
+
+    private final int mMaxChats;
+    private final Map<Affinity, Chat<P>> mChats =
+            new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
+
+    private RecentChats(int maxChats) {
+        mMaxChats = maxChats;
+    }
+
+    /** Returns an empty list of at most so many chats. */
+    public static <P> RecentChats<P> create(int maxChats) {
+        return new RecentChats<>(maxChats);
+    }
+
+    /** Notes a chat whose answer has just ended. */
+    public void onUsed(Affinity affinity, P payload, long tokens, long nowNanos) {
+        mChats.put(affinity, new Chat<>(affinity, payload, tokens, nowNanos));
+        if (mChats.size() > mMaxChats) {
+            mChats.remove(mChats.keySet().iterator().next());
+        }
+    }
+
+    /** Forgets a chat whose cache is gone. */
+    public void onGone(Affinity affinity) {
+        mChats.remove(affinity);
+    }
+
+    /** Returns all chats with their targets, those first that save most if they return. */
+    public List<Handover<P>> hottestFirst(ReplicaSet set, NodeId self, long nowNanos) {
+        var chats = new ArrayList<>(mChats.values());
+        chats.sort(Comparator.comparingDouble((Chat<P> chat) -> -heat(chat, nowNanos)));
+        var handovers = new ArrayList<Handover<P>>(chats.size());
+        for (var chat : chats) {
+            var target = firstRankBeside(set, self, chat.affinity());
+            if (target != null) {
+                handovers.add(new Handover<>(chat, target));
+            }
+        }
+        return handovers;
+    }
+
+    private static double heat(Chat<?> chat, long nowNanos) {
+        return chat.tokens() * Math.pow(0.5, (nowNanos - chat.usedAtNanos()) / HALF_LIFE_NANOS);
+    }
+
+    private static Replica firstRankBeside(ReplicaSet set, NodeId self, Affinity affinity) {
+        var ranking = Ranking.of(set, affinity);
+        for (int index = ranking.next(); index >= 0; index = ranking.next()) {
+            if (!set.replica(index).node().equals(self)) {
+                return set.replica(index);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
@@ -0,0 +1,96 @@
+package org.fescueport.internal.decision.ejection;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.decision.placement.Replicas;
+import org.junit.jupiter.api.Test;
+
+class OutlierEjectionTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final ReplicaSet mSet = Replicas.set(12);
+    private final OutlierEjection mEjection =
+            OutlierEjection.create(EjectionSettings.standard(), mSet);
+
+    private void fail(NodeId node, long now) {
+        for (int i = 0; i < 3; i++) {
+            mEjection.onFailure(node, now);
+        }
+    }
+
+    private double share(NodeId node, long now) {
+        var random = new Random(5);
+        Replica replica = mSet.replica(mSet.indexOf(node));
+        int allowed = 0;
+        for (int i = 0; i < 4_000; i++) {
+            allowed += mEjection.filter(random.nextLong(), now).allows(replica) ? 1 : 0;
+        }
+        return allowed / 4_000.0;
+    }
+
+    @Test
+    void shouldEjectAndTakeBackSlowly() {
+        var node = NodeId.of("r1");
+        fail(node, 0);
+        assertThat(share(node, 4 * SECOND), is(0.0));
+        assertThat(share(node, 6 * SECOND), closeTo(0.05, 0.02));
+        assertThat(share(node, 15 * SECOND), closeTo(0.5, 0.03));
+        mEjection.onSuccess(node, 15 * SECOND);
+        assertThat(share(node, 15 * SECOND), closeTo(0.5, 0.03));
+        mEjection.onSuccess(node, 26 * SECOND);
+        assertThat(share(node, 26 * SECOND), is(1.0));
+    }
+
+    @Test
+    void shouldEjectForLongerEachTime() {
+        var node = NodeId.of("r1");
+        fail(node, 0);
+        mEjection.onFailure(node, 6 * SECOND);
+        assertThat(share(node, 15 * SECOND), is(0.0));
+    }
+
+    @Test
+    void shouldEjectAtMostTheSetShare() {
+        for (int i = 0; i < 12; i += 3) {
+            mEjection.onFailure(NodeId.of("r" + i), 0);
+        }
+        fail(NodeId.of("r1"), 0);
+        fail(NodeId.of("r2"), 0);
+        fail(NodeId.of("r4"), 0);
+        fail(NodeId.of("r5"), 0);
+        assertThat(mEjection.ejected(0), is(3));
+    }
+
+    @Test
+    void shouldEjectALostFailureDomainWhole() {
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 12; i += 3) {
+                mEjection.onFailure(NodeId.of("r" + i), round);
+            }
+        }
+        fail(NodeId.of("r1"), 3);
+        assertThat(mEjection.ejected(4), is(5));
+        for (int i = 0; i < 12; i++) {
+            fail(NodeId.of("r" + i), 5);
+        }
+        assertThat(mEjection.ejected(6), lessThanOrEqualTo(4 + 3));
+    }
+
+    @Test
+    void shouldForgetFailuresWithASuccess() {
+        var node = NodeId.of("r1");
+        mEjection.onFailure(node, 0);
+        mEjection.onFailure(node, 0);
+        mEjection.onSuccess(node, 0);
+        mEjection.onFailure(node, 0);
+        assertThat(share(node, 0), is(1.0));
+    }
+}
