--- a/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
@@ -14,6 +14,7 @@
 import org.fescueport.internal.decision.config.ConfigFold;
 import org.fescueport.internal.decision.config.ConfigRecord;
 import org.fescueport.internal.decision.config.DeclarationFile;
+import org.fescueport.internal.decision.config.FileState;
 import org.fescueport.internal.decision.config.Verdict;
 import org.fescueport.platform.LogService;
 import org.fescueport.platform.LogService.Entry;
@@ -38,6 +39,8 @@
     private final Supplier<UUID> mNonces;
     private final Set<UUID> mPublished = new HashSet<>();
     private final Map<UUID, Verdict> mVerdicts = new HashMap<>();
+    private final List<FileState> mRemembered = new ArrayList<>();
+    private String mRememberedFile = "";
     private final ConfigTail mTail = new ConfigTail(this::onRecord);
 
     private ConfigPublisher(LogService log, String name, Supplier<UUID> nonces) {
@@ -51,6 +54,16 @@
         return new ConfigPublisher(log, name, nonces);
     }
 
+    /** Remembers every version of this file that {@link #catchUp} meets. */
+    public void remember(String file) {
+        mRememberedFile = file;
+    }
+
+    /** Returns the versions that were met, oldest first. */
+    public List<FileState> remembered() {
+        return List.copyOf(mRemembered);
+    }
+
     /** Reads the stream to its end and returns its fold. */
     public CompletableFuture<ConfigFold> catchUp() {
         return mLog.read(ConfigTail.STREAM, mTail.nextRead(), PAGE_RECORDS)
@@ -144,6 +157,11 @@
 
     /** Of several copies of a change an accepted one counts, else the first. */
     private void onRecord(Entry entry, ConfigRecord record, Verdict verdict) {
+        if (record instanceof ConfigRecord.Change change
+                && verdict instanceof Verdict.Accepted accepted
+                && change.file().equals(mRememberedFile)) {
+            mRemembered.add(new FileState(accepted.version(), change.content()));
+        }
         if (record instanceof ConfigRecord.Change change && mPublished.contains(change.nonce())) {
             if (verdict instanceof Verdict.Accepted) {
                 mVerdicts.put(change.nonce(), verdict);
--- a/src/main/java/org/fescueport/internal/log/config/ConfigTail.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigTail.java
@@ -55,7 +55,10 @@
     /** Takes a page that was read from {@link #nextRead()}. */
     Step take(Page page) {
         // Offset 0 is never a version, so a log that starts at 1 leaves no gap.
-        var gap = page.firstOffset() > Math.max(mFold.position(), 1);
+        if (page.firstOffset() == 1) {
+            mFold.skipTo(1);
+        }
+        var gap = page.firstOffset() > mFold.position();
         if (!mSearching && gap) {
             mSearching = true;
             mSearchFrom = page.firstOffset();
--- a/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
+++ b/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
@@ -11,6 +11,7 @@
 import org.fescueport.internal.decision.config.ConfigRecords;
 import org.fescueport.internal.decision.config.Verdict;
 import org.fescueport.internal.log.config.ConfigFollower.Currency;
+import org.fescueport.platform.LogService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -139,6 +140,13 @@
         assertThat(fresh.mFollower.currency(), is(Currency.BY_LOG));
     }
 
+    @Test
+    void shouldBeCurrentOnAnEmptyLogWhoseFirstOffsetIsOne() {
+        var tail = new ConfigTail((entry, record, verdict) -> {});
+        assertThat(tail.take(new LogService.Page(List.of(), 1, 1)), is(ConfigTail.Step.CAUGHT_UP));
+        assertThat(tail.fold().position(), is(1L));
+    }
+
     @Test
     void shouldGiveUpASlowReadAndAskPeers() {
         mNodes.start(3, 3).advance(3_000);
