--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.fescueport.internal.decision.attempt.Refusal;
 import org.fescueport.internal.decision.attempt.RefusalReason;
 import org.fescueport.internal.decision.attempt.Submission;
+import org.fescueport.internal.decision.claim.StoredAnswer;
 import org.fescueport.internal.decision.placement.LoadBound;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.FrameConnection;
@@ -71,6 +73,8 @@
     private final AttemptRegister mRegister = AttemptRegister.create(REGISTER_LIMITS);
     private final AnswerBuffer mBuffer = AnswerBuffer.create(BUFFER_LIMITS);
     private final AdmissionQueue mQueue;
+    private KeyedRuns mKeyed;
+    private KeyedStart mKeyedStart;
     private final Speeds mSpeeds = Speeds.startingAt(PREFILL_PER_SECOND, DECODE_PER_SECOND);
     private final Map<AttemptId, Run> mRuns = new HashMap<>();
     private final ArrayDeque<Run> mEnded = new ArrayDeque<>();
@@ -108,6 +112,17 @@
         return new AgentCore(identity, backend, inFlight, queue, loop, clock, telemetry);
     }
 
+    /** Sets what grants runs that may not be repeated; called once, before the first frame. */
+    void use(KeyedRuns keyed) {
+        mKeyed = keyed;
+        mKeyedStart = KeyedStart.of(this, keyed, mLoop);
+    }
+
+    /** Takes the pool's mean load, in tokens; 0 while it is unknown. */
+    void onMean(long tokens) {
+        mQueue.setMean(tokens);
+    }
+
     void onOpen(FrameConnection connection) {
         mConnections.add(connection);
     }
@@ -155,6 +170,11 @@
         if (run.isEnded()) {
             return;
         }
+        if (run.permit() != null) {
+            // What may not be repeated is let finish, so that its answer can still be asked for.
+            run.detach();
+            return;
+        }
         run.cancelBackend();
         if (run.isStarted()) {
             end(run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
@@ -327,38 +347,81 @@
                         Outcome.NOT_RUN,
                         lower(givenUp.reason()),
                         "given up in the queue of " + mIdentity.node());
-        end(run, end, givenUp.retryAfterMillis());
+        close(run, end, givenUp.retryAfterMillis());
     }
 
     private void start(Run run) {
+        if (run.submit().getNotRepeatable()) {
+            mKeyedStart.begin(run);
+        } else if (passGate(run)) {
+            call(run);
+        }
+    }
+
+    /** Answers a run with what its key gave the first time. */
+    void repeat(Run run, StoredAnswer answer) {
+        mCounters.onRepeatedKey();
+        run.add(mBuffer.append(run.id(), answer.body()));
+        var usage = BackendListener.Usage.NONE;
+        end(
+                run,
+                new BackendListener.End(
+                        Outcome.COMPLETED,
+                        "repeated_key",
+                        "",
+                        answer.status(),
+                        answer.contentType(),
+                        "",
+                        usage),
+                0);
+    }
+
+    /** Records that a run which has not started never will. */
+    void refuseBeforeStart(Run run, RefusalReason reason) {
+        if (!run.isEnded()) {
+            mRegister.refuse(run.id(), reason, run.deadlineNanos(), now());
+        }
+    }
+
+    /** The gate to the backend server: records the start, or ends the run. */
+    boolean passGate(Run run) {
+        if (run.isEnded()) {
+            return false;
+        }
         if (!mRegister.start(run.id(), now())) {
             end(
                     run,
                     BackendListener.End.failed(
                             Outcome.NOT_RUN, "deadline_passed", "it waited past its deadline"));
-            return;
+            return false;
         }
         if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
             mRegister.finish(run.id(), now());
             end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
-            return;
+            return false;
         }
         run.markStarted(now());
+        return true;
+    }
+
+    /** Hands a run that has passed the gate to the backend server. */
+    void call(Run run) {
         mCounters.onStart();
-        run.setHandle(
-                BackendCall.start(
-                        mBackend,
-                        run.submit(),
-                        Telemetry.traceparentOf(run.span()),
-                        new RunListener(run)));
+        var traceparent = Telemetry.traceparentOf(run.span());
+        run.setHandle(BackendCall.start(mBackend, run.submit(), traceparent, new RunListener(run)));
     }
 
     private void end(Run run, BackendListener.End end) {
         end(run, end, 0);
+    }
+
+    /** Ends a run with its final outcome, and lets others start in its place. */
+    void end(Run run, BackendListener.End end, long retryAfterMillis) {
+        close(run, end, retryAfterMillis);
         poll();
     }
 
-    private void end(Run run, BackendListener.End end, long retryAfterMillis) {
+    private void close(Run run, BackendListener.End end, long retryAfterMillis) {
         if (run.isEnded()) {
             return;
         }
@@ -367,6 +430,7 @@
         if (run.isStarted()) {
             mRegister.finish(run.id(), now);
             mBuffer.end(run.id(), now);
+            keepAnswer(run, end);
         }
         if (!mQueue.cancel(run.id())) {
             mQueue.onFinished(run.id());
@@ -378,6 +442,18 @@
         run.span().end();
     }
 
+    private void keepAnswer(Run run, BackendListener.End end) {
+        if (run.permit() == null) {
+            return;
+        }
+        boolean isWhole = end.outcome() == Outcome.COMPLETED;
+        mKeyed.finish(
+                run.permit(),
+                isWhole
+                        ? Optional.of(KeyedRuns.answerOf(end, run.firstPiece()))
+                        : Optional.empty());
+    }
+
     private void dropSuperseded(AttemptId id) {
         var run = mRuns.get(id);
         if (run != null) {
@@ -431,7 +507,7 @@
         return mClock.monotonicTime();
     }
 
-    /** Hands the backend server's events to the loop. */
+    /** Follows what the backend server makes of one run. */
     private final class RunListener implements BackendListener {
         private final Run mRun;
 
@@ -441,20 +517,6 @@
 
         @Override
         public void onStarted(int cachedTokens) {
-            mLoop.execute(() -> started(cachedTokens));
-        }
-
-        @Override
-        public void onPiece(byte[] piece, int tokens) {
-            mLoop.execute(() -> addPiece(piece, tokens));
-        }
-
-        @Override
-        public void onEnd(End end) {
-            mLoop.execute(() -> finished(end));
-        }
-
-        private void started(int cachedTokens) {
             if (mRun.isEnded()) {
                 return;
             }
@@ -467,7 +529,8 @@
             mRun.tellStarted(AgentFrames.started(mRun.id(), cachedTokens, load()));
         }
 
-        private void addPiece(byte[] piece, int tokens) {
+        @Override
+        public void onPiece(byte[] piece, int tokens) {
             if (mRun.isEnded()) {
                 return;
             }
@@ -485,7 +548,8 @@
             }
         }
 
-        private void finished(End end) {
+        @Override
+        public void onEnd(End end) {
             var usage = end.usage();
             mCounters.onTokens(
                     usage.promptTokens(), usage.cachedTokens(), usage.completionTokens());
--- a/src/main/java/org/fescueport/internal/agent/AgentCounters.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCounters.java
@@ -36,6 +36,10 @@
         mTelemetry.counter("agent_resumes", "found", Boolean.toString(found)).increment();
     }
 
+    void onRepeatedKey() {
+        mTelemetry.counter("agent_repeated_keys").increment();
+    }
+
     void onAbandoned() {
         mTelemetry.counter("agent_abandoned_answers").increment();
     }
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -10,17 +10,29 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.admin.AdminNode;
 import org.fescueport.internal.admin.AdminRoutes;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.fleet.AgentConnections;
+import org.fescueport.internal.fleet.ConfigSources;
+import org.fescueport.internal.fleet.Membership;
 import org.fescueport.internal.http.AsyncHttpCaller;
 import org.fescueport.internal.http.HttpCallerSettings;
 import org.fescueport.internal.http.HttpServer;
 import org.fescueport.internal.http.HttpServerSettings;
 import org.fescueport.internal.http.Routes;
+import org.fescueport.internal.log.claim.AtMostOnce;
+import org.fescueport.internal.log.claim.ClaimDecider;
+import org.fescueport.internal.log.claim.ClaimSettings;
+import org.fescueport.internal.log.claim.OwnerBoundKeys;
 import org.fescueport.internal.log.config.ConfigFollower;
-import org.fescueport.internal.log.config.ConfigPeers;
 import org.fescueport.internal.log.config.FollowerSettings;
 import org.fescueport.internal.platform.HttpEngine;
 import org.fescueport.internal.platform.HttpLogService;
 import org.fescueport.internal.platform.HttpPlainService;
+import org.fescueport.internal.platform.HttpVmList;
+import org.fescueport.internal.security.SealedTokens;
+import org.fescueport.internal.security.TokenKeyRing;
 import org.fescueport.internal.settings.ProgramCommand;
 import org.fescueport.internal.supervision.RestartPolicy;
 import org.fescueport.internal.supervision.Supervisor;
@@ -35,6 +47,10 @@
     private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration BACKEND_CHECK_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration BACKEND_ANSWER_TIMEOUT = Duration.ofMinutes(10);
+    private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration GOSSIP_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration PROBE_INTERVAL = Duration.ofMillis(200);
+    private static final int MAX_OWNED_KEYS = 20_000;
     private static final Duration HEALTH_INTERVAL = Duration.ofMillis(500);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(20);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -50,6 +66,11 @@
     private final Backend mBackend;
     private final ConfigFollower mConfig;
     private final AgentCore mCore;
+    private final Membership mMembership;
+    private final AgentConnections mConnections;
+    private final ConfigSources mSources;
+    private final ClaimDecider mDecider;
+    private final MeanGossip mGossip;
     private final Supervisor mRoot;
     private volatile boolean mIsLeaving;
     private volatile int mActive;
@@ -65,15 +86,24 @@
         mHttpCaller = AsyncHttpCaller.create(HttpCallerSettings.defaults());
         mTransport = FrameTransport.create(WIRE_THREADS, Optional::empty, Optional::empty);
         mBackend = backend();
+        var log = HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT);
+        var list = HttpVmList.of(mHttpCaller, node.vmsUrl().toString(), PLATFORM_TIMEOUT);
+        mMembership = Membership.create(list, mClock, mTelemetry);
+        mSources = ConfigSources.create(mMembership, NodeId.of(node.node()));
         mConfig =
                 ConfigFollower.create(
-                        HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT),
-                        ConfigPeers.none(),
+                        log,
+                        mSources,
                         mTimers,
                         mClock,
                         mTelemetry.registry(),
                         FollowerSettings.DEFAULT,
                         mIncarnation);
+        mConnections = connections();
+        mSources.use(mConnections);
+        mDecider =
+                ClaimDecider.create(
+                        log, mClock, mTimers, ClaimSettings.standard(), mTelemetry.registry());
         mCore =
                 AgentCore.create(
                         new AgentCore.Identity(node.node(), mIncarnation, node.failureDomain()),
@@ -83,6 +113,15 @@
                         mLoop,
                         mClock,
                         mTelemetry);
+        mGossip =
+                MeanGossip.create(
+                        NodeId.of(node.node()),
+                        PoolId.of(settings.pool()),
+                        mMembership,
+                        mConnections,
+                        mLoop,
+                        () -> mCore.load().getOutstandingTokens(),
+                        mCore::onMean);
         mRoot = supervisor();
     }
 
@@ -155,11 +194,46 @@
         };
     }
 
+    private AgentConnections connections() {
+        return AgentConnections.create(
+                mTransport,
+                NodeId.of(mSettings.node().node()),
+                mIncarnation,
+                mConfig::version,
+                mMembership,
+                (link, version) -> mSources.onVersion(link, version, mConfig),
+                mClock,
+                mTelemetry);
+    }
+
+    /** Needs the address that was taken, which a key names as its owner's. */
+    private KeyedRuns keyedRuns() {
+        var self = AgentIncarnation.of(NodeId.of(mSettings.node().node()), mIncarnation);
+        var settings = ClaimSettings.standard();
+        var deciders =
+                ClaimDeciders.create(
+                        self.node(), settings.partitions(), mDecider, mMembership, mConnections);
+        var claims =
+                AtMostOnce.start(self, deciders::of, mClock, mTimers, settings, new SecureRandom());
+        var address = mAddress.getHostString() + ":" + mAddress.getPort();
+        var keys = TokenKeyRing.parse(mSettings.node().tokenKeys());
+        return KeyedRuns.create(
+                claims,
+                OwnerBoundKeys.create(self, address, MAX_OWNED_KEYS, mClock),
+                SealedTokens.of(keys),
+                mConfig::declarations,
+                settings.window(),
+                mClock);
+    }
+
     private Supervisor supervisor() {
         return Supervisor.of("agent", RestartPolicy.standard(), mTimers, mClock)
                 .add(Worker.of("config", onFailure -> startConfig()))
                 .add(Worker.periodic("health", HEALTH_INTERVAL, mTimers, this::checkHealth))
                 .add(Worker.periodic("sweep", SWEEP_INTERVAL, mLoop, this::sweep))
+                .add(Worker.periodic("vm-list", VM_LIST_INTERVAL, mTimers, mMembership::refresh))
+                .add(Worker.periodic("mean", GOSSIP_INTERVAL, mLoop, mGossip::round))
+                .add(Worker.periodic("probes", PROBE_INTERVAL, mTimers, mConnections::probe))
                 .add(Worker.of("admin", onFailure -> startAdmin()))
                 .add(Worker.of("frames", onFailure -> startFrames()));
     }
@@ -195,8 +269,12 @@
     }
 
     private Runnable startFrames() {
-        var server = AgentServer.of(mCore, mLoop, mConfig, this::hello);
+        var calls = AgentCalls.create(mConfig, mGossip, mDecider, mLoop);
+        var server = AgentServer.of(mCore, mLoop, calls, this::hello);
         mAddress = mTransport.listen(mSettings.node().listen(), server);
+        var keyed = keyedRuns();
+        calls.use(keyed);
+        mCore.use(keyed);
         return () -> {
             // The transport closes its connections itself.
         };
--- a/src/main/java/org/fescueport/internal/agent/AgentServer.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentServer.java
@@ -1,13 +1,10 @@
 package org.fescueport.internal.agent;
 
-import com.google.protobuf.ByteString;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
-import org.fescueport.internal.log.config.ConfigFollower;
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.FrameListener;
 import org.fescueport.internal.wire.Frames;
-import org.fescueport.internal.wire.PeerCalls;
 import org.fescueport.internal.wire.generated.Call;
 import org.fescueport.internal.wire.generated.Frame;
 import org.fescueport.internal.wire.generated.Hello;
@@ -17,20 +14,18 @@
 final class AgentServer implements FrameListener {
     private final AgentCore mCore;
     private final Executor mLoop;
-    private final ConfigFollower mConfig;
+    private final AgentCalls mCalls;
     private final Supplier<Hello> mHello;
 
-    private AgentServer(
-            AgentCore core, Executor loop, ConfigFollower config, Supplier<Hello> hello) {
+    private AgentServer(AgentCore core, Executor loop, AgentCalls calls, Supplier<Hello> hello) {
         mCore = core;
         mLoop = loop;
-        mConfig = config;
+        mCalls = calls;
         mHello = hello;
     }
 
-    static AgentServer of(
-            AgentCore core, Executor loop, ConfigFollower config, Supplier<Hello> hello) {
-        return new AgentServer(core, loop, config, hello);
+    static AgentServer of(AgentCore core, Executor loop, AgentCalls calls, Supplier<Hello> hello) {
+        return new AgentServer(core, loop, calls, hello);
     }
 
     @Override
@@ -69,17 +64,16 @@
     }
 
     private void answer(FrameConnection connection, Call call) {
-        var reply = Reply.newBuilder().setId(call.getId());
-        switch (call.getMethod()) {
-            case PeerCalls.CONFIG_RECORDS -> {
-                long offset = call.getPayload().asReadOnlyByteBuffer().getLong();
-                reply.setPayload(ByteString.copyFrom(mConfig.recordsFrom(offset)));
-            }
-            case PeerCalls.PROBE -> {
-                // The reply itself is the answer.
-            }
-            default -> reply.setError("unknown call " + call.getMethod());
-        }
-        connection.send(Frame.newBuilder().setReply(reply).build());
+        mCalls.answer(call)
+                .whenComplete(
+                        (payload, failure) -> {
+                            var reply = Reply.newBuilder().setId(call.getId());
+                            if (failure == null) {
+                                reply.setPayload(payload);
+                            } else {
+                                reply.setError(String.valueOf(failure.getMessage()));
+                            }
+                            connection.send(Frame.newBuilder().setReply(reply).build());
+                        });
     }
 }
--- a/src/main/java/org/fescueport/internal/agent/Run.java
+++ b/src/main/java/org/fescueport/internal/agent/Run.java
@@ -26,6 +26,8 @@
     private long mCreditBytes;
     private Engine.Handle mHandle;
     private boolean mIsStarted;
+    private KeyedRuns.Permit mPermit;
+    private byte[] mFirstPiece = {};
     private Frame mOutcome;
     private boolean mIsOutcomeSent;
     private long mEndedNanos;
@@ -115,6 +117,20 @@
         mProgressNanos = nowNanos;
     }
 
+    /** Returns the right to run, or null when the run may be repeated. */
+    KeyedRuns.Permit permit() {
+        return mPermit;
+    }
+
+    void setPermit(KeyedRuns.Permit permit) {
+        mPermit = permit;
+    }
+
+    /** Returns the first piece of the answer: all of it, for a plain service. */
+    byte[] firstPiece() {
+        return mFirstPiece;
+    }
+
     void setHandle(Engine.Handle handle) {
         mHandle = handle;
     }
@@ -138,6 +154,9 @@
     }
 
     void add(Chunk chunk) {
+        if (mFirstPiece.length == 0) {
+            mFirstPiece = chunk.data();
+        }
         mUnsent.add(chunk);
         pump();
     }
--- a/src/main/java/org/fescueport/internal/router/AgentConnections.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentConnections.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
 import io.micrometer.core.instrument.Clock;
 import io.micrometer.core.instrument.Counter;
@@ -19,7 +19,7 @@
 import org.fescueport.internal.wire.generated.Hello;
 
 /** Connections to agents, opened when one is first needed and closed when idle. */
-final class AgentConnections implements FrameListener {
+public final class AgentConnections implements FrameListener {
     private static final Duration IDLE_LIMIT = Duration.ofMinutes(2);
 
     /** Silence after which an agent that somebody waits for is probed, and then held for lost. */
@@ -59,11 +59,11 @@
 
     /** Told of the version of declarations that a peer has in force. */
     @FunctionalInterface
-    interface PeerVersions {
+    public interface PeerVersions {
         void onVersion(AgentLink link, long version);
     }
 
-    static AgentConnections create(
+    public static AgentConnections create(
             FrameTransport transport,
             NodeId self,
             long incarnation,
@@ -84,7 +84,7 @@
     }
 
     /** Returns the open connection to an agent that has said hello, or opens one. */
-    CompletableFuture<AgentLink> to(Replica replica) {
+    public CompletableFuture<AgentLink> to(Replica replica) {
         var known = mLinks.get(replica.address());
         if (known != null && isUsable(known)) {
             return known;
@@ -98,7 +98,7 @@
     }
 
     /** Closes connections that no request used for a while. */
-    void closeIdle() {
+    public void closeIdle() {
         long oldest = mClock.monotonicTime() - IDLE_LIMIT.toNanos();
         for (var link : mLinks.values()) {
             if (link.isDone() && !link.isCompletedExceptionally()) {
@@ -112,7 +112,7 @@
     }
 
     /** Probes silent agents that somebody waits for, and closes connections to lost ones. */
-    void probe() {
+    public void probe() {
         long now = mClock.monotonicTime();
         for (var link : mLinked) {
             link.probe(now, PATIENCE.toNanos());
--- a/src/main/java/org/fescueport/internal/router/AgentLink.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentLink.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.Counter;
@@ -18,7 +18,7 @@
 import org.fescueport.internal.wire.generated.Reply;
 
 /** An open connection to one agent, shared by many attempts. */
-final class AgentLink {
+public final class AgentLink {
     private final NodeId mNode;
     private final FrameConnection mConnection;
     private final Counter mStaleFrames;
@@ -39,22 +39,22 @@
         mLastHeardNanos = nowNanos;
     }
 
-    static AgentLink of(
+    public static AgentLink of(
             NodeId node, FrameConnection connection, Counter staleFrames, long nowNanos) {
         return new AgentLink(node, connection, staleFrames, nowNanos);
     }
 
-    NodeId node() {
+    public NodeId node() {
         return mNode;
     }
 
     /** Completes when the agent has said who it is. */
-    CompletableFuture<Hello> hello() {
+    public CompletableFuture<Hello> hello() {
         return mHello;
     }
 
     /** Sends the first frame of an attempt; its listener hears everything until an outcome. */
-    void submit(AttemptId id, Frame frame, AttemptListener listener, long nowNanos) {
+    public void submit(AttemptId id, Frame frame, AttemptListener listener, long nowNanos) {
         mLastUsedNanos = nowNanos;
         mAttempts.put(id, listener);
         mConnection.send(frame);
@@ -63,16 +63,17 @@
         }
     }
 
-    void send(Frame frame) {
+    public void send(Frame frame) {
         mConnection.send(frame);
     }
 
     /** Stops listening to an attempt; frames of it that still arrive are dropped and counted. */
-    void forget(AttemptId id) {
+    public void forget(AttemptId id) {
         mAttempts.remove(id);
     }
 
-    CompletableFuture<Reply> call(String method, ByteString payload) {
+    /** Makes a call; the future fails with {@link WireException} when the agent is lost. */
+    public CompletableFuture<Reply> call(String method, ByteString payload) {
         long id = mNextCall.incrementAndGet();
         var reply = new CompletableFuture<Reply>();
         mCalls.put(id, reply);
@@ -81,15 +82,15 @@
         if (!mConnection.isOpen()) {
             loseCall(id);
         }
-        return reply;
+        return reply.thenCompose(AgentLink::orError);
     }
 
     /**
      * Looks after a link on which somebody waits: probes an agent that was not heard for {@code
      * patienceNanos}, and closes the connection when the probe stays without a reply for as long.
      */
-    void probe(long nowNanos, long patienceNanos) {
-        boolean isAwaited = !mAttempts.isEmpty() || !mHello.isDone();
+    public void probe(long nowNanos, long patienceNanos) {
+        boolean isAwaited = !mAttempts.isEmpty() || !mCalls.isEmpty() || !mHello.isDone();
         if (!isAwaited || nowNanos - mLastHeardNanos < patienceNanos) {
             return;
         }
@@ -102,19 +103,19 @@
         }
     }
 
-    boolean isOpen() {
+    public boolean isOpen() {
         return mConnection.isOpen();
     }
 
-    boolean isIdleSince(long nanos) {
+    public boolean isIdleSince(long nanos) {
         return mAttempts.isEmpty() && mCalls.isEmpty() && mLastUsedNanos - nanos < 0;
     }
 
-    void close() {
+    public void close() {
         mConnection.close();
     }
 
-    void onFrame(Frame frame, long nowNanos) {
+    public void onFrame(Frame frame, long nowNanos) {
         mLastHeardNanos = nowNanos;
         mIsProbing = false;
         switch (frame.getBodyCase()) {
@@ -149,7 +150,7 @@
         }
     }
 
-    void onClosed() {
+    public void onClosed() {
         mHello.completeExceptionally(WireException.of("lost " + mNode, null));
         for (var id : mAttempts.keySet()) {
             loseAttempt(id);
@@ -159,6 +160,12 @@
         }
     }
 
+    private static CompletableFuture<Reply> orError(Reply reply) {
+        return reply.getError().isEmpty()
+                ? CompletableFuture.completedFuture(reply)
+                : CompletableFuture.failedFuture(WireException.of(reply.getError(), null));
+    }
+
     private AttemptListener listenerOf(AttemptId id) {
         var listener = mAttempts.get(id);
         if (listener == null) {
--- a/src/main/java/org/fescueport/internal/router/AttemptListener.java
+++ b/src/main/java/org/fescueport/internal/fleet/AttemptListener.java
@@ -1,11 +1,11 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
 import org.fescueport.internal.wire.generated.Chunk;
 import org.fescueport.internal.wire.generated.Outcome;
 import org.fescueport.internal.wire.generated.Started;
 
 /** Receives what an agent says of one attempt; called on I/O threads. */
-interface AttemptListener {
+public interface AttemptListener {
     void onStarted(Started started);
 
     void onChunk(Chunk chunk);
--- a/src/main/java/org/fescueport/internal/router/RouterPeers.java
+++ b/src/main/java/org/fescueport/internal/fleet/ConfigSources.java
@@ -1,40 +1,38 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
 import com.google.protobuf.ByteString;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.log.config.ConfigFollower;
 import org.fescueport.internal.log.config.ConfigPeers;
 import org.fescueport.internal.wire.PeerCalls;
 
-/** The agents that a router asks for configuration while the log is down. */
-final class RouterPeers implements ConfigPeers {
+/** The agents that a node asks for configuration while the log is down. */
+public final class ConfigSources implements ConfigPeers {
     private static final int MOST_PEERS = 64;
 
     private final Membership mMembership;
-    private final Map<NodeId, FailureDomain> mDomains = new ConcurrentHashMap<>();
+    private final NodeId mSelf;
     private volatile AgentConnections mConnections;
 
-    private RouterPeers(Membership membership) {
+    private ConfigSources(Membership membership, NodeId self) {
+        mSelf = self;
         mMembership = membership;
     }
 
-    static RouterPeers create(Membership membership) {
-        return new RouterPeers(membership);
+    public static ConfigSources create(Membership membership, NodeId self) {
+        return new ConfigSources(membership, self);
     }
 
-    void use(AgentConnections connections) {
+    public void use(AgentConnections connections) {
         mConnections = connections;
     }
 
-    void onVersion(AgentLink link, long version, ConfigFollower config) {
+    public void onVersion(AgentLink link, long version, ConfigFollower config) {
         mMembership
                 .find(link.node())
                 .ifPresent(
@@ -45,7 +43,9 @@
     public List<Peer> peers() {
         var peers = new ArrayList<Peer>();
         for (var replica : mMembership.all(MOST_PEERS)) {
-            mDomains.put(replica.node(), replica.domain());
+            if (replica.node().equals(mSelf)) {
+                continue;
+            }
             peers.add(new Peer(replica.node(), replica.domain()));
         }
         return peers;
--- a/src/main/java/org/fescueport/internal/router/Membership.java
+++ b/src/main/java/org/fescueport/internal/fleet/Membership.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
 import io.micrometer.core.instrument.Clock;
 import io.micrometer.core.instrument.Counter;
@@ -22,7 +22,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The replicas of each pool, from the platform's list and from what their agents say. */
-final class Membership {
+public final class Membership {
     private static final Logger LOG = LoggerFactory.getLogger(Membership.class);
     private static final int MAX_REPLICAS_PER_POOL = 4096;
 
@@ -52,12 +52,12 @@
         mFailedReads = telemetry.counter("vm_list_failed_reads");
     }
 
-    static Membership create(VmList list, Clock clock, Telemetry telemetry) {
+    public static Membership create(VmList list, Clock clock, Telemetry telemetry) {
         return new Membership(list, clock, telemetry);
     }
 
     /** Reads the platform's list once; without an answer the last one stays in use. */
-    void refresh() {
+    public void refresh() {
         mReads.increment();
         mList.list()
                 .whenComplete(
@@ -71,16 +71,16 @@
     }
 
     /** Returns whether the list was read at least once. */
-    boolean isReady() {
+    public boolean isReady() {
         return mHasList;
     }
 
-    ReplicaSet replicas(PoolId id) {
+    public ReplicaSet replicas(PoolId id) {
         return pool(id).mReplicas;
     }
 
     /** Returns the live replica of this name. */
-    Optional<Replica> find(NodeId node) {
+    public Optional<Replica> find(NodeId node) {
         var id = mPoolOf.get(node);
         if (id == null) {
             return Optional.empty();
@@ -91,30 +91,30 @@
     }
 
     /** Returns live replicas of all pools, at most {@code most}. */
-    List<Replica> all(int most) {
+    public List<Replica> all(int most) {
         return mPools.values().stream()
                 .flatMap(pool -> pool.mReplicas.replicas().stream())
                 .limit(most)
                 .toList();
     }
 
-    LoadBook loads(PoolId id) {
+    public LoadBook loads(PoolId id) {
         return pool(id).mLoads;
     }
 
-    void onHello(NodeId node, Hello hello) {
+    public void onHello(NodeId node, Hello hello) {
         change(
                 node,
                 (directory, now) ->
                         directory.onHello(node, hello.getIncarnation(), hello.getLeaving(), now));
     }
 
-    void onLeaving(NodeId node, long incarnation) {
+    public void onLeaving(NodeId node, long incarnation) {
         LOG.info("{} is leaving", node);
         change(node, (directory, now) -> directory.onLeaving(node, incarnation, now));
     }
 
-    void onUnreachable(NodeId node) {
+    public void onUnreachable(NodeId node) {
         change(node, (directory, now) -> directory.onUnreachable(node));
     }
 
--- a/src/main/java/org/fescueport/internal/log/claim/ClaimPartition.java
+++ b/src/main/java/org/fescueport/internal/log/claim/ClaimPartition.java
@@ -191,7 +191,7 @@
     private void readToEnd(List<Waiting> batch, long atLeast, int staleReads) {
         mLog.read(
                 mStream,
-                Math.max(0, mNextOffset),
+                Math.max(LogService.FIRST_OFFSET, mNextOffset),
                 (page, failure) -> {
                     if (failure != null) {
                         down(batch);
@@ -216,7 +216,7 @@
 
     private void fold(LogService.Page page) {
         boolean unread = mNextOffset == NOT_KNOWN;
-        if (unread && page.firstOffset() == 0) {
+        if (unread && page.firstOffset() == LogService.FIRST_OFFSET) {
             mFold.beginAtOrigin();
         } else if (unread || page.firstOffset() > mNextOffset) {
             long oldest =
--- a/src/main/java/org/fescueport/internal/router/CallerApi.java
+++ b/src/main/java/org/fescueport/internal/router/CallerApi.java
@@ -1,22 +1,24 @@
 package org.fescueport.internal.router;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import io.micrometer.core.instrument.Clock;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
 import java.security.SecureRandom;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.ChatId;
 import org.fescueport.internal.decision.Declarations;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.ModelDeclaration;
 import org.fescueport.internal.decision.OperationDeclaration;
 import org.fescueport.internal.decision.RequestId;
 import org.fescueport.internal.decision.ServiceDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
 import org.fescueport.internal.decision.WorkKind;
+import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.http.HttpExchange;
 import org.fescueport.internal.http.JsonError;
 import org.fescueport.internal.http.Routes;
@@ -26,7 +28,8 @@
 /** The callers' HTTP resources: checks a request and starts it. */
 final class CallerApi {
     private static final String BEARER = "Bearer ";
-    private static final int MOST_NAME_CHARS = 256;
+    private static final int MOST_NAME_CHARS = 512;
+    private static final int UUID_CHARS = 36;
 
     private final Supplier<Declarations> mDeclarations;
     private final RouterContext mContext;
@@ -48,6 +51,10 @@
                         "/v1/services/{service}/{operation}",
                         (exchange, path) ->
                                 service(exchange, path.get("service"), path.get("operation")))
+                .post(
+                        "/v1/services/{service}/{operation}/keys",
+                        (exchange, path) ->
+                                issueKey(exchange, path.get("service"), path.get("operation")))
                 .get(
                         "/v1/answers/{request}",
                         (exchange, path) -> resume(exchange, path.get("request")));
@@ -139,11 +146,7 @@
                     var declarations = mDeclarations.get();
                     var team = teamOf(exchange, declarations);
                     var service = serviceOf(declarations, team, name);
-                    var operation = service.operations().get(operationName);
-                    if (operation == null) {
-                        throw RequestException.notFound(
-                                "service " + name + " declares no operation " + operationName);
-                    }
+                    var operation = operationOf(service, operationName);
                     var request =
                             serviceRequest(exchange, declarations, team, service, operation, span);
                     start(exchange, request, ServiceAnswer.of(exchange), span);
@@ -200,6 +203,7 @@
                 deadline(exchange, work),
                 exchange.body(),
                 exchange.header("Fescue-Ticket"),
+                Optional.empty(),
                 Telemetry.traceparentOf(span),
                 declarations.version());
     }
@@ -237,10 +241,67 @@
                 deadline(exchange, operation.work()),
                 exchange.body(),
                 "",
+                ownerOf(key, team, service, operation),
                 Telemetry.traceparentOf(span),
                 declarations.version());
     }
 
+    /** Returns the agent that owns the key; none for a key of the caller's own making. */
+    private Optional<Replica> ownerOf(
+            String key,
+            TeamDeclaration team,
+            ServiceDeclaration service,
+            OperationDeclaration operation)
+            throws RequestException {
+        if (key.length() <= UUID_CHARS) {
+            return Optional.empty();
+        }
+        var opened = mContext.tokens().openOwnerBoundKey(key, team.id());
+        if (opened.isLeft()) {
+            throw RequestException.invalid(
+                    "the Idempotency-Key is neither a UUIDv7 nor a key we issued to this team: "
+                            + opened.getLeft().name().toLowerCase(Locale.ROOT));
+        }
+        var owned = opened.get();
+        boolean isForCall =
+                owned.service().name().equals(service.name())
+                        && owned.operation().equals(operation.name());
+        if (!isForCall) {
+            throw RequestException.invalid(
+                    "the Idempotency-Key was issued for "
+                            + owned.service()
+                            + "/"
+                            + owned.operation());
+        }
+        var replica =
+                Replica.of(owned.owner().node(), FailureDomain.of(""), owned.address())
+                        .withIncarnation(owned.owner().number());
+        return Optional.of(replica);
+    }
+
+    private void issueKey(HttpExchange exchange, String name, String operationName) {
+        guarded(
+                exchange,
+                span -> {
+                    var declarations = mDeclarations.get();
+                    var team = teamOf(exchange, declarations);
+                    var service = serviceOf(declarations, team, name);
+                    var operation = operationOf(service, operationName);
+                    KeyIssue.start(mContext, exchange, team, service, operation, newId());
+                    span.end();
+                });
+    }
+
+    private static OperationDeclaration operationOf(ServiceDeclaration service, String name)
+            throws RequestException {
+        var operation = service.operations().get(name);
+        if (operation == null) {
+            throw RequestException.notFound(
+                    "service " + service.name() + " declares no operation " + name);
+        }
+        return operation;
+    }
+
     private TeamDeclaration teamOf(HttpExchange exchange, Declarations declarations)
             throws RequestException {
         var header = exchange.header("Authorization");
@@ -320,9 +381,4 @@
     private Clock clock() {
         return mContext.clock();
     }
-
-    /** Returns a hash of a request's content, which tells repeated keys and poison apart. */
-    static long contentHash(byte[] body) {
-        return Hashing.komihash5_0().hashBytesToLong(body);
-    }
 }
--- a/src/main/java/org/fescueport/internal/router/CallerRequest.java
+++ b/src/main/java/org/fescueport/internal/router/CallerRequest.java
@@ -1,9 +1,11 @@
 package org.fescueport.internal.router;
 
+import java.util.Optional;
 import org.fescueport.internal.decision.ChatId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.RequestId;
 import org.fescueport.internal.decision.TeamDeclaration;
+import org.fescueport.internal.decision.placement.Replica;
 
 /**
  * A caller's request after its key, body and headers were checked.
@@ -13,6 +15,7 @@
  * @param deadlineNanos monotonic time by which the whole answer is due
  * @param priority class of priority; 0 is the most urgent
  * @param ticket what the caller brought back in {@code Fescue-Ticket}; may be empty
+ * @param owner the only replica that may run it, for a key that one agent owns
  * @param traceparent trace context for the next hop
  */
 record CallerRequest(
@@ -29,6 +32,7 @@
         long deadlineNanos,
         byte[] body,
         String ticket,
+        Optional<Replica> owner,
         String traceparent,
         long configVersion) {
 
--- a/src/main/java/org/fescueport/internal/router/Failure.java
+++ b/src/main/java/org/fescueport/internal/router/Failure.java
@@ -18,6 +18,9 @@
     }
 
     int status() {
+        if (outcome == Outcome.NOT_RUN && Reasons.isCallersFault(type)) {
+            return Reasons.statusOf(type);
+        }
         return switch (outcome) {
             case NOT_RUN -> 503;
             case FAILED_AFTER_RUN -> 502;
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -0,0 +1,57 @@
+package org.fescueport.internal.router;
+
+import java.util.Map;
+import java.util.Set;
+
+/** What a router makes of the reasons that agents give. */
+final class Reasons {
+    private static final int BAD_REQUEST = 400;
+    private static final int CONFLICT = 409;
+    private static final int UNPROCESSABLE = 422;
+
+    private static final Map<String, Integer> CALLERS_FAULT =
+            Map.of(
+                    "invalid_request", BAD_REQUEST,
+                    "not_uuid_v7", BAD_REQUEST,
+                    "too_old", BAD_REQUEST,
+                    "from_the_future", BAD_REQUEST,
+                    "other_team", CONFLICT,
+                    "other_content", CONFLICT,
+                    "poison", UNPROCESSABLE);
+
+    /** Reasons that any other agent would give as well. */
+    private static final Set<String> SAME_EVERYWHERE =
+            Set.of("log_unavailable", "log_slow", "begun_before", "answer_not_kept", "cancelled");
+
+    private static final Set<String> BUSY =
+            Set.of("load_bound", "queue_full", "displaced", "deadline", "leaving", "overloaded");
+
+    private static final Set<String> BACKEND_FAILURES =
+            Set.of("backend_unreachable", "backend_lost", "backend_down");
+
+    private Reasons() {}
+
+    /** Returns whether another attempt would meet the same refusal. */
+    static boolean isFinal(String reason) {
+        return CALLERS_FAULT.containsKey(reason) || SAME_EVERYWHERE.contains(reason);
+    }
+
+    /** Returns whether the replica is in good health and only has no room now. */
+    static boolean isBusy(String reason) {
+        return BUSY.contains(reason);
+    }
+
+    /** Returns whether the reason tells of a backend server that fails. */
+    static boolean isBackendFailure(String reason) {
+        return BACKEND_FAILURES.contains(reason);
+    }
+
+    /** Returns whether the request itself is at fault. */
+    static boolean isCallersFault(String reason) {
+        return CALLERS_FAULT.containsKey(reason);
+    }
+
+    static int statusOf(String reason) {
+        return CALLERS_FAULT.get(reason);
+    }
+}
--- a/src/main/java/org/fescueport/internal/router/RequestRun.java
+++ b/src/main/java/org/fescueport/internal/router/RequestRun.java
@@ -15,9 +15,16 @@
 import org.fescueport.internal.decision.answer.Delivery;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.attempt.RequestTruth;
+import org.fescueport.internal.decision.ejection.OutlierEjection;
 import org.fescueport.internal.decision.placement.Choice;
 import org.fescueport.internal.decision.placement.LoadReport;
 import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaFilter;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.decision.retry.FailedAttempt;
+import org.fescueport.internal.decision.retry.RetryDecision;
+import org.fescueport.internal.fleet.AgentLink;
+import org.fescueport.internal.fleet.AttemptListener;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Chunk;
@@ -29,7 +36,6 @@
  * is allowed, and gives the caller exactly one final answer.
  */
 final class RequestRun {
-    private static final int MAX_ATTEMPTS = 4;
     private static final int WAITING_BYTES_LIMIT = 64 * 1024;
     private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
     private static final long NO_REPLICA_RETRY_MILLIS = 1000;
@@ -80,6 +86,7 @@
     /** Starts the request; its answer is told everything that follows. */
     synchronized void start() {
         long left = mRequest.deadlineNanos() - mStartedNanos;
+        mContext.budget().onRequest();
         mDeadline = mContext.timers().schedule(this::onDeadline, left, TimeUnit.NANOSECONDS);
         tryNext();
     }
@@ -103,8 +110,8 @@
     }
 
     private void tryNext() {
-        if (mTried.size() >= MAX_ATTEMPTS) {
-            giveUp("attempts_used_up", "no replica gave an answer in " + MAX_ATTEMPTS, 1000);
+        if (mRequest.owner().isPresent()) {
+            attempt(mRequest.owner().get());
             return;
         }
         var set = mContext.membership().replicas(mRequest.pool());
@@ -116,7 +123,7 @@
                                 PlacementRequests.of(mRequest, mContext.tokens()),
                                 PlacementRequests.boundOf(mRequest),
                                 loads,
-                                replica -> !mTried.contains(replica.node()),
+                                filter(set),
                                 mContext.clock().monotonicTime());
         switch (choice) {
             case Choice.Chosen chosen -> {
@@ -136,6 +143,13 @@
         }
     }
 
+    private ReplicaFilter filter(ReplicaSet set) {
+        long now = mContext.clock().monotonicTime();
+        long key = mRequest.id().low();
+        ReplicaFilter untried = replica -> !mTried.contains(replica.node());
+        return untried.and(mContext.health().of(mRequest.pool(), set).filter(key, now));
+    }
+
     private void attempt(Replica replica) {
         mTried.add(replica.node());
         mContext.counters().onAttempt();
@@ -162,13 +176,42 @@
         return span;
     }
 
-    private void retryOr(String reason, Runnable otherwise) {
-        boolean isInTime = mContext.clock().monotonicTime() - mRequest.deadlineNanos() < 0;
-        if (isInTime && mTruth.mayAttemptAgain()) {
-            mContext.counters().onRetry(reason);
-            tryNext();
-        } else {
+    /** Tries again where the policy allows it, else gives the final answer at once. */
+    private void retryOr(Outcome outcome, String reason, Runnable otherwise) {
+        long leftNanos = mRequest.deadlineNanos() - mContext.clock().monotonicTime();
+        boolean isAllowed =
+                mRequest.owner().isEmpty() && !Reasons.isFinal(reason) && mTruth.mayAttemptAgain();
+        if (!isAllowed) {
             otherwise.run();
+            return;
+        }
+        var failed =
+                new FailedAttempt(
+                        mTried.size(),
+                        outcome,
+                        Reasons.isBusy(reason),
+                        mRequest.isRepeatable(),
+                        TimeUnit.NANOSECONDS.toMillis(leftNanos));
+        switch (mContext.retries().after(failed)) {
+            case RetryDecision.Retry retry -> {
+                mContext.counters().onRetry(reason);
+                tryNextIn(retry.delayMillis());
+            }
+            case RetryDecision.GiveUp ignored -> otherwise.run();
+        }
+    }
+
+    private void tryNextIn(long delayMillis) {
+        if (delayMillis == 0) {
+            tryNext();
+            return;
+        }
+        mContext.timers().schedule(this::tryNextUnlessFinished, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private synchronized void tryNextUnlessFinished() {
+        if (!mFinished) {
+            tryNext();
         }
     }
 
@@ -178,6 +221,20 @@
         finish(outcome, type);
     }
 
+    /** An earlier sending with the same key may have run there, so "not run" would mislead. */
+    private void tellOwnerGone() {
+        var message =
+                "the agent that owns the Idempotency-Key is gone; whether a call with it was run"
+                        + " cannot be known";
+        mTruth.tell();
+        mAnswer.fail(Failure.of(Outcome.UNKNOWN, "owner_gone", message, 0));
+        finish(Outcome.UNKNOWN, "owner_gone");
+    }
+
+    private boolean isOwnersIncarnation(long incarnation) {
+        return mRequest.owner().map(owner -> owner.incarnation() == incarnation).orElse(true);
+    }
+
     private void finish(Outcome outcome, String type) {
         mFinished = true;
         mDeadline.cancel(false);
@@ -238,6 +295,11 @@
                 }
                 mLink = link;
                 long incarnation = link.hello().join().getIncarnation();
+                if (!isOwnersIncarnation(incarnation)) {
+                    end("owner_gone");
+                    tellOwnerGone();
+                    return;
+                }
                 mAgent = AgentIncarnation.of(mReplica.node(), incarnation);
                 mTruth.sending(mId, mAgent);
                 mAssembler.attempt(mId);
@@ -255,8 +317,15 @@
                 if (isStale()) {
                     return;
                 }
+                if (mRequest.owner().isPresent()) {
+                    end("owner_gone");
+                    tellOwnerGone();
+                    return;
+                }
                 end("unreachable");
+                onFailure();
                 retryOr(
+                        Outcome.NOT_RUN,
                         "unreachable",
                         () -> giveUp("unreachable", "no agent could be reached", 1000));
             }
@@ -325,9 +394,12 @@
                 report(outcome.getLoad());
                 end(outcome.getReason());
                 if (kind == Outcome.COMPLETED) {
+                    onHealthy();
                     complete(outcome);
                 } else {
+                    noteHealth(kind, outcome.getReason());
                     retryOr(
+                            kind,
                             outcome.getReason(),
                             () ->
                                     giveUp(
@@ -394,7 +466,9 @@
             mTruth.lost(mId);
             loads().onLost(mReplica.node(), mIsReported ? 0 : mTokens);
             end("lost");
+            onFailure();
             retryOr(
+                    Outcome.UNKNOWN,
                     "lost",
                     () ->
                             giveUp(
@@ -403,6 +477,27 @@
                                     0));
         }
 
+        private void noteHealth(Outcome outcome, String reason) {
+            if (outcome == Outcome.NOT_RUN && !Reasons.isBackendFailure(reason)) {
+                onHealthy();
+            } else {
+                onFailure();
+            }
+        }
+
+        private void onHealthy() {
+            health().onSuccess(mReplica.node(), mContext.clock().monotonicTime());
+        }
+
+        private void onFailure() {
+            health().onFailure(mReplica.node(), mContext.clock().monotonicTime());
+        }
+
+        private OutlierEjection health() {
+            var set = mContext.membership().replicas(mRequest.pool());
+            return mContext.health().of(mRequest.pool(), set);
+        }
+
         private void complete(org.fescueport.internal.wire.generated.Outcome outcome) {
             beginAnswer(this);
             mAnswer.complete(outcome);
--- a/src/main/java/org/fescueport/internal/router/ResumedAnswer.java
+++ b/src/main/java/org/fescueport/internal/router/ResumedAnswer.java
@@ -9,6 +9,8 @@
 import org.fescueport.internal.decision.answer.AnswerAssembler;
 import org.fescueport.internal.decision.answer.Delivery;
 import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.fleet.AgentLink;
+import org.fescueport.internal.fleet.AttemptListener;
 import org.fescueport.internal.security.ResumeToken;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Chunk;
--- a/src/main/java/org/fescueport/internal/router/RouterProcess.java
+++ b/src/main/java/org/fescueport/internal/router/RouterProcess.java
@@ -14,6 +14,11 @@
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.Placement;
+import org.fescueport.internal.decision.retry.RetryBudget;
+import org.fescueport.internal.decision.retry.RetryPolicy;
+import org.fescueport.internal.fleet.AgentConnections;
+import org.fescueport.internal.fleet.ConfigSources;
+import org.fescueport.internal.fleet.Membership;
 import org.fescueport.internal.http.AsyncHttpCaller;
 import org.fescueport.internal.http.HttpCallerSettings;
 import org.fescueport.internal.http.HttpServer;
@@ -44,6 +49,11 @@
     /** Time for the balancer to see the failing health check before connections are closed. */
     private static final Duration BALANCER_NOTICE = Duration.ofMillis(1500);
 
+    /** Retries for each request, and those that may be saved up. */
+    private static final double RETRY_SHARE = 0.2;
+
+    private static final double MAX_RETRY_TOKENS = 100;
+
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
     private final RouterSettings mSettings;
@@ -55,7 +65,7 @@
     private final FrameTransport mTransport;
     private final Membership mMembership;
     private final ConfigFollower mConfig;
-    private final RouterPeers mPeers;
+    private final ConfigSources mSources;
     private final AgentConnections mConnections;
     private final CallerApi mApi;
     private final Supervisor mRoot;
@@ -76,11 +86,11 @@
                         HttpVmList.of(mHttpCaller, node.vmsUrl().toString(), PLATFORM_TIMEOUT),
                         mClock,
                         mTelemetry);
-        mPeers = RouterPeers.create(mMembership);
+        mSources = ConfigSources.create(mMembership, self);
         mConfig =
                 ConfigFollower.create(
                         HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT),
-                        mPeers,
+                        mSources,
                         mTimers,
                         mClock,
                         mTelemetry.registry(),
@@ -93,10 +103,10 @@
                         mIncarnation,
                         mConfig::version,
                         mMembership,
-                        (link, version) -> mPeers.onVersion(link, version, mConfig),
+                        (link, version) -> mSources.onVersion(link, version, mConfig),
                         mClock,
                         mTelemetry);
-        mPeers.use(mConnections);
+        mSources.use(mConnections);
         mApi = CallerApi.create(mConfig::declarations, context());
         mRoot = supervisor();
     }
@@ -161,11 +171,15 @@
 
     private RouterContext context() {
         var keys = TokenKeyRing.parse(mSettings.node().tokenKeys());
+        var budget = RetryBudget.create(RETRY_SHARE, MAX_RETRY_TOKENS);
         return new RouterContext(
                 mConnections,
                 mMembership,
                 Placement.create(FailureDomain.of(mSettings.node().failureDomain())),
                 RouterTokens.of(SealedTokens.of(keys), mClock),
+                PoolHealth.create(),
+                budget,
+                RetryPolicy.create(budget, new SecureRandom()),
                 RouterCounters.of(mTelemetry),
                 mTelemetry,
                 mTimers,
--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -8,5 +8,14 @@
     /** Asks for any reply, to tell a slow agent from a dead or frozen one; empty. */
     public static final String PROBE = "probe";
 
+    /** Tells an estimate of the pool's mean load and gets the peer's: a double each. */
+    public static final String MEAN = "mean";
+
+    /** A record of the claims, to be decided or noted in the log. */
+    public static final String CLAIM = "claim";
+
+    /** Asks for a key that only this incarnation of the agent ever runs: an IssueKey. */
+    public static final String ISSUE_KEY = "issue-key";
+
     private PeerCalls() {}
 }
--- a/src/main/java/org/fescueport/platform/LogService.java
+++ b/src/main/java/org/fescueport/platform/LogService.java
@@ -15,6 +15,9 @@
  * }</pre>
  */
 public interface LogService {
+    /** Offset of a stream's first record. */
+    long FIRST_OFFSET = 1;
+
     /** One record as it stands in a stream. */
     record Entry(long offset, long appendedAtMillis, byte[] data) {}
 
--- a/src/test/java/org/fescueport/LayersTest.java
+++ b/src/test/java/org/fescueport/LayersTest.java
@@ -39,6 +39,8 @@
                     .definedBy("org.fescueport.platform..", "..internal.platform..")
                     .layer("log")
                     .definedBy("..internal.log..")
+                    .layer("fleet")
+                    .definedBy("..internal.fleet..")
                     .layer("router")
                     .definedBy("..internal.router..")
                     .layer("agent")
@@ -50,9 +52,11 @@
                     .whereLayer("agent")
                     .mayNotBeAccessedByAnyLayer()
                     .whereLayer("wire")
-                    .mayOnlyBeAccessedByLayers("log", "router", "agent", "tools")
+                    .mayOnlyBeAccessedByLayers("log", "fleet", "router", "agent", "tools")
                     .whereLayer("log")
-                    .mayOnlyBeAccessedByLayers("router", "agent", "tools")
+                    .mayOnlyBeAccessedByLayers("fleet", "router", "agent", "tools")
+                    .whereLayer("fleet")
+                    .mayOnlyBeAccessedByLayers("router", "agent")
                     .as("arrows between layers");
 
     @ArchTest
--- a/src/test/java/org/fescueport/internal/log/claim/FakeClaimLog.java
+++ b/src/test/java/org/fescueport/internal/log/claim/FakeClaimLog.java
@@ -80,16 +80,19 @@
     private Page page(String stream, long fromOffset, int limit) {
         List<Entry> all = entries(stream);
         long first = mFirst.getOrDefault(stream, 0L);
-        int from = (int) Math.min(all.size(), Math.max(first, fromOffset));
+        int from = (int) Math.min(all.size(), Math.max(first, fromOffset - FIRST_OFFSET));
         int to = Math.min(all.size(), from + limit);
-        return new Page(List.copyOf(all.subList(from, to)), first, all.size());
+        return new Page(
+                List.copyOf(all.subList(from, to)),
+                first + FIRST_OFFSET,
+                all.size() + FIRST_OFFSET);
     }
 
     private long effect(String stream, List<byte[]> records) {
         List<Entry> all = entries(stream);
-        long first = all.size();
+        long first = all.size() + FIRST_OFFSET;
         for (byte[] record : records) {
-            all.add(new Entry(all.size(), mClock.wallTime(), record));
+            all.add(new Entry(all.size() + FIRST_OFFSET, mClock.wallTime(), record));
         }
         return first;
     }
