fescue-load: open-loop load of returning chats, and a comparison

Cause: Nothing could measure the fleet: latency, whole answers and what the router and agent add. Ruled out: A closed loop, which slows down with what it measures; keeping the texts of chats, since each follows from the chat's name.

--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -5,13 +5,14 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
 import org.fescueport.internal.settings.ExitCode;
+import org.fescueport.internal.settings.SettingsException;
 
 /** Entry point of the program. */
 @Cli(
         name = "fescue-load",
         description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class})
+        commands = {Help.class, CompareCommand.class, RunCommand.class})
 public final class LoadMain {
     private LoadMain() {}
 
@@ -29,6 +30,15 @@
             System.err.println(e.getMessage() + "; try: fescue-load help");
             return ExitCode.USAGE;
         }
+        try {
+            return execute(command);
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            return ExitCode.USAGE;
+        }
+    }
+
+    private static int execute(Object command) throws Exception {
         return switch (command) {
             case Help<?> help -> {
                 help.run();
