Leases in the log, fenced orders, and wanted placement reconciled

Ruled out: Trusting clocks alone was ruled out: a claim is accepted only if the lease has ended by the log's clock too, so that a claimant that comes too early loses. Before/After: 2,000 random schedules of two minutes with three nodes, pauses, a hasty claimant and clocks within 200 parts per million ran without two holders and without an older order obeyed (jqwik). Conclusion: Routers and agents can stand for leases and fence orders.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/order/OrderGuard.java
@@ -0,0 +1,90 @@
+package org.fescueport.internal.decision.order;
+
+import org.fescueport.internal.decision.Invariants;
+
+/**
+ * Fences the orders to one engine: one at a time, and never one with an older token.
+ *
+ * <p>An agent is the only way to its engine, so engines that ignore fencing tokens are covered too.
+ * What the agent can't know by itself is a newer holder that it has not heard of, because it was
+ * paused or has just started; for such engines it confirms the token against the log first. Not
+ * thread-safe.
+ *
+ * <pre>{@code
+ * switch (guard.offer(order.fencingToken(), nowNanos)) {
+ *     case Run run -> engine.order(order).whenComplete((v, e) -> guard.finished());
+ *     case Confirm confirm -> readLease().thenAccept(token -> guard.confirmed(token, sentAtNanos));
+ *     …
+ * }
+ * }</pre>
+ */
+public final class OrderGuard {
+    private static final long PAUSE_NANOS = 250_000_000;
+    private static final long CONFIRMED_NANOS = 2_000_000_000;
+
+    private final boolean mEngineChecks;
+    private long mNewestToken;
+    private boolean mRunning;
+    private boolean mTicked;
+    private long mTickNanos;
+    private boolean mConfirmed;
+    private long mConfirmedAtNanos;
+
+    private OrderGuard(boolean engineChecks) {
+        mEngineChecks = engineChecks;
+    }
+
+    /** Returns a guard; {@code engineChecks} as declared by {@code checksFencing}. */
+    public static OrderGuard create(boolean engineChecks) {
+        return new OrderGuard(engineChecks);
+    }
+
+    /** Call this every 100 ms, so that a pause of this process is noticed. */
+    public void tick(long nowNanos) {
+        if (mTicked && nowNanos - mTickNanos > PAUSE_NANOS) {
+            mConfirmed = false;
+        }
+        mTicked = true;
+        mTickNanos = nowNanos;
+    }
+
+    /** Decides on an order that carries this fencing token. */
+    public OrderDecision offer(long token, long nowNanos) {
+        tick(nowNanos);
+        if (token < mNewestToken) {
+            return new OrderDecision.Refuse(mNewestToken);
+        }
+        if (mRunning) {
+            return new OrderDecision.Busy();
+        }
+        var stale = !mConfirmed || nowNanos - mConfirmedAtNanos > CONFIRMED_NANOS;
+        if (!mEngineChecks && stale) {
+            return new OrderDecision.Confirm();
+        }
+        Invariants.check(token >= mNewestToken, "order %d after %d", token, mNewestToken);
+        mNewestToken = token;
+        mRunning = true;
+        return new OrderDecision.Run();
+    }
+
+    /**
+     * Hears the lease's newest token in the log.
+     *
+     * @param sentAtNanos when the read of the log was sent
+     */
+    public void confirmed(long newestToken, long sentAtNanos) {
+        mNewestToken = Math.max(mNewestToken, newestToken);
+        mConfirmed = true;
+        mConfirmedAtNanos = sentAtNanos;
+    }
+
+    /** Hears that the engine has answered the order, or surely never got it. */
+    public void finished() {
+        mRunning = false;
+    }
+
+    /** Returns the newest token that is known. */
+    public long newestToken() {
+        return mNewestToken;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/reconcile/Wanted.java
@@ -0,0 +1,6 @@
+package org.fescueport.internal.decision.reconcile;
+
+import org.fescueport.internal.decision.ModelDeclaration;
+
+/** A declared model and the size of its artifact. */
+public record Wanted(ModelDeclaration model, long artifactBytes) {}
--- a/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
@@ -16,6 +16,7 @@
 import org.fescueport.internal.decision.config.ConfigRecord;
 import org.fescueport.internal.decision.config.FoldCounts;
 import org.fescueport.internal.decision.config.Verdict;
+import org.fescueport.internal.log.StreamTail;
 import org.fescueport.internal.wire.generated.ConfigRecords;
 import org.fescueport.platform.LogService;
 import org.fescueport.platform.LogService.Entry;
@@ -254,7 +255,7 @@
     }
 
     private void onRead(long read, long sentAtMillis, LogService.Page page, Throwable failure) {
-        ConfigTail.Step step;
+        StreamTail.Step step;
         synchronized (mLock) {
             if (read != mRead) {
                 return;
@@ -281,7 +282,7 @@
         }
     }
 
-    private ConfigTail.Step take(LogService.Page page) {
+    private StreamTail.Step take(LogService.Page page) {
         var fold = mTail.fold();
         var step = mTail.take(page);
         if (mTail.fold() != fold) {
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/decision/lease/LeaseScheduleTest.java
@@ -0,0 +1,209 @@
+package org.fescueport.internal.decision.lease;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.lifecycle.AfterContainer;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.order.OrderDecision;
+import org.fescueport.internal.decision.order.OrderGuard;
+
+/** Random schedules of one lease among nodes whose clocks run up to 200 ppm fast or slow. */
+class LeaseScheduleTest {
+    private static final String LEASE = "placement";
+    private static final long MILLI = 1_000_000;
+    private static final int STEP_MILLIS = 50;
+    private static final int RUN_MILLIS = 120_000;
+    private static final double DRIFT = 200e-6;
+
+    private static long sTenures;
+
+    @Property(tries = 2_000, seed = "20261203")
+    void shouldNeverObeyTwoHolders(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+        var world = new World(new Random(seed));
+        for (var now = 0; now < RUN_MILLIS; now += STEP_MILLIS) {
+            world.step(now);
+        }
+        sTenures += world.mTenures;
+    }
+
+    @AfterContainer
+    static void shouldHaveChangedHolders() {
+        assertThat(sTenures, greaterThan(2_000L));
+    }
+
+    /** An order or a record on its way. */
+    private record Message(long atMillis, Node from, LeaseRecord.Claim claim, long token) {}
+
+    private static final class World {
+        final Random mRandom;
+        final double mLogRate;
+        final LeaseFold mFold = LeaseFold.empty();
+        final List<Node> mNodes = new ArrayList<>();
+        final List<Message> mAppends = new ArrayList<>();
+        final List<Message> mOrders = new ArrayList<>();
+        final List<Logged> mLog = new ArrayList<>();
+        final OrderGuard mGuard = OrderGuard.create(false);
+        long mObeyed;
+        long mTenures;
+        long mAgentPausedUntil;
+
+        World(Random random) {
+            mRandom = random;
+            mLogRate = rate();
+            for (var i = 0; i < 3; i++) {
+                mNodes.add(new Node(i, this));
+            }
+        }
+
+        double rate() {
+            return 1 + DRIFT * (2 * mRandom.nextDouble() - 1);
+        }
+
+        void step(long now) {
+            deliverAppends(now);
+            for (var node : mNodes) {
+                node.step(now);
+            }
+            var holders = mNodes.stream().filter(node -> node.token(now).isPresent()).count();
+            assertThat("holders at " + now, holders, lessThanOrEqualTo(1L));
+            agent(now);
+        }
+
+        void deliverAppends(long now) {
+            for (var message : List.copyOf(mAppends)) {
+                if (message.atMillis() <= now) {
+                    mAppends.remove(message);
+                    var offset = mLog.size() + 1;
+                    var logMillis = (long) (now * mLogRate);
+                    var before = mFold.lease(LEASE).map(LeaseState::token);
+                    var state = mFold.apply(offset, logMillis, message.claim());
+                    mLog.add(new Logged(message.claim(), state));
+                    mTenures +=
+                            state.isPresent()
+                                            && !before.equals(
+                                                    mFold.lease(LEASE).map(LeaseState::token))
+                                    ? 1
+                                    : 0;
+                }
+            }
+        }
+
+        /** The agent obeys through its guard; the engine ignores tokens. */
+        void agent(long now) {
+            if (now < mAgentPausedUntil) {
+                return;
+            }
+            var nanos = now * MILLI;
+            mGuard.tick(nanos);
+            for (var order : List.copyOf(mOrders)) {
+                if (order.atMillis() > now) {
+                    continue;
+                }
+                mOrders.remove(order);
+                var decision = mGuard.offer(order.token(), nanos);
+                if (decision instanceof OrderDecision.Confirm) {
+                    mGuard.confirmed(mFold.lease(LEASE).map(LeaseState::token).orElse(0L), nanos);
+                    decision = mGuard.offer(order.token(), nanos);
+                }
+                if (decision instanceof OrderDecision.Run) {
+                    assertThat("older order obeyed", mObeyed, lessThanOrEqualTo(order.token()));
+                    mObeyed = order.token();
+                    mGuard.finished();
+                }
+            }
+            if (mRandom.nextInt(400) == 0) {
+                mAgentPausedUntil = now + mRandom.nextInt(30_000);
+            }
+        }
+    }
+
+    private record Logged(LeaseRecord.Claim claim, Optional<LeaseState> state) {}
+
+    private static final class Node {
+        final World mWorld;
+        final double mRate;
+        final LeaseHolder mSelf;
+        final LeaseWatch mWatch;
+        // One node claims without waiting, as a faulty release of this program would.
+        final boolean mHasty;
+        int mRead;
+        long mPausedUntil;
+        long mCheckedToken;
+        long mWorkUntil;
+
+        Node(int number, World world) {
+            mWorld = world;
+            mRate = world.rate();
+            mSelf = LeaseHolder.of(NodeId.of("node-" + number), 1);
+            mWatch = LeaseWatch.create(mSelf, LeaseTiming.DEFAULT);
+            mHasty = number == 2;
+        }
+
+        long local(long now) {
+            return (long) (now * MILLI * mRate);
+        }
+
+        Optional<Long> token(long now) {
+            return mWatch.tokenAt(local(now));
+        }
+
+        void step(long now) {
+            var random = mWorld.mRandom;
+            if (now < mPausedUntil) {
+                return;
+            }
+            if (mCheckedToken > 0 && now >= mWorkUntil) {
+                // Sends what it decided before; it may have been paused since, unaware.
+                var at = now + random.nextInt(3_000);
+                mWorld.mOrders.add(new Message(at, this, null, mCheckedToken));
+                mCheckedToken = 0;
+            }
+            if (random.nextInt(4) == 0) {
+                read(now);
+            }
+            token(now)
+                    .filter(token -> random.nextInt(10) == 0)
+                    .ifPresent(token -> check(token, now));
+            var hasty = mHasty && random.nextInt(100) == 0;
+            if (hasty || (random.nextInt(5) == 0 && mWatch.isClaimDue(local(now)))) {
+                claim(now);
+            }
+            if (random.nextInt(300) == 0) {
+                mPausedUntil = now + random.nextInt(40_000);
+            }
+        }
+
+        void check(long token, long now) {
+            mCheckedToken = token;
+            mWorkUntil = now + STEP_MILLIS;
+        }
+
+        void read(long now) {
+            for (; mRead < mWorld.mLog.size(); mRead++) {
+                var logged = mWorld.mLog.get(mRead);
+                var nonce = logged.claim().nonce();
+                logged.state().ifPresent(s -> mWatch.onAccepted(nonce, s, local(now)));
+            }
+        }
+
+        void claim(long now) {
+            var random = mWorld.mRandom;
+            var claim = mWatch.claim(LEASE, new UUID(random.nextLong(), random.nextLong()));
+            mWatch.onSent(claim.nonce(), local(now));
+            if (random.nextInt(10) > 0) {
+                var at = now + random.nextInt(random.nextInt(20) == 0 ? 15_000 : 400);
+                mWorld.mAppends.add(new Message(at, this, claim, 0));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/decision/reconcile/ReconcilerTest.java
@@ -0,0 +1,154 @@
+package org.fescueport.internal.decision.reconcile;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.ModelDeclaration;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.WorkKind;
+import org.fescueport.internal.decision.reconcile.Replica.State;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReconcilerTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final long RATE = 100;
+    private static final long BYTES = 1_000;
+    private static final long SETTLED = 10 * SECOND;
+
+    private final Reconciler mReconciler = Reconciler.create(RATE, 0);
+
+    @Test
+    void shouldWaitUntilLoadsOfTheFormerHolderShow() {
+        var replicas = List.of(replica(1, State.EMPTY, ""));
+        assertThat(plan(1, "v1", replicas, SETTLED - 1).orders(), is(empty()));
+        assertThat(plan(1, "v1", replicas, SETTLED).orders(), hasSize(1));
+    }
+
+    @Test
+    void shouldStaggerLoadsWithinTheStoresRate() {
+        var replicas =
+                List.of(
+                        replica(1, State.EMPTY, ""),
+                        replica(2, State.EMPTY, ""),
+                        replica(3, State.EMPTY, ""));
+        assertThat(plan(3, "v1", replicas, SETTLED).orders(), hasSize(1));
+        assertThat(plan(3, "v1", replicas, SETTLED + 10 * SECOND - 1).orders(), is(empty()));
+        var second = plan(3, "v1", replicas, SETTLED + 10 * SECOND).orders();
+        assertThat(second.getFirst().node(), is(NodeId.of("vm-2")));
+    }
+
+    @Test
+    void shouldMakeALossGoodOnASpareInTheEmptiestDomain() {
+        var replicas =
+                List.of(
+                        replica(1, State.READY, "v1"),
+                        replica(4, State.EMPTY, ""),
+                        replica(2, State.EMPTY, ""));
+        var orders = plan(2, "v1", replicas, SETTLED).orders();
+        assertThat(orders, is(List.of(new LoadOrder(NodeId.of("vm-2"), "notes", "v1"))));
+    }
+
+    @Test
+    void shouldNotReloadTheOnlyReplicaAndSayWhatIsMissing() {
+        var plan = plan(1, "v2", List.of(replica(1, State.READY, "v1")), SETTLED);
+        assertThat(plan.orders(), is(empty()));
+        assertThat(plan.blocked(), hasSize(1));
+    }
+
+    @Test
+    void shouldUseASpareToReplaceTheOnlyReplica() {
+        var replicas = List.of(replica(1, State.READY, "v1"), replica(2, State.EMPTY, ""));
+        var orders = plan(1, "v2", replicas, SETTLED).orders();
+        assertThat(orders.getFirst().node(), is(NodeId.of("vm-2")));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8})
+    void shouldReachEachDeclaredVersionThroughLossesWithoutAnOutage(int seed) {
+        var random = new Random(seed);
+        var wanted = 2 + random.nextInt(8);
+        var fleet = new HashMap<Integer, Replica>();
+        for (var vm = 0; vm < wanted + 1; vm++) {
+            fleet.put(vm, replica(vm, State.READY, "v0"));
+        }
+        var started = new ArrayList<Long>();
+        var finishAt = new HashMap<Integer, Long>();
+        var nextVm = fleet.size();
+        for (var second = 10; second < 2_000; second++) {
+            var version = "v" + Math.min(3, 1 + second / 400);
+            finish(fleet, finishAt, second);
+            // One VM is replaced by an empty one now and then, when the rest can bear it.
+            if (second < 1_500 && random.nextInt(200) == 0 && serving(fleet) > wanted - 1) {
+                var lost = new ArrayList<>(fleet.keySet()).get(random.nextInt(fleet.size()));
+                fleet.remove(lost);
+                finishAt.remove(lost);
+                fleet.put(nextVm, replica(nextVm, State.EMPTY, ""));
+                nextVm++;
+            }
+            var before = serving(fleet);
+            for (var order : plan(wanted, version, fleet.values(), second * SECOND).orders()) {
+                var vm = Integer.parseInt(order.node().name().substring(3));
+                fleet.put(vm, replica(vm, State.LOADING, order.artifact()));
+                finishAt.put(vm, second + 12L);
+                started.add((long) second);
+            }
+            assertThat(
+                    "last one taken out",
+                    serving(fleet),
+                    greaterThanOrEqualTo(Math.min(before, 1)));
+        }
+        for (var i = 1; i < started.size(); i++) {
+            assertThat(started.get(i) - started.get(i - 1), greaterThanOrEqualTo(BYTES / RATE));
+        }
+        var good = fleet.values().stream().filter(r -> r.artifact().equals("v3")).count();
+        assertThat(good, greaterThanOrEqualTo((long) wanted));
+        assertThat(fleet.values().stream().filter(r -> r.artifact().equals("v1")).count(), is(0L));
+        assertThat(started.size(), lessThanOrEqualTo(200));
+    }
+
+    private static void finish(
+            Map<Integer, Replica> fleet, Map<Integer, Long> finishAt, int second) {
+        for (var vm : List.copyOf(finishAt.keySet())) {
+            if (finishAt.get(vm) <= second) {
+                finishAt.remove(vm);
+                fleet.put(vm, replica(vm, State.READY, fleet.get(vm).artifact()));
+            }
+        }
+    }
+
+    private static int serving(Map<Integer, Replica> fleet) {
+        return (int) fleet.values().stream().filter(r -> r.state() == State.READY).count();
+    }
+
+    private Plan plan(
+            int wanted, String version, java.util.Collection<Replica> replicas, long now) {
+        var work = Map.of("note", new WorkKind("note", 0, Duration.ofSeconds(1)));
+        var model =
+                new ModelDeclaration(
+                        "notes", PoolId.of("notes"), 1.5, work, "note", true, wanted, version);
+        return mReconciler.plan(List.of(new Wanted(model, BYTES)), replicas, now);
+    }
+
+    private static Replica replica(int vm, State state, String artifact) {
+        return new Replica(
+                NodeId.of("vm-" + vm),
+                FailureDomain.of("fd-" + vm % 3),
+                PoolId.of("notes"),
+                state,
+                artifact);
+    }
+}
--- a/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
+++ b/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.fescueport.internal.decision.config.ConfigRecords;
 import org.fescueport.internal.decision.config.Verdict;
+import org.fescueport.internal.log.StreamTail;
 import org.fescueport.internal.log.config.ConfigFollower.Currency;
 import org.fescueport.platform.LogService;
 import org.junit.jupiter.api.Test;
@@ -143,7 +144,7 @@
     @Test
     void shouldBeCurrentOnAnEmptyLogWhoseFirstOffsetIsOne() {
         var tail = new ConfigTail((entry, record, verdict) -> {});
-        assertThat(tail.take(new LogService.Page(List.of(), 1, 1)), is(ConfigTail.Step.CAUGHT_UP));
+        assertThat(tail.take(new LogService.Page(List.of(), 1, 1)), is(StreamTail.Step.CAUGHT_UP));
         assertThat(tail.fold().position(), is(1L));
     }
 
