--- a/src/test/java/org/fescueport/internal/log/claim/ClaimWorld.java
+++ b/src/test/java/org/fescueport/internal/log/claim/ClaimWorld.java
@@ -68,7 +68,7 @@
     final MockClock mClock = new MockClock();
     final Random mRandom;
     final DeterministicScheduler mNetwork = new DeterministicScheduler();
-    final FakeClaimLog mLog;
+    final SteppedLog mLog;
     final ClaimSettings mSettings =
             new ClaimSettings(
                     new ClaimPartitions(PARTITIONS), WINDOW, 100, 500, 100, 200, 100, 800);
@@ -78,7 +78,7 @@
     ClaimWorld(long seed) {
         mRandom = new Random(seed);
         mClock.add(1_800_000_000_000L, MILLIS);
-        mLog = new FakeClaimLog(mClock, mNetwork, mRandom);
+        mLog = SteppedLog.create(mClock, mNetwork, mRandom);
         for (int i = 0; i < AGENTS; i++) {
             mAgents.add(new Agent(i));
         }
--- a/src/test/java/org/fescueport/internal/log/claim/FakeClaimLog.java
+++ b/src/test/java/org/fescueport/internal/log/claim/SteppedLog.java
@@ -13,7 +13,7 @@
 import org.fescueport.platform.PlatformException;
 
 /** A log in memory whose appends take effect late, twice or without an answer. */
-final class FakeClaimLog implements LogService {
+public final class SteppedLog implements LogService {
     private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
     private final Random mRandom;
@@ -24,12 +24,22 @@
     double mFaults;
     long mAppends;
 
-    FakeClaimLog(Clock clock, ScheduledExecutorService executor, Random random) {
+    private SteppedLog(Clock clock, ScheduledExecutorService executor, Random random) {
         mClock = clock;
         mExecutor = executor;
         mRandom = random;
     }
 
+    /** Returns an empty log; its effects and answers come on the executor. */
+    public static SteppedLog create(Clock clock, ScheduledExecutorService executor, Random random) {
+        return new SteppedLog(clock, executor, random);
+    }
+
+    /** Refuses every call, truthfully without effect. */
+    public void setDown(boolean down) {
+        mDown = down;
+    }
+
     @Override
     public CompletableFuture<Long> append(String stream, List<byte[]> records) {
         CompletableFuture<Long> answer = new CompletableFuture<>();
