--- /dev/null
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -0,0 +1,100 @@
+package org.fescueport.scenarios;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.concurrent.TimeUnit;
+
+/** Steps on the fleet itself: starting, faults and planned stops. */
+public final class FleetSteps {
+    private static final int OUTAGE_SETTLE_MILLIS = 200;
+    private static final int STOP_SECONDS = 30;
+    private static Fleet sFleet;
+
+    static Fleet fleet() {
+        return sFleet;
+    }
+
+    @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
+    public void start(int routers, int engines, int services) throws InterruptedException {
+        sFleet = Fleet.start(routers, engines, services, false);
+    }
+
+    @Given("a fleet of {int} router(s), {int} engine(s) as processes and {int} service(s)")
+    public void startKillable(int routers, int engines, int services) throws InterruptedException {
+        sFleet = Fleet.start(routers, engines, services, true);
+    }
+
+    @After
+    public void stop() {
+        if (sFleet != null) {
+            sFleet.close();
+            sFleet = null;
+        }
+    }
+
+    @When("router {int} is killed")
+    public void killRouter(int number) throws InterruptedException {
+        sFleet.router(number).program().kill();
+    }
+
+    @When("router {int} is told to stop")
+    public void stopRouter(int number) {
+        sFleet.router(number).program().terminate();
+    }
+
+    @Then("router {int} ends by itself")
+    public void routerEnds(int number) throws InterruptedException {
+        sFleet.router(number).program().awaitExit(STOP_SECONDS);
+    }
+
+    @When("the agent of {word} is told to stop")
+    public void stopAgent(String vm) {
+        sFleet.vm(vm).agent().terminate();
+    }
+
+    @Then("the agent of {word} ends by itself")
+    public void agentEnds(String vm) throws InterruptedException {
+        sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+    }
+
+    @When("the list of VMs says that {word} is leaving")
+    public void leave(String vm) {
+        sFleet.list(sFleet.vm(vm), "leaving");
+    }
+
+    @When("{int} seconds pass")
+    public void pass(int seconds) throws InterruptedException {
+        TimeUnit.SECONDS.sleep(seconds);
+    }
+
+    @When("the log is down")
+    public void cutLog() throws InterruptedException {
+        sFleet.setLogFaults("{\"outage\":true}");
+        Thread.sleep(OUTAGE_SETTLE_MILLIS);
+    }
+
+    @When("service calls take {int} ms after their effect")
+    public void delay(int millis) {
+        for (var vm : sFleet.vms("service")) {
+            Http.put(vm.backendUrl() + "/v1/faults", "{\"delayMillis\":" + millis + "}");
+        }
+    }
+
+    /** Returns a count of the engine's requests, to see whether it gets new work. */
+    static long requestsOf(Fleet.Vm vm) {
+        return Http.get(vm.backendUrl() + "/v1/stats").path("requests").asLong();
+    }
+
+    @Then("the services ran nothing twice")
+    public void ranNothingTwice() {
+        for (var vm : sFleet.vms("service")) {
+            var stats = Http.get(vm.backendUrl() + "/v1/stats");
+            assertThat(vm.name(), stats.path("duplicateRuns").asInt(), is(0));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/scenarios/ScenariosTest.java
@@ -0,0 +1,16 @@
+package org.fescueport.scenarios;
+
+import org.junit.platform.suite.api.ConfigurationParameter;
+import org.junit.platform.suite.api.IncludeEngines;
+import org.junit.platform.suite.api.SelectClasspathResource;
+import org.junit.platform.suite.api.Suite;
+
+/** Runs the scenarios against real processes; those tagged {@code @pending} are left out. */
+@Suite
+@IncludeEngines("cucumber")
+@SelectClasspathResource("scenarios")
+@ConfigurationParameter(key = "cucumber.glue", value = "org.fescueport.scenarios")
+@ConfigurationParameter(key = "cucumber.filter.tags", value = "not @pending")
+@ConfigurationParameter(key = "cucumber.plugin", value = "pretty")
+@ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
+class ScenariosTest {}
--- /dev/null
+++ b/src/test/resources/scenarios/leaving.feature
@@ -0,0 +1,27 @@
+Feature: Leaving
+  A planned stop cuts off no request that is in flight, and a VM that leaves gets no new work.
+
+  Background:
+    Given a fleet of 2 routers, 3 engines and 0 services
+
+  Scenario: An agent is told to stop under load
+    When 12 callers ask for 200 tokens through router 1
+    And 20 tokens have arrived
+    And the agent of engine-1 is told to stop
+    Then engine-1 gets none of 10 new chats
+    And all answers are whole
+    And the agent of engine-1 ends by itself
+
+  Scenario: A router is told to stop under load
+    When 12 callers ask for 200 tokens through router 1
+    And 20 tokens have arrived
+    And router 1 is told to stop
+    Then all answers are whole
+    And router 1 ends by itself
+
+  Scenario: A leaving VM gets no new work
+    When a caller asks for 2 tokens through router 1
+    Then the answer is whole
+    When the list of VMs says that engine-2 is leaving
+    And 3 seconds pass
+    Then engine-2 gets none of 20 new chats
