--- a/src/main/java/org/fescueport/internal/router/RequestRun.java
+++ b/src/main/java/org/fescueport/internal/router/RequestRun.java
@@ -355,7 +355,15 @@
                     case Delivery.Event event -> deliver(event);
                     case Delivery.Known ignored -> grant(piece.length, 0);
                     case Delivery.Stale ignored -> mContext.counters().onStaleChunk();
-                    case Delivery.Gap ignored -> failAnswer("chunks of the answer are missing");
+                    case Delivery.Gap gap ->
+                            failAnswer(
+                                    "chunk "
+                                            + chunk.getNumber()
+                                            + " of attempt "
+                                            + mId.number()
+                                            + " came where "
+                                            + gap.expected()
+                                            + " was due");
                     case Delivery.TooLarge ignored -> failAnswer("the answer is too large");
                 }
             }
--- a/src/main/java/org/fescueport/internal/wire/FrameConnection.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameConnection.java
@@ -17,6 +17,11 @@
         mSentBytes = sentBytes;
     }
 
+    /** Returns a connection over a channel that carries frames, whose bytes nobody counts. */
+    public static FrameConnection over(Channel channel) {
+        return new FrameConnection(channel, new AtomicLong());
+    }
+
     static FrameConnection of(Channel channel, AtomicLong sentBytes) {
         return new FrameConnection(channel, sentBytes);
     }
