Hand a backend server's events to the agent's loop; run all scenarios

Cause: with all 13 scenarios on, "A router is killed" and "Connections are cut" ended with "chunks of the answer are missing". The engine's events arrive on I/O threads and changed the state of AgentCore there, while a resume on the loop replaced the queue of unsent chunks; a chunk that was queued in between was lost. Ruled out: chunks dropped as acknowledged (256 KB are kept for each answer, these have 2 KB); numbers that differ between router and agent; frames lost on the new connection. No scenario is tagged @pending any more. Conclusion: the race is gone by construction.

--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -408,7 +408,8 @@
     void call(Run run) {
         mCounters.onStart();
         var traceparent = Telemetry.traceparentOf(run.span());
-        run.setHandle(BackendCall.start(mBackend, run.submit(), traceparent, new RunListener(run)));
+        var listener = new LoopListener(new RunListener(run), mLoop);
+        run.setHandle(BackendCall.start(mBackend, run.submit(), traceparent, listener));
     }
 
     private void end(Run run, BackendListener.End end) {
--- a/src/test/java/org/fescueport/scenarios/BookingSteps.java
+++ b/src/test/java/org/fescueport/scenarios/BookingSteps.java
@@ -43,8 +43,8 @@
     public void bookOwnerBound(int router) {
         var url = FleetSteps.fleet().router(router).url() + OPERATION + "/keys";
         var answer = Http.send("POST", url, "", Map.of("Authorization", AUTHORIZATION)).join();
-        assertThat(answer.body(), answer.statusCode(), is(200));
-        mKey = Http.json(answer.body()).path("key").asText();
+        assertThat(answer.body(), answer.statusCode(), is(201));
+        mKey = Http.json(answer.body()).path("idempotencyKey").asText();
         mFirst = book(router);
         mLast = mFirst;
     }
--- a/src/test/resources/scenarios/bookings.feature
+++ b/src/test/resources/scenarios/bookings.feature
@@ -4,7 +4,6 @@
   Background:
     Given a fleet of 2 routers, 0 engines and 2 services
 
-  @pending
   Scenario: The agent is killed while the service runs a booking
     When service calls take 1500 ms after their effect
     And a driver books a slot with a new key through router 1
@@ -15,7 +14,6 @@
     Then the outcome that the driver is told is "unknown"
     And the booking ran 1 time
 
-  @pending
   Scenario: The log is down
     When the log is down
     And a driver books a slot with a new key through router 1
@@ -23,7 +21,6 @@
     And the driver is told at once, and when to come back
     And the booking ran 0 times
 
-  @pending
   Scenario: Owner-bound keys while the log is down
     When the log is down
     And the driver asks router 1 for an owner-bound key and books with it
--- a/src/test/resources/scenarios/path.feature
+++ b/src/test/resources/scenarios/path.feature
@@ -7,7 +7,6 @@
     Then the answer is whole
     And the caller returns through router 2 to the same replica, its prompt cached
 
-  @pending
   Scenario: A booking that is sent twice runs once
     Given a fleet of 2 routers, 0 engines and 2 services
     When a driver books a slot with a new key through router 1
