--- a/src/main/java/org/fescueport/internal/router/AgentLink.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentLink.java
@@ -1,5 +1,6 @@
-package org.fescueport.internal.router;
+package org.fescueport.internal.fleet;
 
+import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.Counter;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -9,6 +10,7 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.PeerCalls;
 import org.fescueport.internal.wire.WireException;
 import org.fescueport.internal.wire.generated.Call;
 import org.fescueport.internal.wire.generated.Frame;
@@ -16,7 +18,7 @@
 import org.fescueport.internal.wire.generated.Reply;
 
 /** An open connection to one agent, shared by many attempts. */
-final class AgentLink {
+public final class AgentLink {
     private final NodeId mNode;
     private final FrameConnection mConnection;
     private final Counter mStaleFrames;
@@ -25,28 +27,34 @@
     private final AtomicLong mNextCall = new AtomicLong();
     private final CompletableFuture<Hello> mHello = new CompletableFuture<>();
     private volatile long mLastUsedNanos;
+    private volatile long mLastHeardNanos;
+    private volatile long mProbedNanos;
+    private volatile boolean mIsProbing;
 
-    private AgentLink(NodeId node, FrameConnection connection, Counter staleFrames) {
+    private AgentLink(NodeId node, FrameConnection connection, Counter staleFrames, long nowNanos) {
         mNode = node;
         mConnection = connection;
         mStaleFrames = staleFrames;
+        mLastUsedNanos = nowNanos;
+        mLastHeardNanos = nowNanos;
     }
 
-    static AgentLink of(NodeId node, FrameConnection connection, Counter staleFrames) {
-        return new AgentLink(node, connection, staleFrames);
+    public static AgentLink of(
+            NodeId node, FrameConnection connection, Counter staleFrames, long nowNanos) {
+        return new AgentLink(node, connection, staleFrames, nowNanos);
     }
 
-    NodeId node() {
+    public NodeId node() {
         return mNode;
     }
 
     /** Completes when the agent has said who it is. */
-    CompletableFuture<Hello> hello() {
+    public CompletableFuture<Hello> hello() {
         return mHello;
     }
 
     /** Sends the first frame of an attempt; its listener hears everything until an outcome. */
-    void submit(AttemptId id, Frame frame, AttemptListener listener, long nowNanos) {
+    public void submit(AttemptId id, Frame frame, AttemptListener listener, long nowNanos) {
         mLastUsedNanos = nowNanos;
         mAttempts.put(id, listener);
         mConnection.send(frame);
@@ -55,16 +63,17 @@
         }
     }
 
-    void send(Frame frame) {
+    public void send(Frame frame) {
         mConnection.send(frame);
     }
 
     /** Stops listening to an attempt; frames of it that still arrive are dropped and counted. */
-    void forget(AttemptId id) {
+    public void forget(AttemptId id) {
         mAttempts.remove(id);
     }
 
-    CompletableFuture<Reply> call(String method, com.google.protobuf.ByteString payload) {
+    /** Makes a call; the future fails with {@link WireException} when the agent is lost. */
+    public CompletableFuture<Reply> call(String method, ByteString payload) {
         long id = mNextCall.incrementAndGet();
         var reply = new CompletableFuture<Reply>();
         mCalls.put(id, reply);
@@ -73,22 +82,42 @@
         if (!mConnection.isOpen()) {
             loseCall(id);
         }
-        return reply;
+        return reply.thenCompose(AgentLink::orError);
     }
 
-    boolean isOpen() {
+    /**
+     * Looks after a link on which somebody waits: probes an agent that was not heard for {@code
+     * patienceNanos}, and closes the connection when the probe stays without a reply for as long.
+     */
+    public void probe(long nowNanos, long patienceNanos) {
+        boolean isAwaited = !mAttempts.isEmpty() || !mCalls.isEmpty() || !mHello.isDone();
+        if (!isAwaited || nowNanos - mLastHeardNanos < patienceNanos) {
+            return;
+        }
+        if (!mIsProbing) {
+            mIsProbing = true;
+            mProbedNanos = nowNanos;
+            call(PeerCalls.PROBE, ByteString.EMPTY);
+        } else if (nowNanos - mProbedNanos >= patienceNanos) {
+            close();
+        }
+    }
+
+    public boolean isOpen() {
         return mConnection.isOpen();
     }
 
-    boolean isIdleSince(long nanos) {
+    public boolean isIdleSince(long nanos) {
         return mAttempts.isEmpty() && mCalls.isEmpty() && mLastUsedNanos - nanos < 0;
     }
 
-    void close() {
+    public void close() {
         mConnection.close();
     }
 
-    void onFrame(Frame frame) {
+    public void onFrame(Frame frame, long nowNanos) {
+        mLastHeardNanos = nowNanos;
+        mIsProbing = false;
         switch (frame.getBodyCase()) {
             case HELLO -> mHello.complete(frame.getHello());
             case STARTED -> {
@@ -121,7 +150,7 @@
         }
     }
 
-    void onClosed() {
+    public void onClosed() {
         mHello.completeExceptionally(WireException.of("lost " + mNode, null));
         for (var id : mAttempts.keySet()) {
             loseAttempt(id);
@@ -131,6 +160,12 @@
         }
     }
 
+    private static CompletableFuture<Reply> orError(Reply reply) {
+        return reply.getError().isEmpty()
+                ? CompletableFuture.completedFuture(reply)
+                : CompletableFuture.failedFuture(WireException.of(reply.getError(), null));
+    }
+
     private AttemptListener listenerOf(AttemptId id) {
         var listener = mAttempts.get(id);
         if (listener == null) {
--- a/src/main/java/org/fescueport/platform/LogService.java
+++ b/src/main/java/org/fescueport/platform/LogService.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * The platform's append-only log: named streams of records with increasing offsets.
+ * The platform's append-only log: named streams of records with increasing offsets from 1.
  *
  * <p>Futures fail with {@link PlatformException}. An append that fails with {@link
  * PlatformException.Effect#UNKNOWN} may stand in the log; the writer settles it by reading.
@@ -15,6 +15,9 @@
  * }</pre>
  */
 public interface LogService {
+    /** Offset of a stream's first record. */
+    long FIRST_OFFSET = 1;
+
     /** One record as it stands in a stream. */
     record Entry(long offset, long appendedAtMillis, byte[] data) {}
 
