--- a/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
+++ b/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
@@ -6,18 +6,23 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
+import org.fescueport.internal.decision.config.ConfigRecord;
 import org.fescueport.internal.decision.config.ConfigRecords;
 import org.fescueport.internal.decision.config.Verdict;
+import org.fescueport.internal.decision.lease.LeaseHolder;
 import org.fescueport.internal.log.StreamTail;
 import org.fescueport.internal.log.config.ConfigFollower.Currency;
+import org.fescueport.internal.log.lease.LeaseKeeper;
 import org.fescueport.platform.LogService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ConfigFollowerTest {
+    private static final long RETENTION_MILLIS = 600_000;
     private static final long IN_FORCE_MILLIS = 6_000;
 
     private final Nodes mNodes = new Nodes(7);
@@ -122,6 +127,38 @@
         assertThat(fresh.snapshot(), is(old.snapshot()));
     }
 
+    @Test
+    void shouldWriteASnapshotOnceWhileTheLeaseIsHeld() {
+        mNodes.start(2, 2).advance(1_000);
+        publish(1);
+        for (var node : mNodes.mNodes) {
+            var holder = LeaseHolder.of(node.mSelf.node(), 1);
+            var keeper =
+                    LeaseKeeper.create(
+                            mNodes.mLog,
+                            holder,
+                            mNodes.mScheduler,
+                            mNodes.mClock,
+                            new SimpleMeterRegistry(),
+                            LeaseKeeper.Settings.of(RETENTION_MILLIS));
+            keeper.start();
+            SnapshotDuty.start(
+                            keeper,
+                            mNodes.mLog,
+                            node.mFollower,
+                            mNodes.mScheduler,
+                            mNodes.mClock,
+                            RETENTION_MILLIS)
+                    .setCandidate(true);
+        }
+        mNodes.advance(30_000);
+        var snapshots =
+                mNodes.mLog.kept("config").stream()
+                        .filter(e -> ConfigCodec.decode(e.data()) instanceof ConfigRecord.Snapshot)
+                        .count();
+        assertThat(snapshots, is(1L));
+    }
+
     @Test
     void shouldNotBeCurrentWhenRecordsAreGoneAndNoSnapshotCoversThem() {
         mNodes.start(1, 1).advance(1_000);
