--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -12,7 +12,7 @@
         name = "fescue-load",
         description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class, CompareCommand.class, RunCommand.class})
+        commands = {Help.class, CompareCommand.class, MeasuresCommand.class, RunCommand.class})
 public final class LoadMain {
     private LoadMain() {}
 
