Keep the load bound without refusing a whole pool

Cause: The first experiments found that a strict bound beside an estimated mean collapses: refusals keep the mean low, so all is refused. Change: Load counts a running request in full until it ends. Admissions use 0.6 of the distance to the bound. After four refusals the least loaded of those that refused is asked again, with the next one's load as evidence that the mean has risen, and takes the request. The experiments reuse and skew run the decisions on a paused clock. Conclusion: The bound holds where a request is small beside the mean. With 9 requests a replica no placement keeps 1.25, since one request is up to 28% of the mean.

--- a/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
@@ -103,6 +103,7 @@
         if (refusal != null) {
             return refusal;
         }
+        Invariants.check(excessTokens(offer) == 0, "attempt %s breaks the bound", offer.id());
         var waiting = new Waiting(offer, offer.deadlineNanos() - service, mSequence++);
         return wait == 0 ? start(queue, team, waiting) : enqueue(queue, team, waiting, wait);
     }
@@ -167,7 +168,7 @@
     }
 
     private long outstandingTokens() {
-        return mRunning.tokens() + mQueuedTokens;
+        return mRunning.loadTokens() + mQueuedTokens;
     }
 
     /** Zero means that the offer may start at once. */
@@ -180,7 +181,7 @@
             return 0;
         }
         int running = Math.max(1, mRunning.size());
-        double untilSlot = mRunning.tokens() / (double) running;
+        double untilSlot = mRunning.remainingTokens() / (double) running;
         double seconds = (ahead + untilSlot) / (running * mSpeeds.decodePerSecond());
         return Math.max(1, (long) (seconds * TimeUnit.SECONDS.toNanos(1)));
     }
@@ -222,6 +223,10 @@
         if (mMeanTokens == 0 || mLimits.bound().admits(load, more, mMeanTokens)) {
             return 0;
         }
+        // Others that carry more have refused it, so the mean has risen above the estimate.
+        if (load <= offer.leastRefusedTokens()) {
+            return 0;
+        }
         return (long) Math.ceil(load + more - mLimits.bound().limit(mMeanTokens));
     }
 
@@ -320,7 +325,7 @@
     }
 
     private Step.GivenUp givenUp(Waiting waiting, RefusalReason reason) {
-        long untilSlot = mRunning.tokens() * 1_000 / Math.max(1, load().tokensPerSecond());
+        long untilSlot = mRunning.remainingTokens() * 1_000 / Math.max(1, load().tokensPerSecond());
         return new Step.GivenUp(
                 waiting.offer(), reason, Math.max(MIN_RETRY_AFTER_MILLIS, untilSlot));
     }
--- a/src/main/java/org/fescueport/internal/decision/admission/RunningWork.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/RunningWork.java
@@ -4,30 +4,40 @@
 import java.util.Map;
 import org.fescueport.internal.decision.AttemptId;
 
-/** Requests that run, and the tokens that they still have before them. */
+/**
+ * Requests that run. Their load counts in full until they end, since an engine's batch carries a
+ * request until its last token; what remains of them is used to predict waits.
+ */
 final class RunningWork {
     /** Tokens that an answer longer than expected is still taken to need. */
     private static final long LEAST_REMAINING_TOKENS = 8;
 
     private static final class Entry {
         final WorkOffer mOffer;
+        long mLoadTokens;
         long mRemainingTokens;
 
         Entry(WorkOffer offer) {
             mOffer = offer;
-            mRemainingTokens = offer.work().loadTokens();
+            mLoadTokens = offer.work().loadTokens();
+            mRemainingTokens = mLoadTokens;
         }
     }
 
     private final Map<AttemptId, Entry> mEntries = new HashMap<>();
-    private long mTokens;
+    private long mLoadTokens;
+    private long mRemainingTokens;
 
     int size() {
         return mEntries.size();
     }
 
-    long tokens() {
-        return mTokens;
+    long loadTokens() {
+        return mLoadTokens;
+    }
+
+    long remainingTokens() {
+        return mRemainingTokens;
     }
 
     boolean contains(AttemptId id) {
@@ -37,14 +47,18 @@
     void add(WorkOffer offer) {
         var entry = new Entry(offer);
         mEntries.put(offer.id(), entry);
-        mTokens += entry.mRemainingTokens;
+        mLoadTokens += entry.mLoadTokens;
+        mRemainingTokens += entry.mRemainingTokens;
     }
 
-    /** The prefill is done: what remains is the answer. */
+    /** The prefill is done: what is left is the answer. */
     void onPrefilled(AttemptId id) {
         var entry = mEntries.get(id);
         if (entry != null) {
-            setRemaining(entry, Math.min(entry.mRemainingTokens, decodeTokens(entry)));
+            long decode = Math.max(1, entry.mOffer.work().decodeTokens());
+            mLoadTokens += decode - entry.mLoadTokens;
+            entry.mLoadTokens = decode;
+            setRemaining(entry, Math.min(entry.mRemainingTokens, decode));
         }
     }
 
@@ -61,17 +75,14 @@
         if (entry == null) {
             return null;
         }
-        mTokens -= entry.mRemainingTokens;
+        mLoadTokens -= entry.mLoadTokens;
+        mRemainingTokens -= entry.mRemainingTokens;
         return entry.mOffer;
     }
 
     private void setRemaining(Entry entry, long tokens) {
         long remaining = Math.max(tokens, LEAST_REMAINING_TOKENS);
-        mTokens += remaining - entry.mRemainingTokens;
+        mRemainingTokens += remaining - entry.mRemainingTokens;
         entry.mRemainingTokens = remaining;
     }
-
-    private static long decodeTokens(Entry entry) {
-        return entry.mOffer.work().decodeTokens();
-    }
 }
--- a/src/main/java/org/fescueport/internal/decision/placement/LoadBook.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/LoadBook.java
@@ -108,16 +108,6 @@
         return nowNanos - mean.atNanos() < MEAN_FORGET_NANOS ? mean.tokens() : 0;
     }
 
-    /** Returns the time until a replica with this load has fallen to the limit. */
-    public long millisUntil(NodeId node, double limitTokens, long nowNanos) {
-        Entry entry = mEntries.get(node);
-        if (entry == null || entry.report() == null || entry.report().tokensPerSecond() == 0) {
-            return 0;
-        }
-        double excess = Math.max(0, loadOf(node, nowNanos) - limitTokens);
-        return (long) (excess * 1_000 / entry.report().tokensPerSecond());
-    }
-
     int size() {
         return mEntries.size();
     }
--- a/src/main/java/org/fescueport/internal/decision/placement/LoadBound.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/LoadBound.java
@@ -3,9 +3,9 @@
 /**
  * How much outstanding work one replica may carry beside the mean of its pool.
  *
- * <p>The limit is {@code factor} times the mean. Requests cannot be divided, so a replica with less
- * than {@code floorTokens} is never held to be too loaded, whatever the mean, and an idle one takes
- * any request.
+ * <p>No replica is to carry more than {@code factor} times the mean. Admissions stop short of that,
+ * since the mean is an estimate and falls while work is under way. An idle replica takes any
+ * request, and below {@code floorTokens} a replica is never held to be too loaded.
  *
  * <pre>{@code
  * LoadBound bound = LoadBound.of(model.loadBound(), FLOOR_TOKENS);
@@ -13,6 +13,9 @@
  * }</pre>
  */
 public record LoadBound(double factor, long floorTokens) {
+    /** Part of the distance from the mean to the bound that admissions use. */
+    private static final double ADMITTED_PART = 0.6;
+
     public LoadBound {
         if (!(factor >= 1)) {
             throw new IllegalArgumentException("a load bound is at least 1, not " + factor);
@@ -24,9 +27,9 @@
         return new LoadBound(factor, floorTokens);
     }
 
-    /** Returns the most that a replica may carry while the pool's mean is this. */
+    /** Returns the load up to which requests are admitted while the pool's mean is this. */
     public double limit(double meanTokens) {
-        return Math.max(factor * meanTokens, floorTokens);
+        return Math.max((1 + ADMITTED_PART * (factor - 1)) * meanTokens, floorTokens);
     }
 
     /** Returns whether a replica with this load may take that request on top. */
--- a/src/main/java/org/fescueport/internal/decision/placement/Placement.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/Placement.java
@@ -20,9 +20,12 @@
  * }</pre>
  */
 public final class Placement {
-    /** Busy replicas that are passed over before the request is refused. */
+    /** Replicas that are passed over as busy before the least busy of them is asked. */
     private static final int MAX_BUSY = 8;
 
+    /** Refusals after which the least loaded of those that refused is asked again. */
+    private static final int MAX_SPILLS = 4;
+
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
     private final FailureDomain mOwnDomain;
@@ -64,7 +67,8 @@
         private final double mMean;
         private int mBusy;
         private int mRank = -1;
-        private long mRetryAfterMillis = Long.MAX_VALUE;
+        private int mLeastBusy = -1;
+        private double mLeastBusyLoad;
 
         Search(
                 ReplicaSet set,
@@ -85,12 +89,16 @@
         }
 
         Choice run() {
+            int refusals = mRequest.refusals().count();
+            if (refusals >= MAX_SPILLS) {
+                return leastRefused();
+            }
             if (mTicketIndex >= 0 && fits(mSet.replica(mTicketIndex))) {
                 return chosen(mTicketIndex, Choice.Reason.TICKET);
             }
             int first = nextFitting();
             if (first < 0) {
-                return nothingFits();
+                return refusals > 0 && mLeastBusy < 0 ? leastRefused() : leastBusy();
             }
             if (mRank > 0 || mTicketIndex >= 0) {
                 return chosen(first, Choice.Reason.SPILL);
@@ -129,13 +137,14 @@
                 return false;
             }
             double load = mLoads.loadOf(replica.node(), mNowNanos);
-            if (mMean == 0 || mBound.admits(load, mRequest.tokens(), mMean)) {
+            // Of a replica that was not heard lately only the mean is known: it is worth asking.
+            if (mMean == 0 || load <= mBound.limit(mMean)) {
                 return true;
             }
-            mBusy++;
-            double limit = mBound.limit(mMean) - mRequest.tokens();
-            long wait = mLoads.millisUntil(replica.node(), limit, mNowNanos);
-            mRetryAfterMillis = Math.min(mRetryAfterMillis, wait);
+            if (mBusy++ == 0 || load < mLeastBusyLoad) {
+                mLeastBusy = mSet.indexOf(replica.node());
+                mLeastBusyLoad = load;
+            }
             return false;
         }
 
@@ -166,18 +175,34 @@
             return mLoads.loadOf(mSet.replica(index).node(), mNowNanos);
         }
 
-        private Choice nothingFits() {
-            return mBusy == 0
+        /** The agents are the authority on their load: what is known here may be old. */
+        private Choice leastBusy() {
+            return mLeastBusy < 0
                     ? new Choice.NoReplica()
-                    : new Choice.AllBusy(Math.max(MIN_RETRY_AFTER_MILLIS, mRetryAfterMillis));
+                    : chosen(mLeastBusy, Choice.Reason.LEAST_BUSY);
+        }
+
+        private Choice leastRefused() {
+            var refusals = mRequest.refusals();
+            int index = mSet.indexOf(refusals.least().node());
+            if (refusals.count() < 2 || refusals.count() > MAX_SPILLS || index < 0) {
+                long millis = refusals.retryAfterMillis();
+                return new Choice.AllBusy(Math.max(MIN_RETRY_AFTER_MILLIS, millis));
+            }
+            return chosen(index, Choice.Reason.LEAST_REFUSED, refusals.evidenceTokens());
         }
 
         private Choice chosen(int index, Choice.Reason reason) {
+            return chosen(index, reason, 0);
+        }
+
+        private Choice chosen(int index, Choice.Reason reason, long leastRefusedTokens) {
             boolean elsewhere = mTicketIndex >= 0 && mTicketIndex != index;
             return new Choice.Chosen(
                     mSet.replica(index),
                     reason,
-                    elsewhere ? Optional.of(mSet.replica(mTicketIndex)) : Optional.empty());
+                    elsewhere ? Optional.of(mSet.replica(mTicketIndex)) : Optional.empty(),
+                    leastRefusedTokens);
         }
     }
 }
--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
+import org.fescueport.internal.load.experiment.ExperimentCommand;
 import org.fescueport.internal.settings.ExitCode;
 
 /** Entry point of the program. */
@@ -11,7 +12,7 @@
         name = "fescue-load",
         description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class})
+        commands = {Help.class, ExperimentCommand.class})
 public final class LoadMain {
     private LoadMain() {}
 
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/load/experiment/FakeReplica.java
@@ -0,0 +1,145 @@
+package org.fescueport.internal.load.experiment;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.Work;
+import org.fescueport.internal.decision.admission.Admission;
+import org.fescueport.internal.decision.admission.AdmissionLimits;
+import org.fescueport.internal.decision.admission.AdmissionQueue;
+import org.fescueport.internal.decision.admission.Speeds;
+import org.fescueport.internal.decision.admission.Step;
+import org.fescueport.internal.decision.admission.WorkOffer;
+import org.fescueport.internal.decision.gossip.MeanEstimate;
+import org.fescueport.internal.decision.placement.Replica;
+
+/** An agent's decisions in front of a stand-in engine that decodes at a steady speed. */
+final class FakeReplica {
+    /** Hears what becomes of jobs. */
+    interface Listener {
+        void onFinished(Job job, FakeReplica replica);
+
+        void onGivenUp(Job job, Step.GivenUp givenUp, FakeReplica replica);
+    }
+
+    private static final int EXPECTED_DECODE_TOKENS = 225;
+
+    private final VirtualTime mTime;
+    private final Listener mListener;
+    private final Map<AttemptId, Job> mJobs = new HashMap<>();
+    private final Map<AttemptId, Long> mDecoded = new HashMap<>();
+    final int mNumber;
+    final Replica mReplica;
+    final AdmissionQueue mQueue;
+    final PrefixCache mCache;
+    final MeanEstimate mMean;
+    boolean mAlive = true;
+
+    FakeReplica(int number, FleetSettings settings, VirtualTime time, Listener listener) {
+        mNumber = number;
+        mTime = time;
+        mListener = listener;
+        var domain = FailureDomain.of("fd" + number % settings.domains());
+        mReplica = Replica.of(NodeId.of("vm" + number), domain, "").withIncarnation(number + 1);
+        var limits =
+                new AdmissionLimits(settings.maxRunning(), settings.maxQueued(), settings.bound());
+        var speeds =
+                Speeds.startingAt(
+                        FleetSettings.PREFILL_PER_SECOND, FleetSettings.DECODE_PER_SECOND);
+        mQueue = AdmissionQueue.create(limits, speeds);
+        mMean = MeanEstimate.create(settings.leak(), settings.replicas());
+        mCache = new PrefixCache(settings.cacheTokens());
+    }
+
+    /** Work of a job here, with the length of the answer expected, not known. */
+    Work workOf(Job job) {
+        int cached = Math.max(mCache.use(job.mChat), job.mImportedTokens);
+        return Work.of(Math.max(0, job.mPromptTokens - cached), EXPECTED_DECODE_TOKENS);
+    }
+
+    Admission offer(Job job) {
+        update();
+        var offer =
+                new WorkOffer(
+                        job.attemptId(),
+                        job.teamId(),
+                        1,
+                        0,
+                        job.mDeadlineNanos,
+                        workOf(job),
+                        job.mLeastRefusedTokens);
+        var admission = mQueue.offer(offer, mTime.now());
+        switch (admission) {
+            case Admission.Admitted admitted -> start(job);
+            case Admission.Queued queued -> {
+                mJobs.put(job.attemptId(), job);
+                mTime.at(mQueue.nextExpiryNanos() + 1, this::poll);
+            }
+            case Admission.Refused refused -> {}
+        }
+        poll();
+        return admission;
+    }
+
+    /** Brings the load up to date with what was decoded. */
+    void update() {
+        for (var entry : mDecoded.entrySet()) {
+            var job = mJobs.get(entry.getKey());
+            long since = mTime.now() - job.mStartedNanos - prefillNanos(job);
+            if (since <= 0) {
+                continue;
+            }
+            long decoded = (long) (since * FleetSettings.DECODE_PER_SECOND / VirtualTime.SECOND);
+            mQueue.onPrefilled(entry.getKey());
+            mQueue.onTokens(entry.getKey(), decoded - entry.getValue());
+            entry.setValue(decoded);
+        }
+    }
+
+    long loadTokens() {
+        return mQueue.load().outstandingTokens();
+    }
+
+    void fail() {
+        mAlive = false;
+    }
+
+    private void start(Job job) {
+        var id = job.attemptId();
+        job.mCachedTokens =
+                Math.min(job.mPromptTokens, Math.max(mCache.use(job.mChat), job.mImportedTokens));
+        job.mStartedNanos = mTime.now();
+        mJobs.put(id, job);
+        mDecoded.put(id, 0L);
+        double decode = job.mDecodeTokens / FleetSettings.DECODE_PER_SECOND * VirtualTime.SECOND;
+        mTime.after(prefillNanos(job) + (long) decode, () -> finish(job));
+    }
+
+    private static long prefillNanos(Job job) {
+        double tokens = job.mPromptTokens - job.mCachedTokens;
+        return (long) (tokens / FleetSettings.PREFILL_PER_SECOND * VirtualTime.SECOND);
+    }
+
+    private void finish(Job job) {
+        var id = job.attemptId();
+        mJobs.remove(id);
+        mDecoded.remove(id);
+        mQueue.onFinished(id);
+        mCache.put(job.mChat, job.mPromptTokens + job.mDecodeTokens);
+        update();
+        poll();
+        mListener.onFinished(job, this);
+    }
+
+    private void poll() {
+        var step = mQueue.poll(mTime.now());
+        for (var given : step.givenUp()) {
+            mListener.onGivenUp(mJobs.remove(given.offer().id()), given, this);
+        }
+        for (var offer : step.started()) {
+            start(mJobs.get(offer.id()));
+        }
+    }
+}
