--- a/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
@@ -36,6 +36,12 @@
 
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
+    /**
+     * Multiple of the expected service time that must be left when waiting work starts: the length
+     * of an answer is not known, and one that is cut off at its deadline wasted its slot.
+     */
+    private static final int SERVICE_MARGIN = 2;
+
     private final AdmissionLimits mLimits;
     private final Speeds mSpeeds;
     private final TreeMap<Integer, FairQueue> mClasses = new TreeMap<>();
@@ -96,7 +102,8 @@
         var queue = mClasses.computeIfAbsent(offer.priority(), priority -> new FairQueue());
         long service = mSpeeds.serviceNanos(offer.work());
         long wait = expectedWaitNanos(queue, team, offer);
-        if (nowNanos + wait + service > offer.deadlineNanos()) {
+        long needed = wait == 0 ? service : wait + SERVICE_MARGIN * service;
+        if (nowNanos + needed > offer.deadlineNanos()) {
             return refused(RefusalReason.DEADLINE, TimeUnit.NANOSECONDS.toMillis(wait));
         }
         var refusal = makeRoom(queue, team, offer, wait == 0);
@@ -104,7 +111,8 @@
             return refusal;
         }
         Invariants.check(excessTokens(offer) == 0, "attempt %s breaks the bound", offer.id());
-        var waiting = new Waiting(offer, offer.deadlineNanos() - service, mSequence++);
+        long latestStart = offer.deadlineNanos() - SERVICE_MARGIN * service;
+        var waiting = new Waiting(offer, latestStart, mSequence++);
         return wait == 0 ? start(queue, team, waiting) : enqueue(queue, team, waiting, wait);
     }
 
--- a/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
@@ -248,8 +248,8 @@
         }
 
         @Override
-        public void onGivenUp(Job job, Step.GivenUp givenUp, FakeReplica replica) {
-            mTally.onGivenUp(job, givenUp, mTime.now());
+        public void onGivenUp(Job job, Step.GivenUp givenUp, long lateNanos) {
+            mTally.onGivenUp(givenUp, lateNanos);
             if (givenUp.reason() == RefusalReason.DISPLACED) {
                 retry(job, true);
             } else {
--- a/src/main/java/org/fescueport/internal/load/experiment/Job.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Job.java
@@ -28,6 +28,10 @@
     int mTicket = NONE;
 
     boolean mReturning;
+
+    /** Whether its deadline passes before its answer is whole. */
+    boolean mIsCut;
+
     int mAttempt = 1;
     Refusals mRefusals = Refusals.none();
     long mLeastRefusedTokens;
