--- a/src/main/java/org/fescueport/internal/agent/MeanGossip.java
+++ b/src/main/java/org/fescueport/internal/agent/MeanGossip.java
@@ -20,6 +20,7 @@
 final class MeanGossip {
     private static final int PEERS = 4;
     private static final double LEAK = 0.02;
+    private static final int TYPICAL_REPLICAS = 8;
 
     private final NodeId mSelf;
     private final PoolId mPool;
@@ -28,7 +29,7 @@
     private final Executor mLoop;
     private final DoubleSupplier mOwnLoad;
     private final LongConsumer mOnMean;
-    private final MeanEstimate mEstimate = MeanEstimate.create(LEAK);
+    private final MeanEstimate mEstimate = MeanEstimate.create(LEAK, TYPICAL_REPLICAS);
     private ReplicaSet mSet;
     private GossipPeers mPeers;
 
@@ -69,11 +70,11 @@
             return;
         }
         mOnMean.accept(Math.round(mEstimate.tokens()));
-        double told = mEstimate.tokens();
+        double told = mEstimate.tell();
         mConnections
                 .to(peer)
                 .thenCompose(link -> link.call(PeerCalls.MEAN, bytes(told)))
-                .thenAcceptAsync(reply -> mEstimate.onExchange(told, answerOf(reply)), mLoop);
+                .thenAcceptAsync(reply -> mEstimate.onAnswer(told, answerOf(reply)), mLoop);
     }
 
     /** Answers a peer's estimate with the own one. */
--- a/src/test/java/org/fescueport/internal/agent/LoopListenerTest.java
+++ b/src/test/java/org/fescueport/internal/agent/LoopedListenerTest.java
@@ -10,13 +10,13 @@
 import org.jmock.lib.concurrent.DeterministicExecutor;
 import org.junit.jupiter.api.Test;
 
-class LoopListenerTest implements BackendListener {
+class LoopedListenerTest implements BackendListener {
     private final List<String> mEvents = new ArrayList<>();
 
     @Test
     void shouldTouchNothingBeforeTheLoopRuns() {
         var loop = new DeterministicExecutor();
-        var listener = new LoopListener(this, loop);
+        var listener = LoopedListener.of(loop, this);
         listener.onStarted(3);
         listener.onPiece(new byte[2], 1);
         listener.onEnd(End.failed(Outcome.UNKNOWN, "lost", ""));
