Keep poison requests away from backend servers in the running agent

Cause: the guard against requests that kill backend servers was not asked by any process. Ruled out: a strike for each lost connection, since a connection is lost without a death as well; the agent's health check tells the two apart before the router hears of either. Change: PoisonGate before each start, a trial with nothing beside it, strikes to the pool's agents. Before: a request that kills its server could be tried at one server after another.

--- a/src/main/java/org/fescueport/internal/agent/AgentCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCalls.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import org.fescueport.internal.log.claim.ClaimDecider;
 import org.fescueport.internal.log.config.ConfigFollower;
+import org.fescueport.internal.log.poison.PoisonGuard;
 import org.fescueport.internal.wire.PeerCalls;
 import org.fescueport.internal.wire.WireException;
 import org.fescueport.internal.wire.generated.Call;
@@ -18,6 +19,7 @@
     private final ClaimDecider mDecider;
     private final Executor mLoop;
     private volatile KeyedRuns mKeyed;
+    private volatile PoisonGuard mGuard;
 
     private AgentCalls(
             ConfigFollower config, MeanGossip gossip, ClaimDecider decider, Executor loop) {
@@ -32,9 +34,12 @@
         return new AgentCalls(config, gossip, decider, loop);
     }
 
-    /** Sets what issues keys; called once, when the agent's address is known. */
-    void use(KeyedRuns keyed) {
+    /**
+     * Sets what issues keys and takes strikes in; called once, when the agent's address is known.
+     */
+    void use(KeyedRuns keyed, PoisonGuard guard) {
         mKeyed = keyed;
+        mGuard = guard;
     }
 
     /** Returns the reply's payload; the future fails when the call cannot be answered. */
@@ -47,6 +52,10 @@
             case PeerCalls.CLAIM ->
                     mDecider.handle(call.getPayload().toByteArray())
                             .thenApply(ByteString::copyFrom);
+            case PeerCalls.STRIKE -> {
+                mGuard.receive(call.getPayload().toByteArray());
+                yield CompletableFuture.completedFuture(ByteString.EMPTY);
+            }
             case PeerCalls.ISSUE_KEY -> issueKey(call);
             default ->
                     CompletableFuture.failedFuture(
--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +29,7 @@
 import org.fescueport.internal.decision.attempt.Submission;
 import org.fescueport.internal.decision.claim.StoredAnswer;
 import org.fescueport.internal.decision.placement.LoadBound;
+import org.fescueport.internal.log.poison.PoisonGuard;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
@@ -59,7 +61,7 @@
 
     private static final double DECODE_PER_SECOND = 50;
     private static final Duration CLOCK_SKEW = Duration.ofSeconds(1);
-    private static final long OVERLOAD_RETRY_MILLIS = 500;
+    private static final String BACKEND_LOST = "backend_lost";
 
     /** Who this agent is. */
     record Identity(String node, long incarnation, String failureDomain) {}
@@ -72,9 +74,11 @@
     private final AgentCounters mCounters;
     private final AttemptRegister mRegister = AttemptRegister.create(REGISTER_LIMITS);
     private final AnswerBuffer mBuffer = AnswerBuffer.create(BUFFER_LIMITS);
+    private final Refusals mRefusals;
     private final AdmissionQueue mQueue;
     private KeyedRuns mKeyed;
     private KeyedStart mKeyedStart;
+    private PoisonGate mPoison;
     private final Speeds mSpeeds = Speeds.startingAt(PREFILL_PER_SECOND, DECODE_PER_SECOND);
     private final Map<AttemptId, Run> mRuns = new HashMap<>();
     private final ArrayDeque<Run> mEnded = new ArrayDeque<>();
@@ -99,6 +103,7 @@
         mClock = clock;
         mTelemetry = telemetry;
         mCounters = AgentCounters.of(telemetry);
+        mRefusals = Refusals.of(identity.node(), mCounters, this::load);
     }
 
     static AgentCore create(
@@ -112,8 +117,12 @@
         return new AgentCore(identity, backend, inFlight, queue, loop, clock, telemetry);
     }
 
-    /** Sets what grants runs that may not be repeated; called once, before the first frame. */
-    void use(KeyedRuns keyed) {
+    /**
+     * Sets what grants runs that may not be repeated, and what keeps poison away; called once,
+     * before the first frame.
+     */
+    void use(KeyedRuns keyed, PoisonGuard guard) {
+        mPoison = PoisonGate.of(guard, mLoop, new AdmittedRuns());
         mKeyed = keyed;
         mKeyedStart = KeyedStart.of(this, keyed, mLoop);
     }
@@ -145,7 +154,7 @@
         var reason = reasonAgainst(submit);
         if (reason != null) {
             mRegister.refuse(id, reason, deadline, now);
-            refuse(connection, id, reason);
+            mRefusals.tellNotRun(connection, id, reason);
             return;
         }
         switch (mRegister.submit(id, !submit.getNotRepeatable(), deadline, now)) {
@@ -153,9 +162,10 @@
                 accepted.superseded().forEach(this::dropSuperseded);
                 admit(connection, id, submit, deadline);
             }
-            case Submission.Refused refused -> refuse(connection, id, refused.reason());
+            case Submission.Refused refused ->
+                    mRefusals.tellNotRun(connection, id, refused.reason());
             case Submission.Duplicate ignored -> mCounters.onDuplicate();
-            case Submission.Unrecorded ignored -> tellUnknown(connection, id);
+            case Submission.Unrecorded ignored -> mRefusals.tellUnknown(connection, id);
         }
     }
 
@@ -196,10 +206,10 @@
                 if (run != null && !run.isEnded()) {
                     end(run, BackendListener.End.failed(Outcome.NOT_RUN, "given_up", ""));
                 }
-                refuse(connection, id, recorded.reason());
+                mRefusals.tellNotRun(connection, id, recorded.reason());
             }
             case Refusal.TooLate ignored -> resume(connection, id, 1, mRuns.get(id));
-            case Refusal.Unrecorded ignored -> tellUnknown(connection, id);
+            case Refusal.Unrecorded ignored -> mRefusals.tellUnknown(connection, id);
         }
     }
 
@@ -318,7 +328,7 @@
             case Admission.Refused refused -> {
                 span.end();
                 mRegister.refuse(id, RefusalReason.OVERLOADED, deadline, now());
-                refuseAdmission(connection, id, refused);
+                mRefusals.tellNotRun(connection, id, refused);
             }
         }
         poll();
@@ -351,6 +361,10 @@
     }
 
     private void start(Run run) {
+        mPoison.admit(run);
+    }
+
+    private void startAdmitted(Run run) {
         if (run.submit().getNotRepeatable()) {
             mKeyedStart.begin(run);
         } else if (passGate(run)) {
@@ -400,6 +414,11 @@
             end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
             return false;
         }
+        if (!mPoison.start(run)) {
+            mRegister.finish(run.id(), now());
+            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "suspect", ""));
+            return false;
+        }
         run.markStarted(now());
         return true;
     }
@@ -432,6 +451,7 @@
             mRegister.finish(run.id(), now);
             mBuffer.end(run.id(), now);
             keepAnswer(run, end);
+            mPoison.onEnd(run, "cancelled".equals(end.reason()));
         }
         if (!mQueue.cancel(run.id())) {
             mQueue.onFinished(run.id());
@@ -441,6 +461,7 @@
         mCounters.onOutcome(end.outcome(), end.reason());
         run.span().setAttribute("fescue.outcome", lower(end.outcome()));
         run.span().end();
+        mPoison.onClosed(run);
     }
 
     private void keepAnswer(Run run, BackendListener.End end) {
@@ -455,6 +476,32 @@
                         : Optional.empty());
     }
 
+    /** Tells a lost connection from a dead backend server, before the router hears of either. */
+    private void endAfterHealthCheck(Run run, BackendListener.End end) {
+        mBackend.checkHealth()
+                .whenComplete(
+                        (ok, failure) ->
+                                mLoop.execute(
+                                        () -> {
+                                            if (failure != null) {
+                                                mCounters.onBackendDeath();
+                                                mPoison.onBackendDied();
+                                            }
+                                            end(run, end);
+                                        }));
+    }
+
+    /** Cancels attempts that became suspect elsewhere, unless they may not be repeated. */
+    void cancelSuspects(List<AttemptId> attempts) {
+        for (var id : attempts) {
+            var run = mRuns.get(id);
+            if (run != null && !run.isEnded() && run.permit() == null) {
+                run.cancelBackend();
+                end(run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
+            }
+        }
+    }
+
     private void dropSuperseded(AttemptId id) {
         var run = mRuns.get(id);
         if (run != null) {
@@ -470,36 +517,11 @@
         switch (replay) {
             case Replay.From from ->
                     run.attach(connection, from.chunks(), run.submit().getCreditBytes());
-            case Replay.Gone ignored -> tellUnknown(connection, id);
-            case Replay.NotHere ignored -> tellUnknown(connection, id);
+            case Replay.Gone ignored -> mRefusals.tellUnknown(connection, id);
+            case Replay.NotHere ignored -> mRefusals.tellUnknown(connection, id);
         }
     }
 
-    private void refuse(FrameConnection connection, AttemptId id, RefusalReason reason) {
-        var name = lower(reason);
-        var end =
-                BackendListener.End.failed(Outcome.NOT_RUN, name, "refused by " + mIdentity.node());
-        mCounters.onOutcome(Outcome.NOT_RUN, name);
-        connection.send(AgentFrames.outcome(id, end, OVERLOAD_RETRY_MILLIS, load()));
-    }
-
-    private void refuseAdmission(
-            FrameConnection connection, AttemptId id, Admission.Refused refused) {
-        var name = lower(refused.reason());
-        var end =
-                BackendListener.End.failed(Outcome.NOT_RUN, name, "refused by " + mIdentity.node());
-        mCounters.onOutcome(Outcome.NOT_RUN, name);
-        connection.send(AgentFrames.outcome(id, end, refused.retryAfterMillis(), load()));
-    }
-
-    private void tellUnknown(FrameConnection connection, AttemptId id) {
-        var end =
-                BackendListener.End.failed(
-                        Outcome.UNKNOWN, "not_kept", "no answer of it is kept here");
-        mCounters.onOutcome(Outcome.UNKNOWN, end.reason());
-        connection.send(AgentFrames.outcome(id, end, 0, load()));
-    }
-
     private static String lower(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT);
     }
@@ -554,7 +576,25 @@
             var usage = end.usage();
             mCounters.onTokens(
                     usage.promptTokens(), usage.cachedTokens(), usage.completionTokens());
-            end(mRun, end);
+            if (BACKEND_LOST.equals(end.reason()) && !mRun.isEnded()) {
+                endAfterHealthCheck(mRun, end);
+            } else {
+                end(mRun, end);
+            }
+        }
+    }
+
+    /** Goes on with, or ends, what the gate against poison has decided on. */
+    private final class AdmittedRuns implements PoisonGate.Runs {
+        @Override
+        public void proceed(Run run) {
+            startAdmitted(run);
+        }
+
+        @Override
+        public void end(Run run, BackendListener.End end, long retryAfterMillis) {
+            refuseBeforeStart(run, RefusalReason.POISON);
+            AgentCore.this.end(run, end, retryAfterMillis);
         }
     }
 }
--- a/src/main/java/org/fescueport/internal/agent/AgentCounters.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCounters.java
@@ -40,6 +40,10 @@
         mTelemetry.counter("agent_repeated_keys").increment();
     }
 
+    void onBackendDeath() {
+        mTelemetry.counter("agent_backend_deaths").increment();
+    }
+
     void onAbandoned() {
         mTelemetry.counter("agent_abandoned_answers").increment();
     }
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -27,6 +27,8 @@
 import org.fescueport.internal.log.claim.OwnerBoundKeys;
 import org.fescueport.internal.log.config.ConfigFollower;
 import org.fescueport.internal.log.config.FollowerSettings;
+import org.fescueport.internal.log.poison.PoisonGuard;
+import org.fescueport.internal.log.poison.PoisonSettings;
 import org.fescueport.internal.platform.HttpEngine;
 import org.fescueport.internal.platform.HttpLogService;
 import org.fescueport.internal.platform.HttpPlainService;
@@ -40,6 +42,7 @@
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.FrameTransport;
 import org.fescueport.internal.wire.generated.Hello;
+import org.fescueport.platform.LogService;
 
 /** A running agent: makes its parts, supervises them, and stops them in order. */
 final class AgentProcess implements ProgramCommand.Running, AdminNode {
@@ -65,6 +68,7 @@
     private final FrameTransport mTransport;
     private final Backend mBackend;
     private final ConfigFollower mConfig;
+    private final LogService mLog;
     private final AgentCore mCore;
     private final Membership mMembership;
     private final AgentConnections mConnections;
@@ -86,13 +90,13 @@
         mHttpCaller = AsyncHttpCaller.create(HttpCallerSettings.defaults());
         mTransport = FrameTransport.create(WIRE_THREADS, Optional::empty, Optional::empty);
         mBackend = backend();
-        var log = HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT);
+        mLog = HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT);
         var list = HttpVmList.of(mHttpCaller, node.vmsUrl().toString(), PLATFORM_TIMEOUT);
         mMembership = Membership.create(list, mClock, mTelemetry);
         mSources = ConfigSources.create(mMembership, NodeId.of(node.node()));
         mConfig =
                 ConfigFollower.create(
-                        log,
+                        mLog,
                         mSources,
                         mTimers,
                         mClock,
@@ -103,7 +107,7 @@
         mSources.use(mConnections);
         mDecider =
                 ClaimDecider.create(
-                        log, mClock, mTimers, ClaimSettings.standard(), mTelemetry.registry());
+                        mLog, mClock, mTimers, ClaimSettings.standard(), mTelemetry.registry());
         mCore =
                 AgentCore.create(
                         new AgentCore.Identity(node.node(), mIncarnation, node.failureDomain()),
@@ -226,6 +230,20 @@
                 mClock);
     }
 
+    private PoisonGuard poisonGuard() {
+        var node = NodeId.of(mSettings.node().node());
+        var pool = PoolId.of(mSettings.pool());
+        var strikes = StrikeSpread.of(node, pool, mMembership, mConnections);
+        return PoisonGuard.start(
+                AgentIncarnation.of(node, mIncarnation),
+                mLog,
+                mClock,
+                mTimers,
+                PoisonSettings.standard(),
+                strikes::tell,
+                attempts -> mLoop.execute(() -> mCore.cancelSuspects(attempts)));
+    }
+
     private Supervisor supervisor() {
         return Supervisor.of("agent", RestartPolicy.standard(), mTimers, mClock)
                 .add(Worker.of("config", onFailure -> startConfig()))
@@ -273,8 +291,9 @@
         var server = AgentServer.of(mCore, mLoop, calls, this::hello);
         mAddress = mTransport.listen(mSettings.node().listen(), server);
         var keyed = keyedRuns();
-        calls.use(keyed);
-        mCore.use(keyed);
+        var guard = poisonGuard();
+        calls.use(keyed, guard);
+        mCore.use(keyed, guard);
         return () -> {
             // The transport closes its connections itself.
         };
--- a/src/main/java/org/fescueport/internal/router/Reasons.java
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -21,7 +21,7 @@
 
     /** Reasons that any other agent would give as well. */
     private static final Set<String> SAME_EVERYWHERE =
-            Set.of("log_unavailable", "log_slow", "begun_before", "answer_not_kept", "cancelled");
+            Set.of("log_unavailable", "log_slow", "begun_before", "answer_not_kept", "suspect");
 
     private static final Set<String> BUSY =
             Set.of("load_bound", "queue_full", "displaced", "deadline", "leaving", "overloaded");
--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -17,5 +17,8 @@
     /** Asks for a key that only this incarnation of the agent ever runs: an IssueKey. */
     public static final String ISSUE_KEY = "issue-key";
 
+    /** Tells that a backend server died while it ran a request: strikes as the log has them. */
+    public static final String STRIKE = "strike";
+
     private PeerCalls() {}
 }
