--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -72,6 +72,13 @@
         sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
     }
 
+    @Then("{word} had no answer broken off")
+    public void brokeNothingOff(String name) {
+        var stats = Http.get(sFleet.vm(name).backendUrl() + "/v1/stats");
+        assertThat("answers broken off", stats.path("cancelled").asInt(), is(0));
+        assertThat("requests", stats.path("completed"), is(stats.path("requests")));
+    }
+
     @When("the list of VMs says that {word} is leaving")
     public void leave(String vm) {
         sFleet.list(sFleet.vm(vm), "leaving");
