Let a lost answer of the log not stop the spreading of strikes

Cause: An append to the stream "poison" whose future never ended would have kept all later strikes of the agent from the log. Ruled out: Waiting for the answer without a limit. Change: After the call's time limit the open records are appended again; readers take a strike in once.

--- a/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
+++ b/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
@@ -53,7 +53,7 @@
     private long mGeneration;
     private long mLastTrialMillis;
     private long mNextOffset;
-    private boolean mAppending;
+    private long mAppendingUntilMillis;
 
     private PoisonGuard(
             AgentIncarnation agent,
@@ -286,10 +286,11 @@
     private void flush() {
         List<PoisonRecord> batch;
         synchronized (this) {
-            if (mAppending || mUnsent.isEmpty()) {
+            long now = mClock.wallTime();
+            if (now < mAppendingUntilMillis || mUnsent.isEmpty()) {
                 return;
             }
-            mAppending = true;
+            mAppendingUntilMillis = now + mSettings.callTimeoutMillis();
             batch = List.copyOf(mUnsent);
         }
         mLog.append(STREAM, batch.stream().map(PoisonCodec::encode).toList())
@@ -297,7 +298,7 @@
     }
 
     private synchronized void flushed(List<PoisonRecord> batch, boolean acknowledged) {
-        mAppending = false;
+        mAppendingUntilMillis = 0;
         if (acknowledged) {
             mUnsent.removeAll(batch);
         }
