--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
+import org.fescueport.internal.load.experiment.ExperimentCommand;
 import org.fescueport.internal.settings.ExitCode;
 import org.fescueport.internal.settings.SettingsException;
 
@@ -12,7 +13,13 @@
         name = "fescue-load",
         description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class, CompareCommand.class, RunCommand.class})
+        commands = {
+            Help.class,
+            CompareCommand.class,
+            ExperimentCommand.class,
+            MeasuresCommand.class,
+            RunCommand.class
+        })
 public final class LoadMain {
     private LoadMain() {}
 
