Offsets start at 1: the code for offset 0 goes

Cause: The log's port now says that offsets start at 1, so the opening record and the checks for offset 0 were dead code, and FencedOrdersTest had a claim that was not accepted. Ruled out: Keeping both was ruled out, because no log that the port allows has an offset 0. Change: The opening records, the skip in StreamTail and the check in LeaseFold were removed. FencedOrdersTest now checks that the second claim was accepted. Conclusion: Nothing changed for operators.

--- a/src/main/java/org/fescueport/internal/decision/lease/LeaseFold.java
+++ b/src/main/java/org/fescueport/internal/decision/lease/LeaseFold.java
@@ -13,8 +13,10 @@
  * loses, whatever its own clock says. Not thread-safe.
  */
 public final class LeaseFold {
+    private static final long FIRST_OFFSET = 1;
+
     private final Map<String, LeaseState> mLeases = new HashMap<>();
-    private long mPosition;
+    private long mPosition = FIRST_OFFSET;
 
     private LeaseFold() {}
 
@@ -67,7 +69,7 @@
     private Optional<LeaseState> judge(long offset, long atMillis, LeaseRecord.Claim claim) {
         var current = mLeases.get(claim.lease());
         var last = current == null ? 0 : current.last();
-        if (claim.base() != last || offset == 0) {
+        if (claim.base() != last) {
             return Optional.empty();
         }
         var renews = current != null && current.holder().equals(claim.holder());
--- a/src/main/java/org/fescueport/internal/log/StreamTail.java
+++ b/src/main/java/org/fescueport/internal/log/StreamTail.java
@@ -43,10 +43,6 @@
 
     /** Takes a page that was read from {@link #nextRead()}. */
     public Step take(Page page) {
-        // A log whose offsets start at 1 leaves no gap.
-        if (page.firstOffset() == 1) {
-            mFolder.skipTo(1);
-        }
         if (!mSearching && page.firstOffset() > mFolder.position()) {
             mSearching = true;
             mSearchFrom = page.firstOffset();
--- a/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
@@ -99,9 +99,6 @@
     private CompletableFuture<List<PublishResult>> append(
             List<ConfigRecord.Change> changes, int attempt) {
         var block = new ArrayList<byte[]>();
-        if (mTail.fold().position() == 0) {
-            block.add(ConfigCodec.encode(new ConfigRecord.Opening()));
-        }
         changes.forEach(change -> block.add(ConfigCodec.encode(change)));
         return mLog.append(ConfigTail.STREAM, block)
                 .handle((offset, failure) -> afterAppend(changes, attempt, failure))
--- a/src/main/java/org/fescueport/internal/log/lease/LeaseKeeper.java
+++ b/src/main/java/org/fescueport/internal/log/lease/LeaseKeeper.java
@@ -197,9 +197,6 @@
         if (holds && isSnapshotDue(now)) {
             block.add(LeaseCodec.encode(mTail.fold().snapshot()));
         }
-        if (!block.isEmpty() && mTail.position() == 0) {
-            block.addFirst(LeaseCodec.encode(new LeaseRecord.Nothing()));
-        }
         return block;
     }
 
--- a/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
+++ b/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
@@ -53,6 +53,7 @@
         claim("first", 0, 10_000);
         advance(10_000);
         claim("second", 1, 10_000);
+        assertThat(LeaseReader.create(mLog, mClock).newest(LEASE).join().token(), is(2L));
         var late = order(orders, 1);
         var failure = assertThrows(ExecutionException.class, late::get).getCause();
         assertThat(failure.getMessage(), containsString("token 2 is newer"));
@@ -84,9 +85,6 @@
     private void claim(String node, long base, long millis) {
         var holder = LeaseHolder.of(NodeId.of(node), 1);
         var claim = new LeaseRecord.Claim(LEASE, holder, base, millis, new UUID(0, base));
-        if (base == 0) {
-            mLog.append(LeaseTail.STREAM, List.of(LeaseCodec.encode(new LeaseRecord.Nothing())));
-        }
         mLog.append(LeaseTail.STREAM, List.of(LeaseCodec.encode(claim)));
     }
 
