--- a/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/AdmissionQueue.java
@@ -36,6 +36,12 @@
 
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
+    /**
+     * Multiple of the expected service time that must be left when waiting work starts: the length
+     * of an answer is not known, and one that is cut off at its deadline wasted its slot.
+     */
+    private static final int SERVICE_MARGIN = 2;
+
     private final AdmissionLimits mLimits;
     private final Speeds mSpeeds;
     private final TreeMap<Integer, FairQueue> mClasses = new TreeMap<>();
@@ -96,14 +102,17 @@
         var queue = mClasses.computeIfAbsent(offer.priority(), priority -> new FairQueue());
         long service = mSpeeds.serviceNanos(offer.work());
         long wait = expectedWaitNanos(queue, team, offer);
-        if (nowNanos + wait + service > offer.deadlineNanos()) {
+        long needed = wait == 0 ? service : wait + SERVICE_MARGIN * service;
+        if (nowNanos + needed > offer.deadlineNanos()) {
             return refused(RefusalReason.DEADLINE, TimeUnit.NANOSECONDS.toMillis(wait));
         }
         var refusal = makeRoom(queue, team, offer, wait == 0);
         if (refusal != null) {
             return refusal;
         }
-        var waiting = new Waiting(offer, offer.deadlineNanos() - service, mSequence++);
+        Invariants.check(excessTokens(offer) == 0, "attempt %s breaks the bound", offer.id());
+        long latestStart = offer.deadlineNanos() - SERVICE_MARGIN * service;
+        var waiting = new Waiting(offer, latestStart, mSequence++);
         return wait == 0 ? start(queue, team, waiting) : enqueue(queue, team, waiting, wait);
     }
 
@@ -167,7 +176,7 @@
     }
 
     private long outstandingTokens() {
-        return mRunning.tokens() + mQueuedTokens;
+        return mRunning.loadTokens() + mQueuedTokens;
     }
 
     /** Zero means that the offer may start at once. */
@@ -180,7 +189,7 @@
             return 0;
         }
         int running = Math.max(1, mRunning.size());
-        double untilSlot = mRunning.tokens() / (double) running;
+        double untilSlot = mRunning.remainingTokens() / (double) running;
         double seconds = (ahead + untilSlot) / (running * mSpeeds.decodePerSecond());
         return Math.max(1, (long) (seconds * TimeUnit.SECONDS.toNanos(1)));
     }
@@ -222,6 +231,10 @@
         if (mMeanTokens == 0 || mLimits.bound().admits(load, more, mMeanTokens)) {
             return 0;
         }
+        // Others that carry more have refused it, so the mean has risen above the estimate.
+        if (load <= offer.leastRefusedTokens()) {
+            return 0;
+        }
         return (long) Math.ceil(load + more - mLimits.bound().limit(mMeanTokens));
     }
 
@@ -320,7 +333,7 @@
     }
 
     private Step.GivenUp givenUp(Waiting waiting, RefusalReason reason) {
-        long untilSlot = mRunning.tokens() * 1_000 / Math.max(1, load().tokensPerSecond());
+        long untilSlot = mRunning.remainingTokens() * 1_000 / Math.max(1, load().tokensPerSecond());
         return new Step.GivenUp(
                 waiting.offer(), reason, Math.max(MIN_RETRY_AFTER_MILLIS, untilSlot));
     }
