Wait for a silent answer longer than connecting may take

Cause: A load of 40 requests a second for long answers lost calls with "no answer SocketTimeoutException", and the router then told its callers no_replica and overloaded. HttpCore's pool sets the time limit of connecting as the longest silence of the connection, so that every call through AsyncHttpCaller that was silent for 2 s was cut off, agents' calls of their engines among them. Change: ClientExchange lifts that limit on its connection; the call's own time limit remains. OpenConnections finds a connection by both of its ends, for the system may give one local port to connections to several servers, and a cancelled call could have closed another's connection; nobody saw that happen. fescue-load names the cause of a call without an answer. Before/After: AsyncHttpCallerTest.shouldWaitForAnswerLongerThanConnectingMayTake fails without the change (SocketTimeoutException after 300 ms) and passes with it.

--- a/src/main/java/org/fescueport/internal/http/ClientExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ClientExchange.java
@@ -93,7 +93,11 @@
     public void produceRequest(RequestChannel channel, HttpContext context)
             throws HttpException, IOException {
         HttpCoreContext core = HttpCoreContext.cast(context);
-        mConnection = mConnections.find(core.getEndpointDetails().getLocalAddress());
+        mConnection = mConnections.find(core.getEndpointDetails());
+        if (mConnection != null) {
+            // The pool sets the time limit of connecting as the longest silence of a connection.
+            mConnection.allowSilence();
+        }
         if (!mState.compareAndSet(State.UNSENT, State.SENT)) {
             throw new ConnectionClosedException("The call was cancelled before it was sent.");
         }
--- a/src/main/java/org/fescueport/internal/http/OpenConnections.java
+++ b/src/main/java/org/fescueport/internal/http/OpenConnections.java
@@ -7,39 +7,40 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.IOSessionListener;
+import org.apache.hc.core5.util.Timeout;
 
-/** The open connections of one server or caller, found by the address of their other end. */
+/** The open connections of one server or caller, found by the addresses of both ends. */
 final class OpenConnections implements IOSessionListener {
+    /** Both ends: the system may give one local port to connections to several servers. */
+    private record Ends(SocketAddress local, SocketAddress remote) {}
+
     private final Map<String, Connection> mById = new ConcurrentHashMap<>();
-    private final Map<SocketAddress, Connection> mByAddress = new ConcurrentHashMap<>();
-    private final Function<IOSession, SocketAddress> mAddressOf;
+    private final Map<Ends, Connection> mByEnds = new ConcurrentHashMap<>();
     private final int mMost;
     private final Runnable mRefused;
 
-    private OpenConnections(
-            Function<IOSession, SocketAddress> addressOf, int most, Runnable refused) {
-        mAddressOf = addressOf;
+    private OpenConnections(int most, Runnable refused) {
         mMost = most;
         mRefused = refused;
     }
 
     /** Connections that callers opened; those above {@code most} are closed and told of. */
     static OpenConnections ofServer(int most, Runnable refused) {
-        return new OpenConnections(IOSession::getRemoteAddress, most, refused);
+        return new OpenConnections(most, refused);
     }
 
-    /** Connections that this process opened, each found by its own local address. */
+    /** Connections that this process opened. */
     static OpenConnections ofCaller() {
-        return new OpenConnections(IOSession::getLocalAddress, Integer.MAX_VALUE, () -> {});
+        return new OpenConnections(Integer.MAX_VALUE, () -> {});
     }
 
     /** Returns the connection, or null when it is closed. */
-    Connection find(SocketAddress address) {
-        return address == null ? null : mByAddress.get(address);
+    Connection find(EndpointDetails endpoint) {
+        return mByEnds.get(new Ends(endpoint.getLocalAddress(), endpoint.getRemoteAddress()));
     }
 
     void forEach(Consumer<Connection> action) {
@@ -60,22 +61,22 @@
 
     @Override
     public void connected(IOSession session) {
-        SocketAddress address = mAddressOf.apply(session);
-        if (address == null || mById.size() >= mMost) {
+        if (mById.size() >= mMost) {
             mRefused.run();
             session.close(CloseMode.IMMEDIATE);
             return;
         }
-        Connection connection = new Connection(session, address);
+        Ends ends = new Ends(session.getLocalAddress(), session.getRemoteAddress());
+        Connection connection = new Connection(session, ends);
         mById.put(session.getId(), connection);
-        mByAddress.put(address, connection);
+        mByEnds.put(ends, connection);
     }
 
     @Override
     public void disconnected(IOSession session) {
         Connection connection = mById.remove(session.getId());
         if (connection != null) {
-            mByAddress.remove(connection.mAddress, connection);
+            mByEnds.remove(connection.mEnds, connection);
         }
     }
 
@@ -99,13 +100,13 @@
         private static final long UNSEEN = Long.MIN_VALUE;
 
         private final IOSession mSession;
-        private final SocketAddress mAddress;
+        private final Ends mEnds;
         private final Set<Runnable> mRunning = new HashSet<>();
         private long mIdleSinceNanos = UNSEEN;
 
-        private Connection(IOSession session, SocketAddress address) {
+        private Connection(IOSession session, Ends ends) {
             mSession = session;
-            mAddress = address;
+            mEnds = ends;
         }
 
         /**
@@ -142,6 +143,11 @@
             return nowNanos - mIdleSinceNanos >= nanos;
         }
 
+        /** Lets the connection be silent for as long as a call may take. */
+        void allowSilence() {
+            mSession.setSocketTimeout(Timeout.DISABLED);
+        }
+
         void close() {
             mSession.close(CloseMode.IMMEDIATE);
         }
--- a/src/main/java/org/fescueport/internal/http/ServerExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ServerExchange.java
@@ -60,7 +60,7 @@
         mRequest = request;
         mChannel = channel;
         mContext = HttpCoreContext.cast(context);
-        mConnection = mServer.connections().find(mContext.getEndpointDetails().getRemoteAddress());
+        mConnection = mServer.connections().find(mContext.getEndpointDetails());
         splitTarget(request.getPath());
         if (mServer.hasTooMuchHead(request)) {
             JsonError.respond(this, 431, "headers_too_large", "The headers are too large.");
--- a/src/main/java/org/fescueport/internal/load/ChatCall.java
+++ b/src/main/java/org/fescueport/internal/load/ChatCall.java
@@ -98,10 +98,15 @@
 
     @Override
     public void onFailed(HttpCallException failure) {
-        String sent = failure.maybeSent() ? "no answer" : "not sent";
+        String sent = (failure.maybeSent() ? "no answer " : "not sent ") + nameOf(failure);
         end(mStatus == 0 ? Ending.FAILED : Ending.CUT, mStatus == 0 ? sent : mStatus + " cut");
     }
 
+    private static String nameOf(HttpCallException failure) {
+        Throwable cause = failure.getCause();
+        return cause == null ? "" : cause.getClass().getSimpleName();
+    }
+
     private void takeData(byte[] bytes, int offset, int length) {
         if (length == DONE.length() && bytes[offset] == '[') {
             mComplete = true;
--- a/src/test/java/org/fescueport/internal/http/AsyncHttpCallerTest.java
+++ b/src/test/java/org/fescueport/internal/http/AsyncHttpCallerTest.java
@@ -86,6 +86,27 @@
         }
     }
 
+    /** The time limit of connecting once cut off every answer that was silent for as long. */
+    @Test
+    void shouldWaitForAnswerLongerThanConnectingMayTake() throws Exception {
+        CompletableFuture<HttpExchange> held = new CompletableFuture<>();
+        serve(held::complete);
+        HttpCallerSettings settings =
+                HttpCallerSettings.defaults().withConnectTimeout(Duration.ofMillis(300));
+
+        try (AsyncHttpCaller caller = AsyncHttpCaller.create(settings)) {
+            CompletableFuture<HttpCaller.Response> answer =
+                    caller.call(request(mServer.port(), LIMIT));
+            HttpExchange exchange = held.get();
+            new CompletableFuture<Void>()
+                    .completeOnTimeout(null, 1500, TimeUnit.MILLISECONDS)
+                    .get();
+            exchange.respond(200, Map.of(), new byte[0]);
+
+            assertThat(answer.get().status(), is(200));
+        }
+    }
+
     @Test
     void shouldReuseConnectionsWithinBound() {
         serve(exchange -> exchange.respond(200, Map.of(), new byte[10]));
