Measure a lost failure domain; let busy refusals pass on without budget

Cause: A request that met dead replicas and busy ones used up its attempts before the least loaded replica was asked again. Ruled out: A larger retry budget was not tried; it would only hide that a router which sees a sliver learns slowly that a failure domain is gone. Change: A busy replica's refusal always passes a request on without delay and budget, until the placement tells that all are busy; a request has at most 8 attempts.

--- a/src/main/java/org/fescueport/internal/decision/retry/RetryPolicy.java
+++ b/src/main/java/org/fescueport/internal/decision/retry/RetryPolicy.java
@@ -9,8 +9,8 @@
  * Decides whether a request is tried again, and when.
  *
  * <p>What may have run is tried again only if it is repeatable. A busy replica's refusal passes the
- * request on to the next rank at once, a few times; any other attempt costs a token of the budget
- * and waits a random time that grows with the attempts.
+ * request on to the next rank at once, until the placement tells that all are busy; any other
+ * attempt costs a token of the budget and waits a random time that grows with the attempts.
  *
  * <pre>{@code
  * switch (policy.after(attempt)) {
@@ -20,10 +20,7 @@
  * }</pre>
  */
 public final class RetryPolicy {
-    private static final int MAX_ATTEMPTS = 6;
-
-    /** Attempts that a busy replica's refusal passes on without delay or budget. */
-    private static final int FREE_SPILLS = 4;
+    private static final int MAX_ATTEMPTS = 8;
 
     private static final long BASE_DELAY_MILLIS = 20;
     private static final long MAX_DELAY_MILLIS = 1_000;
@@ -50,7 +47,7 @@
         if (attempt.number() >= MAX_ATTEMPTS) {
             return new RetryDecision.GiveUp(Reason.ATTEMPTS);
         }
-        boolean spills = attempt.busy() && attempt.number() <= FREE_SPILLS;
+        boolean spills = attempt.busy();
         long delay = spills ? 0 : delayMillis(attempt.number());
         if (delay >= attempt.deadlineInMillis()) {
             return new RetryDecision.GiveUp(Reason.DEADLINE);
--- a/src/main/java/org/fescueport/internal/load/experiment/ExperimentCommand.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/ExperimentCommand.java
@@ -12,6 +12,7 @@
     private static final TreeMap<String, Experiment> EXPERIMENTS = new TreeMap<>();
 
     static {
+        EXPERIMENTS.put("domain-loss", new DomainLossExperiment());
         EXPERIMENTS.put("gossip", new GossipExperiment());
         EXPERIMENTS.put("surge", new SurgeExperiment());
         EXPERIMENTS.put("reuse", new ReuseExperiment());
--- a/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
@@ -145,6 +145,16 @@
         }
     }
 
+    /** All replicas of the first failure domain die; the lists of VMs follow late. */
+    void loseFirstDomain() {
+        for (int i = mLive.size() - 1; i >= 0; i--) {
+            if (mLive.get(i).mNumber % mSettings.domains() == 0) {
+                mLive.remove(i).fail();
+            }
+        }
+        mTime.after(mSettings.listLagNanos(), this::publishList);
+    }
+
     void join() {
         add();
         publishList();
@@ -159,8 +169,9 @@
         }
         var replica = target.replica();
         job.mTried.add(replica.mReplica.node());
-        mTally.onAttempt();
+        mTally.onAttempt(job);
         if (!replica.mAlive) {
+            mTally.onUnreachable();
             mPolicy.onUnreachable(job, replica, this);
             retry(job, false);
             return;
