--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -13,7 +13,13 @@
         name = "fescue-load",
         description = "Load and experiments",
         defaultCommand = Help.class,
-        commands = {Help.class, CompareCommand.class, ExperimentCommand.class, RunCommand.class})
+        commands = {
+            Help.class,
+            CompareCommand.class,
+            ExperimentCommand.class,
+            MeasuresCommand.class,
+            RunCommand.class
+        })
 public final class LoadMain {
     private LoadMain() {}
 
