Name the experiments' main figures as the measures do

Cause: The report of the measures looks for cache_reuse and the like at the top of the JSON. Ruled out: Nothing. Change: The experiments reuse, skew and gossip put those names beside their rows. Conclusion: The lines of JSON can be gathered.

--- a/src/main/java/org/fescueport/internal/load/experiment/GossipExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/GossipExperiment.java
@@ -38,7 +38,8 @@
             var row = report.row(replicas + " replicas, 10% lost");
             new Pool(replicas, 0.1, seed).run(rounds, row);
         }
-        return report;
+        Object bytes = report.figure("1200 replicas", "with_ip_and_tcp");
+        return report.with("control_bytes_per_second_per_node", bytes);
     }
 
     /** Agents with loads that come and go as requests do. */
--- a/src/main/java/org/fescueport/internal/load/experiment/ReuseExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/ReuseExperiment.java
@@ -42,7 +42,8 @@
         measure(report, "least load", size, Baselines.leastLoad(), 0, seed);
         measure(report, "two choices", size, Baselines.powerOfTwoChoices(seed), 0, seed);
         measure(report, "random", size, Baselines.random(seed), 0, seed);
-        return report;
+        report.with("cache_reuse", report.figure("own", "reuse"));
+        return report.with("cache_reuse_oracle", report.figure("oracle", "reuse"));
     }
 
     private static Policy own(Size size, long seed, boolean tickets, boolean imports) {
--- a/src/main/java/org/fescueport/internal/load/experiment/SkewExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/SkewExperiment.java
@@ -23,7 +23,7 @@
 
     @Override
     public Report run(long seed, boolean quick) {
-        var report = new Report("skew", seed, quick).with("bound", BOUND.factor());
+        var report = new Report("skew", seed, quick).with("skew_bound", BOUND.factor());
         report.with("largest_team_share", 0.5);
         int routers = quick ? 66 : 330;
         int replicas = quick ? 240 : 1_200;
@@ -43,7 +43,8 @@
             measure(report, size, "two choices", Baselines.powerOfTwoChoices(seed), span, seed);
             measure(report, size, "random", Baselines.random(seed), span, seed);
         }
-        return report;
+        Object skew = report.figure("full, 24 a replica: own", "skew_max");
+        return report.with("skew_max_over_mean", skew);
     }
 
     private static void measure(
