Scenario: a request that kills each engine that runs it

Cause: the bound of two lost servers was proved on classes only. Ruled out: a test of the gate with a fake engine, which would not show the routers' part.

--- a/src/test/java/org/fescueport/scenarios/ChatSteps.java
+++ b/src/test/java/org/fescueport/scenarios/ChatSteps.java
@@ -17,7 +17,7 @@
 
 /** Steps of callers that chat with a model. */
 public final class ChatSteps {
-    private static final String KEY = "Bearer demo-water-key";
+    static final String KEY = "Bearer demo-water-key";
     private static final String QUESTION = "How full is the reservoir of Chixoy today? ".repeat(8);
     private static final int CHARACTERS_PER_TOKEN = 6;
 
--- a/src/test/java/org/fescueport/scenarios/Program.java
+++ b/src/test/java/org/fescueport/scenarios/Program.java
@@ -74,6 +74,10 @@
         return mName;
     }
 
+    boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
     void kill() throws InterruptedException {
         mProcess.destroyForcibly().waitFor();
     }
