--- a/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
+++ b/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
@@ -127,6 +127,7 @@
         private int mLength;
         private int mStatus;
         private String mContentType = "";
+        private String mEntityTag = "";
 
         private Gatherer(int maxBytes) {
             mMaxBytes = maxBytes;
@@ -138,6 +139,13 @@
             mContentType = contentType;
         }
 
+        @Override
+        public void onHeader(String name, String value) {
+            if ("ETag".equalsIgnoreCase(name)) {
+                mEntityTag = value;
+            }
+        }
+
         @Override
         public void onData(ByteBuffer data) {
             int more = data.remaining();
@@ -154,7 +162,8 @@
 
         @Override
         public void onEnd() {
-            mFuture.complete(new Response(mStatus, mContentType, Arrays.copyOf(mBody, mLength)));
+            byte[] body = Arrays.copyOf(mBody, mLength);
+            mFuture.complete(new Response(mStatus, mContentType, body, mEntityTag));
         }
 
         @Override
--- a/src/main/java/org/fescueport/internal/http/HttpCaller.java
+++ b/src/main/java/org/fescueport/internal/http/HttpCaller.java
@@ -15,8 +15,12 @@
             byte[] body,
             Duration timeout) {}
 
-    /** A whole answer. */
-    record Response(int status, String contentType, byte[] body) {}
+    /**
+     * A whole answer.
+     *
+     * @param entityTag value of the header {@code ETag}; empty when there is none
+     */
+    record Response(int status, String contentType, byte[] body, String entityTag) {}
 
     /** Receives an answer piece by piece, on an I/O thread. */
     interface StreamListener {
--- a/src/main/java/org/fescueport/internal/load/MeasuresCommand.java
+++ b/src/main/java/org/fescueport/internal/load/MeasuresCommand.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
@@ -54,8 +55,11 @@
     @Option(name = "--run", title = "FILE", description = "Output of the command run")
     private String mRun;
 
-    @Option(name = "--experiment", title = "FILE", description = "Output of the experiments")
-    private String mExperiment;
+    @Option(
+            name = "--experiment",
+            title = "FILE",
+            description = "Output of an experiment; may be given several times")
+    private List<String> mExperiments = new ArrayList<>();
 
     @Option(
             name = "--config-in-force-millis",
@@ -73,7 +77,7 @@
         int configMillis =
                 reader.integer("--config-in-force-millis", mConfigMillis, -1, -1, MOST_MILLIS);
         reader.requireValid();
-        var report = gather(lastLine(mCompare), lastLine(mRun), lastLine(mExperiment));
+        var report = gather(lastLine(mCompare), lastLine(mRun), experiments());
         if (configMillis >= 0) {
             report.put("config_in_force_seconds_max", configMillis / 1000.0);
         }
@@ -83,6 +87,15 @@
         return ExitCode.OK;
     }
 
+    /** Returns the JSON of all experiments in one object; a later one replaces equal keys. */
+    private JsonNode experiments() {
+        ObjectNode all = JSON.createObjectNode();
+        for (String file : mExperiments) {
+            lastLine(file).properties().forEach(entry -> all.set(entry.getKey(), entry.getValue()));
+        }
+        return all;
+    }
+
     /** Returns the report; what an experiment names replaces null. */
     static ObjectNode gather(JsonNode compare, JsonNode run, JsonNode experiment) {
         ObjectNode report = JSON.createObjectNode();
--- a/src/main/java/org/fescueport/internal/platform/HttpVmList.java
+++ b/src/main/java/org/fescueport/internal/platform/HttpVmList.java
@@ -15,7 +15,13 @@
 public final class HttpVmList implements VmList {
     private static final String PATH = "/v1/vms";
 
+    private static final int NOT_MODIFIED = 304;
+
+    /** The last list that was read whole. */
+    private record Known(String entityTag, List<Vm> vms) {}
+
     private final PlatformHttp mHttp;
+    private volatile Known mKnown = new Known("", List.of());
 
     private HttpVmList(PlatformHttp http) {
         mHttp = http;
@@ -26,15 +32,24 @@
         return new HttpVmList(new PlatformHttp(caller, baseUrl, timeout));
     }
 
+    /** Asks with the tag of the last list, so that one that has not changed costs no body. */
     @Override
     public CompletableFuture<List<Vm>> list() {
-        return mHttp.get(
-                PATH,
-                node -> {
-                    List<Vm> vms = new ArrayList<>();
-                    node.path("vms").forEach(vm -> vms.add(vm(vm)));
-                    return List.copyOf(vms);
-                });
+        var known = mKnown;
+        return mHttp.getIfChanged(PATH, known.entityTag())
+                .thenApply(
+                        response ->
+                                response.status() == NOT_MODIFIED
+                                        ? known.vms()
+                                        : read(response).vms());
+    }
+
+    private Known read(HttpCaller.Response response) {
+        List<Vm> vms = new ArrayList<>();
+        PlatformHttp.json(PATH, response.body()).path("vms").forEach(vm -> vms.add(vm(vm)));
+        var known = new Known(response.entityTag(), List.copyOf(vms));
+        mKnown = known;
+        return known;
     }
 
     private static Vm vm(JsonNode node) {
--- a/src/main/java/org/fescueport/internal/platform/PlatformHttp.java
+++ b/src/main/java/org/fescueport/internal/platform/PlatformHttp.java
@@ -60,6 +60,22 @@
                 failure -> PlatformException.didNotHappen(failure.getMessage(), failure));
     }
 
+    /** Reads with {@code If-None-Match}; the answer's status is 200 or 304. */
+    CompletableFuture<HttpCaller.Response> getIfChanged(String path, String entityTag) {
+        Map<String, String> headers =
+                entityTag.isEmpty() ? Map.of() : Map.of("If-None-Match", entityTag);
+        return answer(
+                request("GET", path, headers, NO_BODY, mTimeout),
+                response -> {
+                    if (response.status() != 200 && response.status() != 304) {
+                        throw failed(
+                                PlatformException.didNotHappen(describe(path, response), null));
+                    }
+                    return response;
+                },
+                failure -> PlatformException.didNotHappen(failure.getMessage(), failure));
+    }
+
     /** Sends a body; {@code parse} gets the answer with whatever status it has. */
     <T> CompletableFuture<T> post(
             String path,
--- a/src/main/java/org/fescueport/internal/standin/vms/VmHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/vms/VmHandler.java
@@ -66,11 +66,17 @@
     }
 
     private void list(HttpExchange exchange) {
+        var listed = mListed.get(mClock.wallTime(), mFaults.current().lagMillis());
+        var tag = "\"" + Integer.toHexString(listed.hashCode()) + "\"";
+        if (tag.equals(exchange.header("If-None-Match"))) {
+            exchange.respond(304, Map.of("ETag", tag), new byte[0]);
+            return;
+        }
         var body = Json.object();
         var vms = body.putArray("vms");
-        var listed = mListed.get(mClock.wallTime(), mFaults.current().lagMillis());
         listed.values().forEach(vm -> vms.add(Json.of(vm)));
-        Json.respond(exchange, 200, body);
+        exchange.respond(
+                200, Map.of("ETag", tag, "Content-Type", "application/json"), Json.bytes(body));
     }
 
     private synchronized void put(String id, ObjectNode body) throws BadRequestException {
