--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -59,8 +59,8 @@
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(200);
     private static final Duration CANDIDATE_INTERVAL = Duration.ofSeconds(10);
     private static final int MAX_OWNED_KEYS = 20_000;
-    private static final Duration HEALTH_INTERVAL = Duration.ofMillis(500);
-    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(20);
+    private static final Duration HEALTH_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(40);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
     private final AgentSettings mSettings;
