Tell the next agent of a death before it gets the request

Cause: an agent's strike reached its peers by a message of its own, which raced with the router's retry; the retry won now and then, and a third engine died of the request. Ruled out: a slower retry, which only makes the race rarer. Change: the outcome carries the strike; the router sends it on the next agent's connection before the Submit. Conclusion: the order on one connection closes the race for a request that is sent in turn; copies sent at once stay as GUARANTEES.md says.

--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -127,7 +127,7 @@
      * before the first frame.
      */
     void use(KeyedRuns keyed, PoisonGuard guard) {
-        mPoison = PoisonGate.of(guard, mLoop, new AdmittedRuns());
+        mPoison = PoisonGate.of(guard, mLoop, new AdmittedRuns(), mClock);
         mKeyed = keyed;
         mKeyedStart = KeyedStart.of(this, keyed, mLoop);
     }
@@ -482,7 +482,8 @@
         if (!mQueue.cancel(run.id())) {
             mQueue.onFinished(run.id());
         }
-        run.end(AgentFrames.outcome(run.id(), end, retryAfterMillis, load()), now);
+        var outcome = AgentFrames.outcome(run.id(), end, retryAfterMillis, load(), run.strikes());
+        run.end(outcome, now);
         mEnded.addLast(run);
         mCounters.onOutcome(end.outcome(), end.reason());
         run.span().setAttribute("fescue.outcome", lower(end.outcome()));
@@ -519,7 +520,7 @@
                                         () -> {
                                             if (failure != null) {
                                                 mCounters.onBackendDeath();
-                                                mPoison.onBackendDied();
+                                                run.setStrikes(mPoison.onBackendDied(run));
                                             }
                                             end(run, end);
                                         }));
--- a/src/main/java/org/fescueport/internal/agent/AgentFrames.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentFrames.java
@@ -33,6 +33,16 @@
     }
 
     static Frame outcome(AttemptId id, BackendListener.End end, long retryAfterMillis, Load load) {
+        return outcome(id, end, retryAfterMillis, load, ByteString.EMPTY);
+    }
+
+    /** The strikes are what the next agent must know before it gets the request. */
+    static Frame outcome(
+            AttemptId id,
+            BackendListener.End end,
+            long retryAfterMillis,
+            Load load,
+            ByteString strikes) {
         var body =
                 Outcome.newBuilder()
                         .setKey(Frames.keyOf(id))
@@ -46,7 +56,8 @@
                         .setPromptTokens(end.usage().promptTokens())
                         .setCachedTokens(end.usage().cachedTokens())
                         .setCompletionTokens(end.usage().completionTokens())
-                        .setLoad(load);
+                        .setLoad(load)
+                        .setStrikes(strikes);
         return Frame.newBuilder().setOutcome(body).build();
     }
 
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -137,8 +137,7 @@
     static AgentProcess start(AgentSettings settings, Runnable onGaveUp) throws Exception {
         var process = new AgentProcess(settings);
         process.mRoot.start(cause -> onGaveUp.run());
-        System.out.println("listening 127.0.0.1:" + process.mAddress.getPort());
-        System.out.println("admin 127.0.0.1:" + process.mAdminServer.port());
+        settings.node().announce(process.mAddress.getPort(), process.mAdminServer.port());
         return process;
     }
 
--- a/src/main/java/org/fescueport/internal/agent/PoisonGate.java
+++ b/src/main/java/org/fescueport/internal/agent/PoisonGate.java
@@ -1,5 +1,7 @@
 package org.fescueport.internal.agent;
 
+import com.google.protobuf.ByteString;
+import io.micrometer.core.instrument.Clock;
 import java.util.concurrent.Executor;
 import org.fescueport.internal.decision.Outcome;
 import org.fescueport.internal.decision.claim.ContentHash;
@@ -28,18 +30,20 @@
     private final PoisonGuard mGuard;
     private final Executor mLoop;
     private final Runs mRuns;
+    private final Clock mClock;
     private int mInFlight;
     private Run mTrial;
     private boolean mTrialWaits;
 
-    private PoisonGate(PoisonGuard guard, Executor loop, Runs runs) {
+    private PoisonGate(PoisonGuard guard, Executor loop, Runs runs, Clock clock) {
         mGuard = guard;
         mLoop = loop;
         mRuns = runs;
+        mClock = clock;
     }
 
-    static PoisonGate of(PoisonGuard guard, Executor loop, Runs runs) {
-        return new PoisonGate(guard, loop, runs);
+    static PoisonGate of(PoisonGuard guard, Executor loop, Runs runs, Clock clock) {
+        return new PoisonGate(guard, loop, runs, clock);
     }
 
     /** Lets a run go on, or ends it. */
@@ -83,9 +87,15 @@
         }
     }
 
-    /** Notes that the backend server died; called before any router hears of it. */
-    void onBackendDied() {
+    /**
+     * Notes that the backend server died; called before any router hears of it. Returns the strike
+     * against this run, which its router tells the next agent before it sends the request there.
+     */
+    ByteString onBackendDied(Run run) {
+        var died = mGuard.server();
         mGuard.serverDied();
+        var strike = PoisonGuard.strikeMessage(fingerprintOf(run), died, mClock.wallTime());
+        return ByteString.copyFrom(strike);
     }
 
     private void decide(Run run, Admission admission) {
--- a/src/main/java/org/fescueport/internal/agent/Run.java
+++ b/src/main/java/org/fescueport/internal/agent/Run.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.agent;
 
+import com.google.protobuf.ByteString;
 import io.opentelemetry.api.trace.Span;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -27,6 +28,7 @@
     private Engine.Handle mHandle;
     private boolean mIsStarted;
     private KeyedRuns.Permit mPermit;
+    private ByteString mStrikes = ByteString.EMPTY;
     private byte[] mFirstPiece = {};
     private Frame mOutcome;
     private boolean mIsOutcomeSent;
@@ -124,6 +126,15 @@
         mProgressNanos = nowNanos;
     }
 
+    /** Returns what the next agent must know before it gets the request; empty for nothing. */
+    ByteString strikes() {
+        return mStrikes;
+    }
+
+    void setStrikes(ByteString strikes) {
+        mStrikes = strikes;
+    }
+
     /** Returns the right to run, or null when the run may be repeated. */
     KeyedRuns.Permit permit() {
         return mPermit;
--- a/src/main/java/org/fescueport/internal/router/Answer.java
+++ b/src/main/java/org/fescueport/internal/router/Answer.java
@@ -4,7 +4,7 @@
 import org.fescueport.internal.wire.generated.Outcome;
 
 /** The way in which one request's answer reaches its caller. */
-sealed interface Answer permits EventAnswer, WholeAnswer, ServiceAnswer {
+sealed interface Answer permits EventAnswer, WholeAnswer {
     /** Told once, before the first piece; the headers go out with the head of the answer. */
     void begin(Map<String, String> headers);
 
--- a/src/main/java/org/fescueport/internal/router/CallerApi.java
+++ b/src/main/java/org/fescueport/internal/router/CallerApi.java
@@ -134,7 +134,7 @@
                     Answer answer =
                             body.isStreaming()
                                     ? EventAnswer.of(exchange, json)
-                                    : WholeAnswer.of(exchange, json);
+                                    : WholeAnswer.of(exchange, new WholeAnswer.Form.Chat(json));
                     start(exchange, request, answer, span);
                 });
     }
@@ -149,7 +149,11 @@
                     var operation = operationOf(service, operationName);
                     var request =
                             serviceRequest(exchange, declarations, team, service, operation, span);
-                    start(exchange, request, ServiceAnswer.of(exchange), span);
+                    start(
+                            exchange,
+                            request,
+                            WholeAnswer.of(exchange, new WholeAnswer.Form.Service()),
+                            span);
                 });
     }
 
--- a/src/main/java/org/fescueport/internal/router/RequestRun.java
+++ b/src/main/java/org/fescueport/internal/router/RequestRun.java
@@ -1,15 +1,15 @@
 package org.fescueport.internal.router;
 
+import com.google.protobuf.ByteString;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.AttemptId;
-import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.Outcome;
 import org.fescueport.internal.decision.answer.AnswerAssembler;
 import org.fescueport.internal.decision.answer.Delivery;
@@ -18,16 +18,13 @@
 import org.fescueport.internal.decision.ejection.OutlierEjection;
 import org.fescueport.internal.decision.placement.Choice;
 import org.fescueport.internal.decision.placement.LoadReport;
-import org.fescueport.internal.decision.placement.Refusals;
 import org.fescueport.internal.decision.placement.Replica;
-import org.fescueport.internal.decision.placement.ReplicaFilter;
-import org.fescueport.internal.decision.placement.ReplicaSet;
-import org.fescueport.internal.decision.retry.FailedAttempt;
 import org.fescueport.internal.decision.retry.RetryDecision;
 import org.fescueport.internal.fleet.AgentLink;
 import org.fescueport.internal.fleet.AttemptListener;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.PeerCalls;
 import org.fescueport.internal.wire.generated.Chunk;
 import org.fescueport.internal.wire.generated.Load;
 import org.fescueport.internal.wire.generated.Started;
@@ -50,14 +47,13 @@
     private final Answer mAnswer;
     private final Span mSpan;
     private final RequestTruth mTruth;
+    private final ReplicaChoice mChoice;
     private final long mStartedNanos;
     private final AnswerAssembler mAssembler;
     private final Runnable mOnFinished;
-    private final Set<NodeId> mTried = new HashSet<>();
-    private Refusals mRefusals = Refusals.none();
     private long mLeastRefusedTokens;
     private String mKvSource = "";
-    private int mAttempts;
+    private final List<ByteString> mStrikes = new ArrayList<>();
     private Attempt mCurrent;
     private int mOwedCredit;
     private boolean mHasAnswer;
@@ -75,6 +71,7 @@
         mAnswer = answer;
         mSpan = span;
         mOnFinished = onFinished;
+        mChoice = ReplicaChoice.of(context, request);
         mTruth = RequestTruth.of(request.id(), request.isRepeatable());
         mAssembler = AnswerAssembler.start(request.id(), MAX_ANSWER_BYTES);
         mStartedNanos = context.clock().monotonicTime();
@@ -123,20 +120,8 @@
             attempt(mRequest.owner().get());
             return;
         }
-        var set = mContext.membership().replicas(mRequest.pool());
-        var loads = mContext.membership().loads(mRequest.pool());
-        var choice =
-                mContext.placement()
-                        .choose(
-                                set,
-                                PlacementRequests.of(mRequest, mContext.tokens()).after(mRefusals),
-                                PlacementRequests.boundOf(mRequest),
-                                loads,
-                                filter(set),
-                                mContext.clock().monotonicTime());
-        switch (choice) {
+        switch (mChoice.next()) {
             case Choice.Chosen chosen -> {
-                mContext.counters().onChoice(chosen.reason());
                 mLeastRefusedTokens = chosen.leastRefusedTokens();
                 mKvSource = chosen.cacheHolder().map(holder -> holder.node().name()).orElse("");
                 attempt(chosen.replica());
@@ -154,16 +139,8 @@
         }
     }
 
-    private ReplicaFilter filter(ReplicaSet set) {
-        long now = mContext.clock().monotonicTime();
-        long key = mRequest.id().low();
-        ReplicaFilter untried = replica -> !mTried.contains(replica.node());
-        return untried.and(mContext.health().of(mRequest.pool(), set).filter(key, now));
-    }
-
     private void attempt(Replica replica) {
-        mAttempts++;
-        mTried.add(replica.node());
+        mChoice.onAttempt(replica);
         mContext.counters().onAttempt();
         var attempt = new Attempt(mTruth.begin(), replica, startAttemptSpan(replica));
         mCurrent = attempt;
@@ -191,21 +168,13 @@
 
     /** Tries again where the policy allows it, else gives the final answer at once. */
     private void retryOr(Outcome outcome, String reason, Runnable otherwise) {
-        long leftNanos = mRequest.deadlineNanos() - mContext.clock().monotonicTime();
         boolean isAllowed =
                 mRequest.owner().isEmpty() && !Reasons.isFinal(reason) && mTruth.mayAttemptAgain();
         if (!isAllowed) {
             otherwise.run();
             return;
         }
-        var failed =
-                new FailedAttempt(
-                        mAttempts,
-                        outcome,
-                        Reasons.isBusy(reason),
-                        mRequest.isRepeatable(),
-                        TimeUnit.NANOSECONDS.toMillis(leftNanos));
-        switch (mContext.retries().after(failed)) {
+        switch (mChoice.after(outcome, reason)) {
             case RetryDecision.Retry retry -> {
                 mContext.counters().onRetry(reason);
                 tryNextIn(retry.delayMillis());
@@ -317,6 +286,8 @@
                 mTruth.sending(mId, mAgent);
                 mAssembler.attempt(mId);
                 loads().onSent(mReplica.node(), mTokens);
+                // On the same connection and before the request, so that its agent knows in time.
+                mStrikes.forEach(strike -> link.call(PeerCalls.STRIKE, strike));
                 var traceparent = Telemetry.traceparentOf(mAttemptSpan);
                 var clock = mContext.clock();
                 var frame =
@@ -361,7 +332,21 @@
                 mTruth.started(mId);
                 report(started.getLoad());
                 mAttemptSpan.addEvent("started");
-                beginAnswer(this);
+                if (mHasAnswer) {
+                    renewResumeToken();
+                } else {
+                    beginAnswer(this);
+                }
+            }
+        }
+
+        /** The answer is kept elsewhere from now on; clients skip what is in a comment. */
+        private void renewResumeToken() {
+            switch (mAnswer) {
+                case EventAnswer events -> events.note("resume " + resumeToken());
+                case WholeAnswer ignored -> {
+                    // It is given whole by this router, or not at all.
+                }
             }
         }
 
@@ -428,6 +413,7 @@
                 } else {
                     noteHealth(kind, outcome.getReason());
                     noteRefusal(outcome);
+                    noteStrikes(outcome);
                     retryOr(
                             kind,
                             outcome.getReason(),
@@ -507,10 +493,16 @@
                                     0));
         }
 
+        private void noteStrikes(org.fescueport.internal.wire.generated.Outcome outcome) {
+            if (!outcome.getStrikes().isEmpty()) {
+                mStrikes.add(outcome.getStrikes());
+            }
+        }
+
         private void noteRefusal(org.fescueport.internal.wire.generated.Outcome outcome) {
             if (Reasons.isForLoad(outcome.getReason())) {
                 long load = outcome.getLoad().getOutstandingTokens();
-                mRefusals = mRefusals.with(mReplica.node(), load, outcome.getRetryAfterMs());
+                mChoice.onRefused(mReplica, load, outcome.getRetryAfterMs());
             }
         }
 
--- a/src/main/java/org/fescueport/internal/router/RouterProcess.java
+++ b/src/main/java/org/fescueport/internal/router/RouterProcess.java
@@ -114,7 +114,7 @@
     static RouterProcess start(RouterSettings settings, Runnable onGaveUp) throws Exception {
         var process = new RouterProcess(settings);
         process.mRoot.start(cause -> onGaveUp.run());
-        process.announce();
+        settings.node().announce(process.mCallerServer.port(), process.mAdminServer.port());
         return process;
     }
 
@@ -236,11 +236,6 @@
         return mCallerServer::close;
     }
 
-    private void announce() {
-        System.out.println("listening 127.0.0.1:" + mCallerServer.port());
-        System.out.println("admin 127.0.0.1:" + mAdminServer.port());
-    }
-
     private void await(Duration time) {
         var latch = new CountDownLatch(1);
         try {
--- a/src/main/java/org/fescueport/internal/router/WholeAnswer.java
+++ b/src/main/java/org/fescueport/internal/router/WholeAnswer.java
@@ -8,20 +8,29 @@
 import org.fescueport.internal.http.JsonError;
 import org.fescueport.internal.wire.generated.Outcome;
 
-/** A model's answer that is given in one piece. */
+/** An answer that is gathered and given in one piece. */
 final class WholeAnswer implements Answer {
+    /** What the gathered bytes are. */
+    sealed interface Form {
+        /** The text of a model's answer. */
+        record Chat(ChunkJson json) implements Form {}
+
+        /** The body that a plain service gave, with its status and type. */
+        record Service() implements Form {}
+    }
+
     private final HttpExchange mExchange;
-    private final ChunkJson mJson;
-    private final ByteArrayOutputStream mText = new ByteArrayOutputStream();
+    private final Form mForm;
+    private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
     private final Map<String, String> mHeaders = new HashMap<>();
 
-    private WholeAnswer(HttpExchange exchange, ChunkJson json) {
+    private WholeAnswer(HttpExchange exchange, Form form) {
         mExchange = exchange;
-        mJson = json;
+        mForm = form;
     }
 
-    static WholeAnswer of(HttpExchange exchange, ChunkJson json) {
-        return new WholeAnswer(exchange, json);
+    static WholeAnswer of(HttpExchange exchange, Form form) {
+        return new WholeAnswer(exchange, form);
     }
 
     @Override
@@ -31,18 +40,26 @@
 
     @Override
     public int add(int number, byte[] piece) {
-        mText.writeBytes(piece);
+        mBytes.writeBytes(piece);
         return 0;
     }
 
     @Override
     public void complete(Outcome outcome) {
-        mHeaders.put("Content-Type", "application/json");
         mHeaders.put(
                 "Fescue-Outcome",
                 Failure.nameOf(org.fescueport.internal.decision.Outcome.COMPLETED));
-        mExchange.respond(
-                200, mHeaders, mJson.whole(mText.toString(StandardCharsets.UTF_8), outcome));
+        switch (mForm) {
+            case Form.Chat chat -> {
+                mHeaders.put("Content-Type", "application/json");
+                var text = mBytes.toString(StandardCharsets.UTF_8);
+                mExchange.respond(200, mHeaders, chat.json().whole(text, outcome));
+            }
+            case Form.Service ignored -> {
+                mHeaders.put("Content-Type", outcome.getContentType());
+                mExchange.respond(outcome.getStatus(), mHeaders, mBytes.toByteArray());
+            }
+        }
     }
 
     @Override
--- a/src/main/java/org/fescueport/internal/settings/NodeSettings.java
+++ b/src/main/java/org/fescueport/internal/settings/NodeSettings.java
@@ -19,4 +19,10 @@
         URI logUrl,
         URI vmsUrl,
         Optional<URI> tracesUrl,
-        String tokenKeys) {}
+        String tokenKeys) {
+    /** Prints where a node listens, in the two lines that scripts read. */
+    public void announce(int port, int adminPort) {
+        System.out.println("listening " + listen.getHostString() + ":" + port);
+        System.out.println("admin " + adminListen.getHostString() + ":" + adminPort);
+    }
+}
--- a/src/main/java/org/fescueport/internal/wire/FrameTransport.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameTransport.java
@@ -15,7 +15,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
@@ -132,7 +131,7 @@
                         .ifPresent(
                                 context -> pipeline.addLast(context.newHandler(channel.alloc())));
                 pipeline.addLast(new FlushConsolidationHandler(64, true));
-                pipeline.addLast(new ProtobufVarint32FrameDecoder());
+                pipeline.addLast(new FrameLengthLimit());
                 pipeline.addLast(new ProtobufDecoder(Frame.getDefaultInstance()));
                 pipeline.addLast(new ProtobufVarint32LengthFieldPrepender());
                 pipeline.addLast(new ProtobufEncoder());
