Run the reuse and skew experiments at full size in minutes

Cause: stacks and JFR (skew, 330 x 1,200) showed 42 % of the samples in AttemptId.equals, as the driver made an equal key anew for each look-up; a scan of all 1,200 replicas for each choice of the least loaded one; and each running request told anew to the admission at every offer and four times a second. 256 MB, the default of bin/fescue-load, are too few for this size. Ruled out: the decisions' own code; nothing of it was changed. Not run yet with this commit: reuse at full size to its end.

--- a/src/main/java/org/fescueport/internal/load/experiment/Baselines.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Baselines.java
@@ -82,14 +82,8 @@
         return live.get(random.nextInt(live.size()));
     }
 
-    /** The least loaded of the live replicas, by loads of at most a quarter of a second ago. */
     private static FakeReplica leastLoaded(Fleet fleet) {
-        FakeReplica best = null;
-        for (var replica : fleet.live()) {
-            if (best == null || replica.loadTokens() < best.loadTokens()) {
-                best = replica;
-            }
-        }
+        var best = fleet.leastLoaded();
         best.update();
         return best;
     }
--- a/src/main/java/org/fescueport/internal/load/experiment/FakeReplica.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/FakeReplica.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.load.experiment;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
 import org.fescueport.internal.decision.AttemptId;
@@ -21,27 +22,36 @@
     interface Listener {
         void onFinished(Job job, FakeReplica replica);
 
+        /** Hears that its load may have changed, or that it is gone. */
+        void onLoad(FakeReplica replica);
+
         void onGivenUp(Job job, Step.GivenUp givenUp, long lateNanos);
     }
 
     private static final int EXPECTED_DECODE_TOKENS = 225;
 
+    /** From the last part of the slots on, what a team gets depends on its share. */
+    private static final int RESERVED_DIVISOR = 8;
+
     private final VirtualTime mTime;
     private final Listener mListener;
     private final Map<AttemptId, Job> mJobs = new HashMap<>();
-    private final Map<AttemptId, Long> mDecoded = new HashMap<>();
+    private final ArrayList<Job> mRunning = new ArrayList<>();
+    private final ArrayList<Job> mPrefilling = new ArrayList<>();
     final int mNumber;
     final Replica mReplica;
     final AdmissionQueue mQueue;
     final PrefixCache mCache;
     final MeanEstimate mMean;
     boolean mAlive = true;
+    private final int mMaxRunning;
     private long mArmedNanos;
 
     FakeReplica(int number, FleetSettings settings, VirtualTime time, Listener listener) {
         mNumber = number;
         mTime = time;
         mListener = listener;
+        mMaxRunning = settings.maxRunning();
         var domain = FailureDomain.of("fd" + number % settings.domains());
         mReplica = Replica.of(NodeId.of("vm" + number), domain, "").withIncarnation(number + 1);
         var limits =
@@ -61,7 +71,7 @@
     }
 
     Admission offer(Job job) {
-        update();
+        account();
         var offer =
                 new WorkOffer(
                         job.attemptId(),
@@ -81,18 +91,37 @@
         return admission;
     }
 
-    /** Brings the load up to date with what was decoded. */
+    /** Brings the load up to date: a prefill that is done counts no more. */
     void update() {
-        for (var entry : mDecoded.entrySet()) {
-            var job = mJobs.get(entry.getKey());
+        boolean changed = false;
+        for (int i = mPrefilling.size() - 1; i >= 0; i--) {
+            var job = mPrefilling.get(i);
+            if (mTime.now() - job.mStartedNanos - prefillNanos(job) > 0) {
+                mQueue.onPrefilled(job.attemptId());
+                mPrefilling.remove(i);
+                changed = true;
+            }
+        }
+        if (changed) {
+            mListener.onLoad(this);
+        }
+    }
+
+    /** Tells the admission what was decoded, where something may have to wait by it. */
+    private void account() {
+        update();
+        int busy = mQueue.running() + mMaxRunning / RESERVED_DIVISOR;
+        if (mQueue.queued() == 0 && busy < mMaxRunning) {
+            return;
+        }
+        for (var job : mRunning) {
             long since = mTime.now() - job.mStartedNanos - prefillNanos(job);
             if (since <= 0) {
                 continue;
             }
             long decoded = (long) (since * FleetSettings.DECODE_PER_SECOND / VirtualTime.SECOND);
-            mQueue.onPrefilled(entry.getKey());
-            mQueue.onTokens(entry.getKey(), decoded - entry.getValue());
-            entry.setValue(decoded);
+            mQueue.onTokens(job.attemptId(), decoded - job.mToldTokens);
+            job.mToldTokens = decoded;
         }
     }
 
@@ -102,6 +131,7 @@
 
     void fail() {
         mAlive = false;
+        mListener.onLoad(this);
     }
 
     private void start(Job job) {
@@ -110,7 +140,10 @@
                 Math.min(job.mPromptTokens, Math.max(mCache.use(job.mChat), job.mImportedTokens));
         job.mStartedNanos = mTime.now();
         mJobs.put(id, job);
-        mDecoded.put(id, 0L);
+        job.mToldTokens = 0;
+        job.mSlot = mRunning.size();
+        mRunning.add(job);
+        mPrefilling.add(job);
         double decode = job.mDecodeTokens / FleetSettings.DECODE_PER_SECOND * VirtualTime.SECOND;
         long end = mTime.now() + prefillNanos(job) + (long) decode;
         // A router cancels what is not whole by its deadline.
@@ -126,10 +159,15 @@
     private void finish(Job job) {
         var id = job.attemptId();
         mJobs.remove(id);
-        mDecoded.remove(id);
+        var last = mRunning.removeLast();
+        if (last != job) {
+            mRunning.set(job.mSlot, last);
+            last.mSlot = job.mSlot;
+        }
+        mPrefilling.remove(job);
         mQueue.onFinished(id);
         mCache.put(job.mChat, job.mPromptTokens + job.mDecodeTokens);
-        update();
+        account();
         poll();
         mListener.onFinished(job, this);
     }
@@ -144,6 +182,7 @@
             start(mJobs.get(offer.id()));
         }
         armExpiry();
+        mListener.onLoad(this);
     }
 
     /** Polls when the next waiting request turns hopeless, as an agent's timer does. */
--- a/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.load.experiment;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,8 @@
     private final List<FakeReplica> mLive = new ArrayList<>();
     private final List<Listing> mListings = new ArrayList<>();
     private final Map<Integer, GossipPeers> mPeers = new HashMap<>();
-    private final Map<Integer, Integer> mHolders = new HashMap<>();
+    private final LoadTree mLoads = new LoadTree();
+    private int[] mHolders = new int[0];
     private final FakeReplica.Listener mListener;
 
     Fleet(
@@ -88,12 +90,20 @@
 
     /** Returns the replica that served the chat last, or that got it handed over; or null. */
     FakeReplica holderOf(int chat) {
-        var number = mHolders.get(chat);
-        return number == null ? null : mReplicas.get(number);
+        int number = chat < mHolders.length ? mHolders[chat] : 0;
+        return number == 0 ? null : mReplicas.get(number - 1);
     }
 
     void setHolder(int chat, FakeReplica replica) {
-        mHolders.put(chat, replica.mNumber);
+        if (chat >= mHolders.length) {
+            mHolders = Arrays.copyOf(mHolders, Math.max(2 * mHolders.length, chat + 1));
+        }
+        mHolders[chat] = replica.mNumber + 1;
+    }
+
+    /** Returns the least loaded live replica, by loads of at most a quarter of a second ago. */
+    FakeReplica leastLoaded() {
+        return mReplicas.get(mLoads.least());
     }
 
     boolean admits(FakeReplica replica, Job job) {
@@ -192,8 +202,7 @@
             mTally.onRefused(job);
             return;
         }
-        job.mAttempt++;
-        job.mImportedTokens = 0;
+        job.nextAttempt();
         if (delay == 0) {
             submit(job);
         } else {
@@ -206,12 +215,17 @@
         mReplicas.add(replica);
         mByNode.put(replica.mReplica.node(), replica);
         mLive.add(replica);
+        mLoads.set(replica.mNumber, 0);
     }
 
     private void publishList() {
         var replicas = new ArrayList<Replica>();
         mLive.forEach(replica -> replicas.add(replica.mReplica));
         mListings.add(new Listing(mTime.now(), ReplicaSet.of(POOL, replicas)));
+        long oldest = mTime.now() - mSettings.listLagNanos();
+        while (mListings.size() > 1 && mListings.get(1).fromNanos() <= oldest) {
+            mListings.removeFirst();
+        }
         mPeers.clear();
     }
 
@@ -253,11 +267,17 @@
         @Override
         public void onFinished(Job job, FakeReplica replica) {
             if (replica.mAlive) {
-                mHolders.put(job.mChat, replica.mNumber);
+                setHolder(job.mChat, replica);
             }
             mTally.onFinished(job, replica, mTime.now());
         }
 
+        @Override
+        public void onLoad(FakeReplica replica) {
+            long tokens = replica.mAlive ? replica.loadTokens() : LoadTree.GONE;
+            mLoads.set(replica.mNumber, tokens);
+        }
+
         @Override
         public void onGivenUp(Job job, Step.GivenUp givenUp, long lateNanos) {
             mTally.onGivenUp(givenUp, lateNanos);
--- a/src/main/java/org/fescueport/internal/load/experiment/Job.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Job.java
@@ -23,6 +23,7 @@
     final long mArrivedNanos;
     final long mDeadlineNanos;
     final Affinity mAffinity;
+    final TeamId mTeamId;
 
     /** Replica that served the chat's last turn, as the caller's ticket tells. */
     int mTicket = NONE;
@@ -38,6 +39,14 @@
     int mImportedTokens;
     int mCachedTokens;
     long mStartedNanos;
+
+    /** Tokens of the answer that the admission was told of. */
+    long mToldTokens;
+
+    /** Place among the running jobs of its replica. */
+    int mSlot;
+
+    private AttemptId mAttemptId;
     final Set<NodeId> mTried = new HashSet<>(4);
 
     Job(long id, int team, int chat, int router, int prompt, int decode, long now, long deadline) {
@@ -50,13 +59,24 @@
         mArrivedNanos = now;
         mDeadlineNanos = deadline;
         mAffinity = Teams.affinityOf(team, chat);
+        mTeamId = Teams.idOf(team);
     }
 
     TeamId teamId() {
-        return Teams.idOf(mTeam);
+        return mTeamId;
     }
 
+    /** The same object for the same attempt, so that maps find it without comparing. */
     AttemptId attemptId() {
-        return AttemptId.of(RequestId.of(0, mId), mAttempt);
+        if (mAttemptId == null) {
+            mAttemptId = AttemptId.of(RequestId.of(0, mId), mAttempt);
+        }
+        return mAttemptId;
+    }
+
+    void nextAttempt() {
+        mAttempt++;
+        mImportedTokens = 0;
+        mAttemptId = null;
     }
 }
--- a/src/main/java/org/fescueport/internal/load/experiment/Report.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Report.java
@@ -78,7 +78,7 @@
         text.append(String.format(Locale.ROOT, format, value));
     }
 
-    private static Object rounded(Object value) {
+    static Object rounded(Object value) {
         return value instanceof Double number ? Math.round(number * 10_000) / 10_000.0 : value;
     }
 }
--- a/src/main/java/org/fescueport/internal/load/experiment/ReuseExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/ReuseExperiment.java
@@ -1,5 +1,8 @@
 package org.fescueport.internal.load.experiment;
 
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import org.fescueport.internal.decision.placement.LoadBound;
 
 /**
@@ -32,16 +35,21 @@
         report.with("compression", COMPRESSION);
         var size = quick ? new Size(66, 240, 6, 240) : new Size(330, 1_200, 6, 1_200);
         report.with("routers", size.routers()).with("replicas", size.replicas());
-        measure(report, "oracle", size, Baselines.oracle(true), 0, seed);
-        measure(report, "oracle, no import", size, Baselines.oracle(false), 0, seed);
-        measure(report, "own", size, own(size, seed, true, true), 0, seed);
-        measure(report, "own, flapping lists", size, own(size, seed, true, true), FLAP_SHARE, seed);
-        measure(report, "own, no import", size, own(size, seed, true, false), 0, seed);
-        measure(report, "own, no tickets", size, own(size, seed, false, true), 0, seed);
-        measure(report, "plain rendezvous", size, Baselines.plainRendezvous(), 0, seed);
-        measure(report, "least load", size, Baselines.leastLoad(), 0, seed);
-        measure(report, "two choices", size, Baselines.powerOfTwoChoices(seed), 0, seed);
-        measure(report, "random", size, Baselines.random(seed), 0, seed);
+        try (var runs = new Runs()) {
+            add(runs, report, "oracle", size, Baselines.oracle(true), 0, seed);
+            add(runs, report, "oracle, no import", size, Baselines.oracle(false), 0, seed);
+            add(runs, report, "own", size, own(size, seed, true, true), 0, seed);
+            var flapping = own(size, seed, true, true);
+            add(runs, report, "own, flapping lists", size, flapping, FLAP_SHARE, seed);
+            add(runs, report, "own, no import", size, own(size, seed, true, false), 0, seed);
+            add(runs, report, "own, no tickets", size, own(size, seed, false, true), 0, seed);
+            add(runs, report, "plain rendezvous", size, Baselines.plainRendezvous(), 0, seed);
+            add(runs, report, "least load", size, Baselines.leastLoad(), 0, seed);
+            add(runs, report, "two choices", size, Baselines.powerOfTwoChoices(seed), 0, seed);
+            add(runs, report, "random", size, Baselines.random(seed), 0, seed);
+            runs.report();
+        }
+        report.with("cache_reuse_baselines", baselines(report));
         report.with("cache_reuse", report.figure("own", "reuse"));
         return report.with("cache_reuse_oracle", report.figure("oracle", "reuse"));
     }
@@ -50,7 +58,27 @@
         return OwnPolicy.create(size.routers(), seed, tickets, imports);
     }
 
-    private static void measure(
+    /** Returns the reuse of what others do, by its name. */
+    private static Map<String, Object> baselines(Report report) {
+        var reuse = new LinkedHashMap<String, Object>();
+        for (var name : List.of("random", "least load", "two choices", "plain rendezvous")) {
+            reuse.put(name.replace(' ', '_'), Report.rounded(report.figure(name, "reuse")));
+        }
+        return reuse;
+    }
+
+    private static void add(
+            Runs runs,
+            Report report,
+            String name,
+            Size size,
+            Policy policy,
+            double flaps,
+            long seed) {
+        runs.add(name, () -> measure(report, name, size, policy, flaps, seed));
+    }
+
+    private static Runnable measure(
             Report report, String name, Size size, Policy policy, double flaps, long seed) {
         var settings =
                 new FleetSettings(
@@ -81,7 +109,7 @@
                 seed);
         traffic.start();
         time.runUntil(DAY);
-        fill(report, name, tally, skew, traffic);
+        return () -> fill(report, name, tally, skew, traffic);
     }
 
     private static void fill(
--- a/src/main/java/org/fescueport/internal/load/experiment/SkewExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/SkewExperiment.java
@@ -1,5 +1,7 @@
 package org.fescueport.internal.load.experiment;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.fescueport.internal.decision.placement.LoadBound;
 
 /** Largest load over the mean while one team has half of all traffic, with the reuse beside it. */
@@ -28,26 +30,38 @@
         int routers = quick ? 66 : 330;
         int replicas = quick ? 240 : 1_200;
         long span = (quick ? 180 : 400) * VirtualTime.SECOND;
-        for (var size :
-                new Size[] {
-                    new Size("instituto", 6, 8, 3, 24),
-                    new Size("lakeshore", 6, 6, 4, 24),
-                    new Size("full, peak of 9 a replica", routers, replicas, 6, 9),
-                    new Size("full, 24 a replica", routers, replicas, 6, 24)
-                }) {
-            var own = OwnPolicy.create(size.routers(), seed, true, true);
-            measure(report, size, "own", own, span, seed);
-            measure(report, size, "oracle", Baselines.oracle(true), span, seed);
-            measure(report, size, "rendezvous", Baselines.plainRendezvous(), span, seed);
-            measure(report, size, "least load", Baselines.leastLoad(), span, seed);
-            measure(report, size, "two choices", Baselines.powerOfTwoChoices(seed), span, seed);
-            measure(report, size, "random", Baselines.random(seed), span, seed);
+        try (var runs = new Runs()) {
+            for (var size :
+                    new Size[] {
+                        new Size("instituto", 6, 8, 3, 24),
+                        new Size("lakeshore", 6, 6, 4, 24),
+                        new Size("full, peak of 9 a replica", routers, replicas, 6, 9),
+                        new Size("full, 24 a replica", routers, replicas, 6, 24)
+                    }) {
+                addAll(runs, report, size, span, seed);
+            }
+            runs.report();
         }
         Object skew = report.figure("full, 24 a replica: own", "skew_max");
         return report.with("skew_max_over_mean", skew);
     }
 
-    private static void measure(
+    private static void addAll(Runs runs, Report report, Size size, long span, long seed) {
+        var policies = new LinkedHashMap<String, Policy>();
+        policies.put("own", OwnPolicy.create(size.routers(), seed, true, true));
+        policies.put("oracle", Baselines.oracle(true));
+        policies.put("rendezvous", Baselines.plainRendezvous());
+        policies.put("least load", Baselines.leastLoad());
+        policies.put("two choices", Baselines.powerOfTwoChoices(seed));
+        policies.put("random", Baselines.random(seed));
+        policies.forEach(
+                (name, policy) ->
+                        runs.add(
+                                size.name() + ": " + name,
+                                () -> measure(report, size, name, policy, span, seed)));
+    }
+
+    private static Runnable measure(
             Report report, Size size, String name, Policy policy, long span, long seed) {
         var settings =
                 new FleetSettings(
@@ -71,7 +85,10 @@
         var skew = new SkewMeter(fleet, tally, time, VirtualTime.SECOND);
         traffic.start();
         time.runUntil(WARM_UP + span);
-        var row = report.row(size.name() + ": " + name);
+        return () -> fill(report.row(size.name() + ": " + name), tally, skew);
+    }
+
+    private static void fill(Map<String, Object> row, Tally tally, SkewMeter skew) {
         row.put("skew_max", skew.max());
         row.put("skew_p50", skew.median());
         row.put("above", skew.above());
--- a/src/main/java/org/fescueport/internal/load/experiment/Teams.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Teams.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.load.experiment;
 
+import java.util.Arrays;
 import org.fescueport.internal.decision.ChatId;
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.placement.Affinity;
@@ -12,8 +13,15 @@
 record Teams(int count, double largestShare) {
     private static final long SPREAD = 0x9e3779b97f4a7c15L;
 
+    /** Names of the first teams, each made once. */
+    private static final TeamId[] IDS = new TeamId[2_048];
+
+    static {
+        Arrays.setAll(IDS, team -> TeamId.of("team" + team));
+    }
+
     static TeamId idOf(int team) {
-        return TeamId.of("team" + team);
+        return IDS[team];
     }
 
     static Affinity affinityOf(int team, int chat) {
--- a/src/main/java/org/fescueport/internal/load/experiment/Traffic.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Traffic.java
@@ -108,6 +108,8 @@
         int ticket = replica == null ? job.mTicket : replica.mNumber;
         int next = job.mPromptTokens + (replica == null ? 0 : job.mDecodeTokens + TURN_TOKENS);
         int prompt = Math.min(next, MAX_PROMPT_TOKENS);
-        mTime.after((long) gap, () -> submit(job.mChat, prompt, ticket, true));
+        // The pause is long, and the job is to be forgotten in it.
+        int chat = job.mChat;
+        mTime.after((long) gap, () -> submit(chat, prompt, ticket, true));
     }
 }
