Hand over the KV caches of recent chats on a planned leave

Cause: RecentChats was there and nothing used it, so a chat whose agent had left as planned was rebuilt. Change: CacheHandover, on the agent's loop, keeps the prompts of the last 256 chats that ended whole and, when the agent leaves, exports each from the engine and sends it (kv-import) to the agent that ranks next, the hottest first, one at a time, within HandoverBudget: 64 MiB/s, 1 GiB, the drain time. What ends while it leaves is handed over too. The program waits for it within its drain time. Before: the new scenario 'A chat returns after its agent left as planned' with the handing over taken out: 'cached tokens Expected: is a value greater than <0> but: <0> was equal to <0>'. Not done: an agent does not act on its own entry in the list of VMs turning to leaving; only SIGTERM and drain hand over. Caches above 32 MiB are left out, as frames share the connection.

--- a/src/main/java/org/fescueport/internal/agent/AgentCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCalls.java
@@ -66,6 +66,10 @@
                     mImport == null
                             ? CompletableFuture.completedFuture(ByteString.EMPTY)
                             : mImport.export(call.getPayload());
+            case PeerCalls.KV_IMPORT ->
+                    mImport == null
+                            ? CompletableFuture.completedFuture(ByteString.EMPTY)
+                            : mImport.take(call.getPayload());
             case PeerCalls.ISSUE_KEY -> issueKey(call);
             default ->
                     CompletableFuture.failedFuture(
--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -81,6 +81,8 @@
     private KeyedStart mKeyedStart;
     private PoisonGate mPoison;
     private CacheImport mImport;
+    private CacheHandover mHandover;
+    private long mHandoverSeconds;
     private final Speeds mSpeeds = Speeds.startingAt(PREFILL_PER_SECOND, DECODE_PER_SECOND);
     private final Map<AttemptId, Run> mRuns = new HashMap<>();
     private final ArrayDeque<Run> mEnded = new ArrayDeque<>();
@@ -137,6 +139,12 @@
         mImport = cacheImport;
     }
 
+    /** Sets what hands caches over on a planned leave, for at most so long. */
+    void use(CacheHandover handover, long seconds) {
+        mHandover = handover;
+        mHandoverSeconds = seconds;
+    }
+
     /** Takes the declared bound on the load, as a multiple of the pool's mean. */
     void onLoadBound(double factor) {
         mQueue.setBound(LoadBound.of(factor, FLOOR_TOKENS));
@@ -259,6 +267,9 @@
         LOG.info("{} is leaving: {}", mIdentity.node(), why);
         var frame = AgentFrames.leaving(mIdentity.incarnation(), why);
         mConnections.forEach(connection -> connection.send(frame));
+        if (mHandover != null) {
+            mHandover.begin(mHandoverSeconds);
+        }
     }
 
     boolean isLeaving() {
@@ -477,6 +488,9 @@
             mRegister.finish(run.id(), now);
             mBuffer.end(run.id(), now);
             keepAnswer(run, end);
+            if (mHandover != null && end.outcome() == Outcome.COMPLETED) {
+                mHandover.onCompleted(run, end.usage().promptTokens());
+            }
             mPoison.onEnd(run, "cancelled".equals(end.reason()));
         }
         if (!mQueue.cancel(run.id())) {
--- a/src/main/java/org/fescueport/internal/agent/AgentCounters.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCounters.java
@@ -49,6 +49,11 @@
         mTelemetry.counter("agent_cache_imports", "succeeded", name).increment();
     }
 
+    void onCacheHandover(boolean succeeded) {
+        var name = Boolean.toString(succeeded);
+        mTelemetry.counter("agent_cache_handovers", "succeeded", name).increment();
+    }
+
     void onAbandoned() {
         mTelemetry.counter("agent_abandoned_answers").increment();
     }
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -86,6 +86,7 @@
     private volatile boolean mIsBackendUp;
     private InetSocketAddress mAddress;
     private HttpServer mAdminServer;
+    private CacheHandover mHandover;
 
     private AgentProcess(AgentSettings settings) {
         mSettings = settings;
@@ -147,7 +148,7 @@
         long end = mClock.monotonicTime() + TimeUnit.SECONDS.toNanos(mSettings.drainSeconds());
         do {
             await(DRAIN_POLL);
-        } while (mActive > 0 && mClock.monotonicTime() - end < 0);
+        } while ((mActive > 0 || isHandingOver()) && mClock.monotonicTime() - end < 0);
         mRoot.stop();
         mTransport.close();
         mLoop.shutdownNow();
@@ -156,6 +157,10 @@
         mTelemetry.close();
     }
 
+    private boolean isHandingOver() {
+        return mHandover != null && !mHandover.isDone();
+    }
+
     @Override
     public Status status() {
         return new Status(
@@ -240,6 +245,18 @@
         return CacheImport.of(model.engine(), mMembership, mConnections, mLoop, mClock, counters);
     }
 
+    private CacheHandover cacheHandover(Backend.Model model) {
+        return CacheHandover.of(
+                model.engine(),
+                NodeId.of(mSettings.node().node()),
+                PoolId.of(mSettings.pool()),
+                mMembership,
+                CacheHandover.over(mConnections),
+                mLoop,
+                mClock,
+                AgentCounters.of(mTelemetry));
+    }
+
     private void onDeclarations(Declarations declarations) {
         var pool = PoolId.of(mSettings.pool());
         declarations
@@ -343,6 +360,8 @@
             var cacheImport = cacheImport(model);
             calls.use(cacheImport);
             mCore.use(cacheImport);
+            mHandover = cacheHandover(model);
+            mCore.use(mHandover, mSettings.drainSeconds());
         }
         mConfig.addListener(this::onDeclarations);
         return () -> {
--- a/src/main/java/org/fescueport/internal/agent/CacheImport.java
+++ b/src/main/java/org/fescueport/internal/agent/CacheImport.java
@@ -84,6 +84,11 @@
         return mEngine.exportCache(body.toByteArray()).thenApply(ByteString::copyFrom);
     }
 
+    /** Imports a cache that an agent which leaves hands over. */
+    CompletableFuture<ByteString> take(ByteString cache) {
+        return importCache(cache).thenApply(done -> ByteString.EMPTY);
+    }
+
     private CompletableFuture<Void> bring(Replica source, ByteString body) {
         return mConnections
                 .to(source)
--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -23,5 +23,8 @@
     /** Asks for the KV cache of a prompt: the request's body; empty when it is no longer held. */
     public static final String KV_EXPORT = "kv-export";
 
+    /** Brings a KV cache that the peer is to import, as its sender leaves. */
+    public static final String KV_IMPORT = "kv-import";
+
     private PeerCalls() {}
 }
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -27,3 +27,10 @@
     When the list of VMs says that engine-2 is leaving
     And 3 seconds pass
     Then engine-2 gets none of 20 new chats
+
+  Scenario: A chat returns after its agent left as planned
+    When a caller asks for 20 tokens through router 1
+    Then the answer is whole
+    When the agent that answered is told to stop
+    Then that agent ends by itself
+    And the caller returns through router 1 to another replica, its prompt cached
