Stop one read event from going past a stopped reader's window

The HTTP library's window only stops it from waiting for more data. A read event that has begun goes on as long as the other end is quicker than this one, whatever the window: the trial's trace shows consume and updateCapacity in turn from one event, with the withheld credit growing by 32 kB each time. Ruled out: a late setReading(false) (it is set before the server writes); credit given while stopped (none was, by the trace); another thread setting the read interest (all calls came from one event). Change: a gate before the reads of each session that this process opens; it is shut at the end of the window, where the library has ceased to wait as well, and opened with the next credit or the end of the exchange. The test now repeats 40 times. Conclusion: a stopped reader holds its window and no more.

--- a/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
+++ b/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -108,6 +109,11 @@
                                 .setSoKeepAlive(true)
                                 .build())
                 .setHttpProcessor(PROCESSOR)
+                .setHttp1Config(
+                        Http1Config.custom()
+                                .setInitialWindowSize(ClientExchange.WINDOW_BYTES)
+                                .build())
+                .setIOSessionDecorator(mConnections::gate)
                 .setIOSessionListener(mConnections)
                 .setExceptionCallback(failure -> {})
                 .setDefaultMaxPerRoute(mSettings.maxConnectionsPerHost())
--- a/src/main/java/org/fescueport/internal/http/ClientExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ClientExchange.java
@@ -28,6 +28,9 @@
         implements AsyncClientExchangeHandler,
                 FutureCallback<AsyncClientEndpoint>,
                 HttpCaller.Call {
+    /** What is read at the most after the listener has stopped the reading. */
+    static final int WINDOW_BYTES = 65_535;
+
     private enum State {
         /** No byte of the request was handed to a connection. */
         UNSENT,
@@ -157,6 +160,7 @@
         synchronized (mReadLock) {
             mUnreadCredit += length;
             grantCredit();
+            stopReadingAtWindow();
         }
     }
 
@@ -214,6 +218,7 @@
     }
 
     private void finish() {
+        leaveGateOpen();
         release(!mClosing);
         if (mState.getAndSet(State.DONE) != State.DONE) {
             stopTimer();
@@ -238,10 +243,30 @@
         if (mReading && mCapacity != null && mUnreadCredit > 0) {
             int credit = mUnreadCredit;
             mUnreadCredit = 0;
+            if (mConnection != null) {
+                mConnection.resumeReading();
+            }
             mCapacity.update(credit);
         }
     }
 
+    /** The connection's next exchange starts reading, and this one has no say any more. */
+    private void leaveGateOpen() {
+        synchronized (mReadLock) {
+            mCapacity = null;
+            if (mConnection != null) {
+                mConnection.resumeReading();
+            }
+        }
+    }
+
+    /** Only at the window's end, where the library has stopped to wait for data as well. */
+    private void stopReadingAtWindow() {
+        if (mUnreadCredit >= WINDOW_BYTES && mConnection != null) {
+            mConnection.stopReading();
+        }
+    }
+
     private void closeConnection() {
         OpenConnections.Connection connection = mConnection;
         if (connection != null) {
--- a/src/main/java/org/fescueport/internal/http/OpenConnections.java
+++ b/src/main/java/org/fescueport/internal/http/OpenConnections.java
@@ -20,6 +20,7 @@
 
     private final Map<String, Connection> mById = new ConcurrentHashMap<>();
     private final Map<Ends, Connection> mByEnds = new ConcurrentHashMap<>();
+    private final Map<String, GatedSession.Gate> mGates = new ConcurrentHashMap<>();
     private final int mMost;
     private final Runnable mRefused;
 
@@ -38,6 +39,13 @@
         return new OpenConnections(Integer.MAX_VALUE, () -> {});
     }
 
+    /** Puts a gate before the reads of a session that is about to be connected. */
+    IOSession gate(IOSession session) {
+        var gate = new GatedSession.Gate();
+        mGates.put(session.getId(), gate);
+        return GatedSession.of(session, gate);
+    }
+
     /** Returns the connection, or null when it is closed. */
     Connection find(EndpointDetails endpoint) {
         return mByEnds.get(new Ends(endpoint.getLocalAddress(), endpoint.getRemoteAddress()));
@@ -67,13 +75,14 @@
             return;
         }
         Ends ends = new Ends(session.getLocalAddress(), session.getRemoteAddress());
-        Connection connection = new Connection(session, ends);
+        Connection connection = new Connection(session, ends, mGates.remove(session.getId()));
         mById.put(session.getId(), connection);
         mByEnds.put(ends, connection);
     }
 
     @Override
     public void disconnected(IOSession session) {
+        mGates.remove(session.getId());
         Connection connection = mById.remove(session.getId());
         if (connection != null) {
             mByEnds.remove(connection.mEnds, connection);
@@ -101,12 +110,14 @@
 
         private final IOSession mSession;
         private final Ends mEnds;
+        private final GatedSession.Gate mGate;
         private final Set<Runnable> mRunning = new HashSet<>();
         private long mIdleSinceNanos = UNSEEN;
 
-        private Connection(IOSession session, Ends ends) {
+        private Connection(IOSession session, Ends ends, GatedSession.Gate gate) {
             mSession = session;
             mEnds = ends;
+            mGate = gate == null ? new GatedSession.Gate() : gate;
         }
 
         /**
@@ -148,6 +159,15 @@
             mSession.setSocketTimeout(Timeout.DISABLED);
         }
 
+        /** Reads nothing more until {@link #resumeReading}. */
+        void stopReading() {
+            mGate.shut();
+        }
+
+        void resumeReading() {
+            mGate.open();
+        }
+
         void close() {
             mSession.close(CloseMode.IMMEDIATE);
         }
--- a/src/test/java/org/fescueport/internal/http/AsyncHttpCallerTest.java
+++ b/src/test/java/org/fescueport/internal/http/AsyncHttpCallerTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.Timeout.ThreadMode;
@@ -144,7 +145,8 @@
         assertThat(collector.mEnd.isDone(), is(false));
     }
 
-    @Test
+    /** Regression: one read event took megabytes past the window, in about 1 of 30 runs. */
+    @RepeatedTest(40)
     void shouldSlowServerWhileReadingIsStopped() throws Exception {
         int total = 50_000_000;
         CompletableFuture<ResponseStream> opened = new CompletableFuture<>();
