Tell a dead backend server from a busy one

Cause: an agent whose backend server fails its health check refused with "overloaded", which routers take as a sign of good health: the replica was never ejected, and each request for it paid a wasted hop. A run that found no room for its answer was recorded as finished though it never ran. Ruled out: the routers' ejection itself; it counts "backend_down" and no agent ever said it. Change: reasons backend_down and answers_full; the room for the answer is taken before the start is recorded. Both pass the request on to the next rank at once, as cheap refusals. Before: shouldSayThatTheBackendServerIsDown failed: was "overloaded". Conclusion: routers learn of a dead backend server from its agent.

--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -317,7 +317,7 @@
         if (isLeaving()) {
             return RefusalReason.LEAVING;
         }
-        return mIsBackendUp ? null : RefusalReason.OVERLOADED;
+        return mIsBackendUp ? null : RefusalReason.BACKEND_DOWN;
     }
 
     /**
@@ -417,18 +417,19 @@
         if (run.isEnded()) {
             return false;
         }
+        if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
+            refuseBeforeStart(run, RefusalReason.ANSWERS_FULL);
+            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
+            return false;
+        }
         if (!mRegister.start(run.id(), now())) {
+            mBuffer.discard(run.id());
             end(
                     run,
                     BackendListener.End.failed(
                             Outcome.NOT_RUN, "deadline_passed", "it waited past its deadline"));
             return false;
         }
-        if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
-            mRegister.finish(run.id(), now());
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
-            return false;
-        }
         if (!mPoison.start(run)) {
             mRegister.finish(run.id(), now());
             end(run, BackendListener.End.failed(Outcome.NOT_RUN, "suspect", ""));
--- a/src/main/java/org/fescueport/internal/decision/attempt/RefusalReason.java
+++ b/src/main/java/org/fescueport/internal/decision/attempt/RefusalReason.java
@@ -4,6 +4,10 @@
 public enum RefusalReason {
     /** Admission said no: above the bound, the limits or the team's share. */
     OVERLOADED,
+    /** The backend server does not answer its health check. */
+    BACKEND_DOWN,
+    /** No more answers can be kept. */
+    ANSWERS_FULL,
     /** Its deadline passed before it was started. */
     DEADLINE_PASSED,
     /** The router gave it up. */
--- a/src/main/java/org/fescueport/internal/router/Reasons.java
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -24,7 +24,15 @@
             Set.of("log_unavailable", "log_slow", "begun_before", "answer_not_kept", "suspect");
 
     private static final Set<String> BUSY =
-            Set.of("load_bound", "queue_full", "displaced", "deadline", "leaving", "overloaded");
+            Set.of(
+                    "load_bound",
+                    "queue_full",
+                    "displaced",
+                    "deadline",
+                    "leaving",
+                    "overloaded",
+                    "answers_full",
+                    "backend_down");
 
     private static final Set<String> FOR_LOAD = Set.of("load_bound", "queue_full", "deadline");
 
@@ -38,7 +46,9 @@
         return CALLERS_FAULT.containsKey(reason) || SAME_EVERYWHERE.contains(reason);
     }
 
-    /** Returns whether the replica is in good health and only has no room now. */
+    /**
+     * Returns whether the agent refused at once and cheaply, so that the next rank may be asked.
+     */
     static boolean isBusy(String reason) {
         return BUSY.contains(reason);
     }
--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -7,6 +7,7 @@
 
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.MockClock;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,9 @@
 import org.fescueport.internal.decision.AttemptId;
 import org.fescueport.internal.decision.RequestId;
 import org.fescueport.internal.telemetry.Telemetry;
+import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.generated.Frame;
 import org.fescueport.internal.wire.generated.Submit;
 import org.fescueport.platform.Engine;
 import org.jmock.lib.concurrent.DeterministicScheduler;
@@ -63,6 +66,19 @@
         assertThat(mEngine.mListeners, is(empty()));
     }
 
+    @Test
+    void shouldSayThatTheBackendServerIsDownRegressionOfOverloaded() {
+        var channel = new EmbeddedChannel();
+        mCore.onHealth(false);
+
+        mCore.onSubmit(FrameConnection.over(channel), submit());
+
+        channel.flushOutbound();
+        Frame told = channel.readOutbound();
+        assertThat(told.getOutcome().getReason(), is("backend_down"));
+        assertThat(mEngine.mListeners, is(empty()));
+    }
+
     @Test
     void shouldNotRunAFrameThatWasHeldUpPastItsDeadline() {
         mClock.add(Duration.ofMinutes(1));
