Let an agent take 1,600 short requests a second; measure its heap

Two bounds were too small for short requests: 50,000 attempts, which are remembered for the deadline and 120 s more, so 333 a second; and 20,000 answers, which are kept for 30 s. And a run that had ended kept the body of its request, and the handle with a copy of it, for those 30 s. Ruled out: the router: 11.2 to 11.3 MB throughout.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -3,6 +3,7 @@
 
 FLEET_DIR=
 FLEET_PIDS=()
+FLEET_NAMES=()
 START_SECONDS=30
 
 # Makes the folder for logs; its processes end with this script.
@@ -20,6 +21,7 @@
         --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
         -jar "$JARS/fescueport-$program.jar" "$@" >"$FLEET_DIR/$name.log" 2>&1 &
     FLEET_PIDS+=($!)
+    FLEET_NAMES+=("$name")
 }
 
 # address_of NAME [WORD]: waits for the line "[WORD ]listening IP:PORT" and prints the address.
@@ -77,5 +79,6 @@
         wait "$pid" 2>/dev/null || true
     done
     FLEET_PIDS=()
+    FLEET_NAMES=()
     [ -z "$FLEET_DIR" ] || rm -rf "$FLEET_DIR"
 }
--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -50,9 +50,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(AgentCore.class);
     private static final Duration KEEP_ANSWER = Duration.ofSeconds(30);
     private static final AttemptRegister.Limits REGISTER_LIMITS =
-            new AttemptRegister.Limits(50_000, 10_000, Duration.ofMinutes(2).toNanos());
+            new AttemptRegister.Limits(250_000, 50_000, Duration.ofMinutes(2).toNanos());
     private static final AnswerBuffer.Limits BUFFER_LIMITS =
-            new AnswerBuffer.Limits(256 * 1024, 12 * 1024 * 1024, 20_000, KEEP_ANSWER.toNanos());
+            new AnswerBuffer.Limits(256 * 1024, 12 * 1024 * 1024, 50_000, KEEP_ANSWER.toNanos());
     private static final double DEFAULT_LOAD_BOUND = 1.25;
     private static final long FLOOR_TOKENS = 300;
 
--- a/src/main/java/org/fescueport/internal/agent/Run.java
+++ b/src/main/java/org/fescueport/internal/agent/Run.java
@@ -21,11 +21,12 @@
     private static final double THOUSANDTHS = 1000;
 
     private final AttemptId mId;
-    private final Submit mSubmit;
+    private final TeamId mTeam;
     private final Span mSpan;
     private final long mDeadlineNanos;
     private final Fingerprint mFingerprint;
     private final Queue<Chunk> mUnsent = new ArrayDeque<>();
+    private Submit mSubmit;
     private FrameConnection mConnection;
     private long mCreditBytes;
     private Engine.Handle mHandle;
@@ -46,9 +47,10 @@
             FrameConnection connection) {
         mId = id;
         mSubmit = submit;
+        mTeam = TeamId.of(submit.getTeam());
         mSpan = span;
         mDeadlineNanos = deadlineNanos;
-        mFingerprint = Fingerprint.of(team(), ContentHash.of(submit.getBody().toByteArray()));
+        mFingerprint = Fingerprint.of(mTeam, ContentHash.of(submit.getBody().toByteArray()));
         mConnection = connection;
         mCreditBytes = submit.getCreditBytes();
     }
@@ -80,12 +82,13 @@
         return mId;
     }
 
+    /** Returns the frame that brought the attempt; its body is dropped when the run has ended. */
     Submit submit() {
         return mSubmit;
     }
 
     TeamId team() {
-        return TeamId.of(mSubmit.getTeam());
+        return mTeam;
     }
 
     /** Returns what makes two requests the same one, sent again; hashed once. */
@@ -196,6 +199,8 @@
     void end(Frame outcome, long nowNanos) {
         mOutcome = outcome;
         mEndedNanos = nowNanos;
+        mSubmit = mSubmit.toBuilder().clearBody().build();
+        mHandle = null;
         pump();
     }
 
--- a/src/main/java/org/fescueport/internal/decision/attempt/AttemptRegister.java
+++ b/src/main/java/org/fescueport/internal/decision/attempt/AttemptRegister.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import org.fescueport.internal.decision.AttemptId;
 import org.fescueport.internal.decision.Invariants;
@@ -53,6 +52,9 @@
         private long mDueNanos;
         private long mSerial;
 
+        /** The request's next older attempt; most requests have one attempt. */
+        private Entry mOlder;
+
         private Entry(AttemptId id, boolean repeatable, long deadlineNanos, AttemptState state) {
             mId = id;
             mRepeatable = repeatable;
@@ -63,7 +65,7 @@
     }
 
     private final Limits mLimits;
-    private final Map<RequestId, TreeMap<Integer, Entry>> mRequests = new HashMap<>();
+    private final Map<RequestId, Entry> mNewest = new HashMap<>();
     private final TreeSet<Entry> mDue =
             new TreeSet<>(
                     Comparator.<Entry>comparingLong(entry -> entry.mDueNanos)
@@ -172,8 +174,8 @@
 
     /** Returns whether a newer attempt at the request is known; frames of this one are stale. */
     public synchronized boolean isSuperseded(AttemptId id) {
-        TreeMap<Integer, Entry> attempts = mRequests.get(id.request());
-        return attempts != null && attempts.lastKey() > id.number();
+        Entry newest = mNewest.get(id.request());
+        return newest != null && newest.mId.number() > id.number();
     }
 
     /** Forgets what no frame can ask for any more, and refuses waiting work past its deadline. */
@@ -201,11 +203,11 @@
 
     private RefusalReason reasonAgainst(
             AttemptId id, boolean repeatable, long deadlineNanos, long nowNanos) {
-        TreeMap<Integer, Entry> others = mRequests.get(id.request());
-        if (others != null && others.lastKey() > id.number()) {
+        Entry newest = mNewest.get(id.request());
+        if (newest != null && newest.mId.number() > id.number()) {
             return RefusalReason.SUPERSEDED;
         }
-        if (others != null && anyMayHaveRun(others) && !(repeatable && allRepeatable(others))) {
+        if (anyMayHaveRun(newest) && !(repeatable && allRepeatable(newest))) {
             return RefusalReason.ALREADY_RUN;
         }
         if (nowNanos - deadlineNanos >= 0) {
@@ -216,8 +218,7 @@
 
     private List<AttemptId> supersedeOlder(AttemptId id, long nowNanos) {
         List<AttemptId> superseded = new ArrayList<>();
-        TreeMap<Integer, Entry> others = mRequests.getOrDefault(id.request(), new TreeMap<>());
-        for (Entry entry : others.headMap(id.number()).values()) {
+        for (Entry entry = mNewest.get(id.request()); entry != null; entry = entry.mOlder) {
             if (entry.mState.isBeforeStart()) {
                 end(entry, AttemptState.REFUSED, RefusalReason.SUPERSEDED, nowNanos);
                 superseded.add(entry.mId);
@@ -256,37 +257,63 @@
     }
 
     private boolean hasRunBesides(Entry entry) {
-        TreeMap<Integer, Entry> attempts = mRequests.get(entry.mId.request());
-        return anyMayHaveRun(attempts) && !allRepeatable(attempts);
+        Entry newest = mNewest.get(entry.mId.request());
+        return anyMayHaveRun(newest) && !allRepeatable(newest);
     }
 
     private void checkRunsOnce(Entry started) {
-        TreeMap<Integer, Entry> attempts = mRequests.get(started.mId.request());
-        long runs = attempts.values().stream().filter(e -> e.mState.mayHaveRun()).count();
+        Entry newest = mNewest.get(started.mId.request());
+        int runs = 0;
+        for (Entry entry = newest; entry != null; entry = entry.mOlder) {
+            runs += entry.mState.mayHaveRun() ? 1 : 0;
+        }
         Invariants.check(
-                runs == 1 || allRepeatable(attempts),
+                runs == 1 || allRepeatable(newest),
                 "request %s may not be repeated and was started %d times",
                 started.mId.request(),
                 runs);
     }
 
-    private static boolean anyMayHaveRun(TreeMap<Integer, Entry> attempts) {
-        return attempts.values().stream().anyMatch(entry -> entry.mState.mayHaveRun());
+    private static boolean anyMayHaveRun(Entry newest) {
+        for (Entry entry = newest; entry != null; entry = entry.mOlder) {
+            if (entry.mState.mayHaveRun()) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private static boolean allRepeatable(TreeMap<Integer, Entry> attempts) {
-        return attempts.values().stream().allMatch(entry -> entry.mRepeatable);
+    private static boolean allRepeatable(Entry newest) {
+        for (Entry entry = newest; entry != null; entry = entry.mOlder) {
+            if (!entry.mRepeatable) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private Entry find(AttemptId id) {
-        TreeMap<Integer, Entry> attempts = mRequests.get(id.request());
-        return attempts == null ? null : attempts.get(id.number());
+        Entry entry = mNewest.get(id.request());
+        while (entry != null && entry.mId.number() != id.number()) {
+            entry = entry.mOlder;
+        }
+        return entry;
     }
 
     private void add(Entry entry) {
-        mRequests
-                .computeIfAbsent(entry.mId.request(), request -> new TreeMap<>())
-                .put(entry.mId.number(), entry);
+        RequestId request = entry.mId.request();
+        Entry newer = null;
+        Entry older = mNewest.get(request);
+        while (older != null && older.mId.number() > entry.mId.number()) {
+            newer = older;
+            older = older.mOlder;
+        }
+        entry.mOlder = older;
+        if (newer == null) {
+            mNewest.put(request, entry);
+        } else {
+            newer.mOlder = entry;
+        }
         entry.mSerial = mNextSerial++;
         mDue.add(entry);
         mEntries++;
@@ -294,10 +321,18 @@
     }
 
     private void remove(Entry entry) {
-        TreeMap<Integer, Entry> attempts = mRequests.get(entry.mId.request());
-        attempts.remove(entry.mId.number());
-        if (attempts.isEmpty()) {
-            mRequests.remove(entry.mId.request());
+        RequestId request = entry.mId.request();
+        Entry newest = mNewest.get(request);
+        if (newest != entry) {
+            Entry newer = newest;
+            while (newer.mOlder != entry) {
+                newer = newer.mOlder;
+            }
+            newer.mOlder = entry.mOlder;
+        } else if (entry.mOlder == null) {
+            mNewest.remove(request);
+        } else {
+            mNewest.put(request, entry.mOlder);
         }
         mEntries--;
     }
--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -109,9 +109,29 @@
         assertThat(mCore.active(), is(0));
     }
 
+    @Test
+    void shouldRunEachOfAManyShortRequestsAtASteadyRate() {
+        for (int i = 0; i < 120_000; i++) {
+            var id = AttemptId.of(RequestId.of(3, i), 1);
+            mCore.onSubmit(FakeConnections.open(), submit(id));
+            mEngine.mListeners.getLast().onCompleted("stop", 3, 0, 1);
+            mLoop.runUntilIdle();
+            mClock.add(Duration.ofMillis(1));
+            if (i % 1000 == 0) {
+                mCore.sweep();
+            }
+        }
+
+        assertThat(mEngine.mListeners, hasSize(120_000));
+    }
+
     private static Submit submit() {
+        return submit(ID);
+    }
+
+    private static Submit submit(AttemptId id) {
         return Submit.newBuilder()
-                .setKey(Frames.keyOf(ID))
+                .setKey(Frames.keyOf(id))
                 .setTeam("water-board")
                 .setTeamWeight(1000)
                 .setTarget("gauge-notes")
