Answer every bad request in JSON, and bound what it costs

Cause: HttpCore answers a head that it refuses in plain text, or not at all (a Content-Length that is no number); a head or a body that came too slowly was cut off without an answer; and a body took its whole declared length (up to 4 MiB) from the heap before its first byte came, for each of 10,000 connections. Ruled out: a body above the bound, and too many headers below HttpCore's own limits: these were answered in JSON before. Change: HeadParser gives the exchange a RefusedHead in place of an exception, and RequestRules lets a broken rule reach it; a head is cut off at four lines' length, and by time with 408. ArrivingRequests cuts off bodies by time with 408. Bodies grow as they come, and all of them together are held within an eighth of the heap; above that the answer is 503. Another caller's request runs on meanwhile in each of the tests. Before: 17 of 18 cases of BadInputTest failed against the code before (compiled without the new setting): plain text, an empty answer, or a reset connection. After: BadInputTest and HttpServerTest pass. Conclusion: done for HTTP/1.1; over HTTP/2 a head that its own layer refuses ends the stream or the connection, which has no body to put JSON in.

--- a/src/main/java/org/fescueport/internal/http/HttpServer.java
+++ b/src/main/java/org/fescueport/internal/http/HttpServer.java
@@ -4,10 +4,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.hc.core5.function.Callback;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpRequest;
@@ -22,6 +24,7 @@
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.http2.HttpVersionPolicy;
 import org.apache.hc.core5.http2.config.H2Config;
 import org.apache.hc.core5.http2.impl.H2Processors;
@@ -32,6 +35,7 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -50,16 +54,22 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     private static final int MAX_CONCURRENT_STREAMS = 1000;
+    private static final int LINES_PER_HEAD = 4;
     private static final int SWEEPS_PER_TIMEOUT = 4;
     private static final long START_TIMEOUT_SECONDS = 10;
 
     private final HttpServerSettings mSettings;
     private final HttpHandler mHandler;
     private final OpenConnections mConnections;
+    private final ArrivingRequests mArriving = new ArrivingRequests();
+    private final AtomicLong mHeldBytes = new AtomicLong();
+    private final HttpProcessor mHttp1Rules = new RequestRules(HttpProcessors.server());
+    private final HttpProcessor mHttp2Rules = new RequestRules(H2Processors.server());
     private final HttpAsyncServer mServer;
     private final ScheduledExecutorService mSweeper;
     private final Counter mHandlerFailures;
     private final Counter mBodiesTooLarge;
+    private final Counter mHeadsRefused;
     private final Counter mConnectionErrors;
     private final Counter mIdleClosed;
     private InetSocketAddress mAddress;
@@ -72,6 +82,7 @@
         mConnections = OpenConnections.ofServer(settings.maxConnections(), refused::increment);
         mHandlerFailures = settings.meters().counter("fescue.http.handler.failures");
         mBodiesTooLarge = settings.meters().counter("fescue.http.bodies.too.large");
+        mHeadsRefused = settings.meters().counter("fescue.http.heads.refused");
         mConnectionErrors = settings.meters().counter("fescue.http.connection.errors");
         mIdleClosed = settings.meters().counter("fescue.http.connections.idle.closed");
         mServer = createServer();
@@ -155,6 +166,31 @@
         mBodiesTooLarge.increment();
     }
 
+    void countRefusedHead() {
+        mHeadsRefused.increment();
+    }
+
+    ArrivingRequests arriving() {
+        return mArriving;
+    }
+
+    int maxHeadBytes() {
+        return LINES_PER_HEAD * mSettings.maxLineBytes();
+    }
+
+    /** Takes room for a part of a body; returns false when there is none. */
+    boolean hold(int bytes) {
+        if (mHeldBytes.addAndGet(bytes) <= mSettings.maxHeldBytes()) {
+            return true;
+        }
+        mHeldBytes.addAndGet(-bytes);
+        return false;
+    }
+
+    void letGo(int bytes) {
+        mHeldBytes.addAndGet(-bytes);
+    }
+
     /** Returns whether a request's headers are above the bounds, which the parser allows twice. */
     boolean hasTooMuchHead(HttpRequest request) {
         Header[] headers = request.getHeaders();
@@ -176,12 +212,13 @@
         HandlerFactory<AsyncServerExchangeHandler> exchanges =
                 (request, context) -> new ServerExchange(this);
         Callback<Exception> onError = failure -> mConnectionErrors.increment();
-        IOEventHandlerFactory negotiator = negotiator(exchanges, onError);
         boolean isPlain = mSettings.tls().isEmpty();
         return new HttpAsyncServer(
                 (session, attachment) -> {
                     // Called for plain connections too: it registers both protocols.
-                    IOEventHandler negotiating = negotiator.createHandler(session, attachment);
+                    IOEventHandler negotiating =
+                            negotiator(session, exchanges, onError)
+                                    .createHandler(session, attachment);
                     return isPlain ? new ProtocolDetector(session) : negotiating;
                 },
                 reactorConfig(),
@@ -194,25 +231,24 @@
     }
 
     private IOEventHandlerFactory negotiator(
-            HandlerFactory<AsyncServerExchangeHandler> exchanges, Callback<Exception> onError) {
+            IOSession session,
+            HandlerFactory<AsyncServerExchangeHandler> exchanges,
+            Callback<Exception> onError) {
         Http1Config http1 = http1Config();
+        var parsers = new DefaultHttpRequestParserFactory(http1);
         return new ServerHttpProtocolNegotiationStarter(
                 new ServerHttp1StreamDuplexerFactory(
-                        HttpProcessors.server(),
+                        mHttp1Rules,
                         exchanges,
                         http1,
                         CharCodingConfig.DEFAULT,
                         DefaultConnectionReuseStrategy.INSTANCE,
-                        new DefaultHttpRequestParserFactory(http1),
+                        () -> new HeadParser(this, session, parsers.create()),
                         new DefaultHttpResponseWriterFactory(http1),
                         null,
                         onError),
                 new ServerH2StreamMultiplexerFactory(
-                        H2Processors.server(),
-                        exchanges,
-                        http2Config(),
-                        CharCodingConfig.DEFAULT,
-                        null),
+                        mHttp2Rules, exchanges, http2Config(), CharCodingConfig.DEFAULT, null),
                 HttpVersionPolicy.NEGOTIATE,
                 mSettings.tls().map(H2ServerTlsStrategy::new).orElse(null),
                 null,
@@ -262,9 +298,10 @@
     private void closeIdle() {
         long now = mSettings.clock().monotonicTime();
         long limit = mSettings.idleTimeout().toNanos();
+        Set<OpenConnections.Connection> arriving = mArriving.cutOffLate(limit, now);
         mConnections.forEach(
                 connection -> {
-                    if (connection.isIdleFor(limit, now)) {
+                    if (!arriving.contains(connection) && connection.isIdleFor(limit, now)) {
                         mIdleClosed.increment();
                         connection.close();
                     }
--- a/src/main/java/org/fescueport/internal/http/HttpServerSettings.java
+++ b/src/main/java/org/fescueport/internal/http/HttpServerSettings.java
@@ -12,10 +12,11 @@
  *
  * @param port 0 takes a free port
  * @param maxBodyBytes a longer body is answered with 413
+ * @param maxHeldBytes bodies in hand at a time; what goes above it is answered with 503
  * @param maxLineBytes longest request line or header
  * @param maxHeaderCount most headers of a request
- * @param idleTimeout a connection without a request in hand is closed after this time, so a request
- *     must also arrive whole within it
+ * @param idleTimeout a connection without a request in hand is closed after this time; the head of
+ *     a request and its body must each arrive whole within it, else the answer is 408
  * @param maxConnections further connections are closed at once
  * @param ioThreads threads that read, write and run handlers
  * @param tls absent for plain TCP
@@ -24,6 +25,7 @@
         String host,
         int port,
         int maxBodyBytes,
+        long maxHeldBytes,
         int maxLineBytes,
         int maxHeaderCount,
         Duration idleTimeout,
@@ -33,6 +35,7 @@
         Clock clock,
         MeterRegistry meters) {
     private static final int DEFAULT_MAX_BODY_BYTES = 4 << 20;
+    private static final int HEAP_PER_HELD_BYTES = 8;
     private static final int DEFAULT_MAX_LINE_BYTES = 8 << 10;
     private static final int DEFAULT_MAX_HEADER_COUNT = 64;
     private static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofSeconds(60);
@@ -45,6 +48,7 @@
                 host,
                 port,
                 DEFAULT_MAX_BODY_BYTES,
+                Runtime.getRuntime().maxMemory() / HEAP_PER_HELD_BYTES,
                 DEFAULT_MAX_LINE_BYTES,
                 DEFAULT_MAX_HEADER_COUNT,
                 DEFAULT_IDLE_TIMEOUT,
@@ -61,6 +65,24 @@
                 host,
                 port,
                 bytes,
+                maxHeldBytes,
+                maxLineBytes,
+                maxHeaderCount,
+                idleTimeout,
+                maxConnections,
+                ioThreads,
+                tls,
+                clock,
+                meters);
+    }
+
+    /** Returns a copy with another bound on all bodies in hand. */
+    public HttpServerSettings withMaxHeldBytes(long bytes) {
+        return new HttpServerSettings(
+                host,
+                port,
+                maxBodyBytes,
+                bytes,
                 maxLineBytes,
                 maxHeaderCount,
                 idleTimeout,
@@ -77,6 +99,7 @@
                 host,
                 port,
                 maxBodyBytes,
+                maxHeldBytes,
                 maxLineBytes,
                 maxHeaderCount,
                 idle,
@@ -93,6 +116,7 @@
                 host,
                 port,
                 maxBodyBytes,
+                maxHeldBytes,
                 maxLineBytes,
                 maxHeaderCount,
                 idleTimeout,
@@ -109,6 +133,7 @@
                 host,
                 port,
                 maxBodyBytes,
+                maxHeldBytes,
                 maxLineBytes,
                 maxHeaderCount,
                 idleTimeout,
@@ -125,6 +150,7 @@
                 host,
                 port,
                 maxBodyBytes,
+                maxHeldBytes,
                 maxLineBytes,
                 maxHeaderCount,
                 idleTimeout,
--- a/src/main/java/org/fescueport/internal/http/ServerExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ServerExchange.java
@@ -24,10 +24,11 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 
 /** One exchange of {@link HttpServer}: gathers the request, runs the handler, sends the answer. */
-final class ServerExchange implements AsyncServerExchangeHandler, HttpExchange {
+final class ServerExchange
+        implements AsyncServerExchangeHandler, HttpExchange, ArrivingRequests.Arrival {
     private static final int MAX_PIPELINED = 16;
     private static final int DISCARD_FACTOR = 4;
-    private static final int FIRST_BODY_BYTES = 1024;
+    private static final int FIRST_BODY_BYTES = 16 * 1024;
     private static final byte[] NO_BODY = {};
 
     private final HttpServer mServer;
@@ -43,6 +44,9 @@
     private OpenConnections.Connection mConnection;
     private byte[] mBody = NO_BODY;
     private int mBodyLength;
+    private int mHeldBytes;
+    private long mSinceNanos;
+    private boolean mArriving;
     private long mDiscarded;
     private boolean mStarted;
     private boolean mReleased;
@@ -62,7 +66,10 @@
         mContext = HttpCoreContext.cast(context);
         mConnection = mServer.connections().find(mContext.getEndpointDetails());
         splitTarget(request.getPath());
-        if (mServer.hasTooMuchHead(request)) {
+        RefusedHead.Reason broken = RequestRules.brokenRule(request, context);
+        if (broken != null) {
+            refuse(broken.status(), broken.type(), broken.message());
+        } else if (mServer.hasTooMuchHead(request)) {
             JsonError.respond(this, 431, "headers_too_large", "The headers are too large.");
         } else if (entity == null) {
             run();
@@ -87,8 +94,10 @@
             refuseBody();
             discard(data);
         } else {
-            if (mBodyLength + more > mBody.length) {
-                mBody = Arrays.copyOf(mBody, Math.max(mBody.length * 2, mBodyLength + more));
+            if (mBodyLength + more > mBody.length && !growBody(mBodyLength + more)) {
+                refuse(503, "overloaded", "Too many bodies are in hand; send it again later.");
+                discard(data);
+                return;
             }
             data.get(mBody, mBodyLength, more);
             mBodyLength += more;
@@ -97,6 +106,7 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
+        arrived();
         if (!mAnswered.get()) {
             run();
         }
@@ -129,6 +139,8 @@
             mReleased = true;
             mAbortAction = null;
         }
+        arrived();
+        mServer.letGo(mHeldBytes);
         if (mStarted && mConnection != null) {
             mConnection.end(mOnPeerClosed, mServer.settings().clock().monotonicTime());
         }
@@ -198,6 +210,21 @@
         action.run();
     }
 
+    @Override
+    public long sinceNanos() {
+        return mSinceNanos;
+    }
+
+    @Override
+    public OpenConnections.Connection connection() {
+        return mServer.connections().find(mContext.getEndpointDetails());
+    }
+
+    @Override
+    public void cutOff() {
+        refuse(408, "request_timeout", "The request did not arrive whole within its time.");
+    }
+
     private void splitTarget(String target) {
         int question = target.indexOf('?');
         mPath = question < 0 ? target : target.substring(0, question);
@@ -207,12 +234,37 @@
     private void expectBody(HttpRequest request, EntityDetails entity)
             throws HttpException, IOException {
         long length = entity.getContentLength();
-        mBody = new byte[length > 0 ? (int) length : FIRST_BODY_BYTES];
+        int first = (int) Math.clamp(length, 0, FIRST_BODY_BYTES);
+        if (!growBody(first == 0 ? FIRST_BODY_BYTES : first)) {
+            refuse(503, "overloaded", "Too many bodies are in hand; send it again later.");
+            return;
+        }
+        mSinceNanos = mServer.settings().clock().monotonicTime();
+        mArriving = true;
+        mServer.arriving().add(this);
         if (request.containsHeader("Expect")) {
             mChannel.sendInformation(new BasicHttpResponse(100), mContext);
         }
     }
 
+    /** Makes room for a body of this length; returns false when the server has none. */
+    private boolean growBody(int needed) {
+        int capacity = Math.max(needed, mBody.length * 2);
+        if (!mServer.hold(capacity - mHeldBytes)) {
+            return false;
+        }
+        mHeldBytes = capacity;
+        mBody = Arrays.copyOf(mBody, capacity);
+        return true;
+    }
+
+    private void arrived() {
+        if (mArriving) {
+            mArriving = false;
+            mServer.arriving().remove(this);
+        }
+    }
+
     private void run() {
         mStarted = true;
         if (mConnection != null && mConnection.begin(mOnPeerClosed) > MAX_PIPELINED && !isHttp2()) {
@@ -230,8 +282,12 @@
     private void refuseBody() {
         mServer.countBodyTooLarge();
         String most = "The body is longer than " + mServer.settings().maxBodyBytes() + " bytes.";
-        JsonError.respond(
-                this, 413, "body_too_large", most, isHttp2() ? Map.of() : HttpServer.CLOSE);
+        refuse(413, "body_too_large", most);
+    }
+
+    /** Answers with an error and ends the connection: what still comes of the request is noise. */
+    private void refuse(int status, String type, String message) {
+        JsonError.respond(this, status, type, message, isHttp2() ? Map.of() : HttpServer.CLOSE);
     }
 
     private void discard(ByteBuffer data) throws IOException {
