Add bin/soak: a seeded run under faults with an audit

Cause: faults were mixed in random tests of classes only; no long run over processes existed, and the counters of Invariants could not be seen from outside a process. Change: `fescue-load soak-plan` prints a seeded schedule (kills, freezes, planned stops, faults of stand-ins, then a rolling replacement of the whole fleet); `bin/soak` carries it out on processes that it started; `fescue-load soak-load` drives callers that check each answer token by token, go on at another router and repeat keys; `fescue-load soak-audit` compares what they were told with what the services ran. Nodes export fescue_invariant_violations_total. A stand-in answers /v1/runs and /v1/stats while it is frozen, so that no run is missed when it is killed.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -15,6 +15,7 @@
 launch() {
     local name=$1 program=$2
     shift 2
+    : >"$FLEET_DIR/$name.log"
     # shellcheck disable=SC2086
     "$JAVA_HOME/bin/java" ${FESCUE_JAVA_OPTIONS:--Xmx256m -XX:+UseSerialGC} \
         --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
@@ -72,6 +73,7 @@
     local pid
     for pid in "${FLEET_PIDS[@]}"; do
         kill "$pid" 2>/dev/null || true
+        kill -CONT "$pid" 2>/dev/null || true
     done
     for pid in "${FLEET_PIDS[@]}"; do
         wait "$pid" 2>/dev/null || true
--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -5,6 +5,9 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
 import org.fescueport.internal.load.experiment.ExperimentCommand;
+import org.fescueport.internal.load.soak.SoakAuditCommand;
+import org.fescueport.internal.load.soak.SoakLoadCommand;
+import org.fescueport.internal.load.soak.SoakPlanCommand;
 import org.fescueport.internal.settings.ExitCode;
 import org.fescueport.internal.settings.SettingsException;
 
@@ -18,7 +21,10 @@
             CompareCommand.class,
             ExperimentCommand.class,
             MeasuresCommand.class,
-            RunCommand.class
+            RunCommand.class,
+            SoakAuditCommand.class,
+            SoakLoadCommand.class,
+            SoakPlanCommand.class
         })
 public final class LoadMain {
     private LoadMain() {}
--- a/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
@@ -57,9 +57,12 @@
         }
     }
 
-    /** Returns whether the call is the tester's: what the fleet calls is GET and POST only. */
+    /** Returns whether the call is the tester's: the fleet makes none of these. */
     private static boolean isTesters(HttpExchange exchange) {
-        return exchange.method().equals("PUT") || exchange.method().equals("DELETE");
+        return switch (exchange.method()) {
+            case "PUT", "DELETE" -> true;
+            default -> exchange.path().equals("/v1/runs") || exchange.path().equals("/v1/stats");
+        };
     }
 
     private void handleSwitch(HttpExchange exchange) {
--- a/src/main/java/org/fescueport/internal/telemetry/Telemetry.java
+++ b/src/main/java/org/fescueport/internal/telemetry/Telemetry.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -23,6 +24,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fescueport.internal.decision.Invariants;
 
 /** Counters and traces of one process. */
 public final class Telemetry implements AutoCloseable {
@@ -63,6 +65,9 @@
                         PrometheusConfig.DEFAULT,
                         new io.prometheus.metrics.model.registry.PrometheusRegistry(),
                         clock);
+        FunctionCounter.builder(
+                        "fescue.invariant.violations", registry, unused -> Invariants.violations())
+                .register(registry);
         var resource =
                 Resource.builder()
                         .put(AttributeKey.stringKey("service.name"), program)
