Count a backend server's death once, not once for each run

Cause: when an engine died, each run that it took along moved the agent to a next life of the server, and told its router a strike under that life. Ruled out: an unended trial; the refusals came within the second of the kill. Change: a run remembers the life that started it; only the first report of a life ends it. A failed check after a lost run also marks the backend server as down at once, so that nothing is started on it until it answers again.

--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -520,6 +520,7 @@
                                 mLoop.execute(
                                         () -> {
                                             if (failure != null) {
+                                                onHealth(false);
                                                 mCounters.onBackendDeath();
                                                 run.setStrikes(mPoison.onBackendDied(run));
                                             }
--- a/src/main/java/org/fescueport/internal/agent/PoisonGate.java
+++ b/src/main/java/org/fescueport/internal/agent/PoisonGate.java
@@ -59,6 +59,7 @@
         if (!mGuard.started(run.id(), run.fingerprint())) {
             return false;
         }
+        run.setServer(mGuard.server());
         mInFlight++;
         return true;
     }
@@ -86,12 +87,15 @@
     }
 
     /**
-     * Notes that the backend server died; called before any router hears of it. Returns the strike
-     * against this run, which its router tells the next agent before it sends the request there.
+     * Notes that the backend server died under this run, once for each run that it took along;
+     * called before any router hears of it. Returns the strike against this run, which its router
+     * tells the next agent before it sends the request there.
      */
     ByteString onBackendDied(Run run) {
-        var died = mGuard.server();
-        mGuard.serverDied();
+        var died = run.server();
+        if (died.equals(mGuard.server())) {
+            mGuard.serverDied();
+        }
         var strike = PoisonGuard.strikeMessage(run.fingerprint(), died, mClock.wallTime());
         return ByteString.copyFrom(strike);
     }
--- a/src/main/java/org/fescueport/internal/agent/Run.java
+++ b/src/main/java/org/fescueport/internal/agent/Run.java
@@ -9,6 +9,7 @@
 import org.fescueport.internal.decision.Work;
 import org.fescueport.internal.decision.admission.WorkOffer;
 import org.fescueport.internal.decision.answer.Chunk;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.wire.FrameConnection;
@@ -31,6 +32,7 @@
     private Engine.Handle mHandle;
     private boolean mIsStarted;
     private KeyedRuns.Permit mPermit;
+    private AgentIncarnation mServer;
     private ByteString mStrikes = ByteString.EMPTY;
     private byte[] mFirstPiece = {};
     private Frame mOutcome;
@@ -144,6 +146,15 @@
         mStrikes = strikes;
     }
 
+    /** Returns the life of the backend server that runs this; null before its start. */
+    AgentIncarnation server() {
+        return mServer;
+    }
+
+    void setServer(AgentIncarnation server) {
+        mServer = server;
+    }
+
     /** Returns the right to run, or null when the run may be repeated. */
     KeyedRuns.Permit permit() {
         return mPermit;
--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -21,6 +21,7 @@
 import org.fescueport.internal.wire.generated.Frame;
 import org.fescueport.internal.wire.generated.Submit;
 import org.fescueport.platform.Engine;
+import org.fescueport.platform.PlatformException;
 import org.jmock.lib.concurrent.DeterministicScheduler;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -79,6 +80,21 @@
         assertThat(mEngine.mListeners, is(empty()));
     }
 
+    @Test
+    void shouldStartNothingOnABackendServerThatWasFoundDead() {
+        mEngine.mHealth = CompletableFuture.failedFuture(new IllegalStateException("dead"));
+        mCore.onSubmit(FakeConnections.open(), submit());
+        mEngine.mListeners
+                .getFirst()
+                .onFailed(PlatformException.cannotBeKnown("connection reset", null));
+        mLoop.runUntilIdle();
+
+        var next = Frames.keyOf(AttemptId.of(RequestId.of(3, 4), 1));
+        mCore.onSubmit(FakeConnections.open(), submit().toBuilder().setKey(next).build());
+
+        assertThat(mEngine.mListeners, hasSize(1));
+    }
+
     @Test
     void shouldNotRunAFrameThatWasHeldUpPastItsDeadline() {
         mClock.add(Duration.ofMinutes(1));
@@ -142,6 +158,7 @@
     private static final class FakeEngine implements Engine {
         private final List<Listener> mListeners = new ArrayList<>();
         private int mCancelled;
+        private CompletableFuture<Void> mHealth = CompletableFuture.completedFuture(null);
 
         @Override
         public Handle generate(Generation generation, Listener listener) {
@@ -181,7 +198,7 @@
 
         @Override
         public CompletableFuture<Void> checkHealth() {
-            return CompletableFuture.completedFuture(null);
+            return mHealth;
         }
     }
 }
