Take the replacement of a replica that left at once

Cause: a replica that said it leaves was held out for 60 s under its node's name, unless its replacement said hello; no router calls a replica that is held out, so nobody heard that hello. A leaving replica that was tried after the 60 s was not held out again. Change: another address in the list is another VM, taken at once; where the address stays, the hold ends 3 s after the connection did. Before: shouldTakeAReplacementAtAnotherAddressAtOnce...: expected <1> but was <0>; shouldSoonTryTheAddressOfALeavingReplicaThatEnded failed at its last line (not held again): expected <0> but was <1>.

--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
@@ -35,6 +35,9 @@
     /** Time for which the word of a replica that it leaves outweighs the list. */
     private static final long LEAVING_HOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
 
+    /** Time for which a replica that left and ended is left alone. */
+    private static final long ENDED_HOLD_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     /** What is known of one replica. */
     private static final class Seen {
         private Replica mReplica;
@@ -94,7 +97,7 @@
             seen.mReplica = seen.mReplica.withIncarnation(incarnation);
             seen.mSaidLeaving = false;
         }
-        if (leaving && !seen.mSaidLeaving) {
+        if (leaving && !seen.isHeldAsLeaving(nowNanos)) {
             seen.mSaidLeaving = true;
             seen.mSaidLeavingAtNanos = nowNanos;
         }
@@ -107,6 +110,17 @@
         onHello(node, incarnation, true, nowNanos);
     }
 
+    /**
+     * Notes that the connection to a replica ended. One that was leaving may have ended too, so
+     * that another incarnation soon listens in its place.
+     */
+    public void onClosed(NodeId node, long nowNanos) {
+        Seen seen = mSeen.get(node);
+        if (seen != null && seen.isHeldAsLeaving(nowNanos)) {
+            seen.mSaidLeavingAtNanos = nowNanos - LEAVING_HOLD_NANOS + ENDED_HOLD_NANOS;
+        }
+    }
+
     /** Notes that a replica could not be reached; it no longer stays without the list. */
     public void onUnreachable(NodeId node) {
         Seen seen = mSeen.get(node);
@@ -139,6 +153,8 @@
         long incarnation = 0;
         if (seen.mReplica != null && seen.mReplica.address().equals(entry.address())) {
             incarnation = seen.mReplica.incarnation();
+        } else {
+            seen.mSaidLeaving = false;
         }
         seen.mReplica =
                 new Replica(
--- a/src/main/java/org/fescueport/internal/fleet/AgentConnections.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentConnections.java
@@ -150,6 +150,7 @@
         var link = (AgentLink) connection.attachment();
         if (link != null) {
             mLinked.remove(link);
+            mMembership.onClosed(link.node());
             link.onClosed();
         }
     }
--- a/src/main/java/org/fescueport/internal/fleet/Membership.java
+++ b/src/main/java/org/fescueport/internal/fleet/Membership.java
@@ -114,6 +114,10 @@
         change(node, (directory, now) -> directory.onLeaving(node, incarnation, now));
     }
 
+    public void onClosed(NodeId node) {
+        change(node, (directory, now) -> directory.onClosed(node, now));
+    }
+
     public void onUnreachable(NodeId node) {
         change(node, (directory, now) -> directory.onUnreachable(node));
     }
--- a/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
+++ b/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
@@ -81,6 +81,26 @@
         assertThat(liveAt(63), is(1));
     }
 
+    @Test
+    void shouldTakeAReplacementAtAnotherAddressAtOnceRegressionOfEmptyPool() {
+        list(0, false);
+        mDirectory.onHello(NODE, 5, false, at(1));
+        mDirectory.onLeaving(NODE, 5, at(2));
+        mDirectory.onList(List.of(new Listed(NODE, DOMAIN, "a:2", 1, false)), at(4));
+        assertThat(liveAt(4), is(1));
+    }
+
+    @Test
+    void shouldSoonTryTheAddressOfALeavingReplicaThatEnded() {
+        list(0, false);
+        mDirectory.onLeaving(NODE, 5, at(2));
+        mDirectory.onClosed(NODE, at(10));
+        assertThat(liveAt(12), is(0));
+        assertThat(liveAt(14), is(1));
+        mDirectory.onLeaving(NODE, 5, at(15));
+        assertThat(liveAt(16), is(0));
+    }
+
     @Test
     void shouldDropAReplicaThatTheListCallsLeaving() {
         list(0, false);
