End a planned stop with exit code 0 every time

Cause: once the shutdown hook returned, the JVM ended by the signal's code (143) unless the main thread halted first. Change: the hook waits for the halt; the stop halts even if it throws. The steps "ends by itself" now check the exit code too.

--- a/src/main/java/org/fescueport/internal/settings/ProgramRunner.java
+++ b/src/main/java/org/fescueport/internal/settings/ProgramRunner.java
@@ -43,16 +43,16 @@
 
     private static void runUntilStopped(ProgramCommand command, PrintStream errors) {
         var stopAsked = new CountDownLatch(1);
-        var stopped = new CountDownLatch(1);
         var code = new AtomicInteger(ExitCode.OK);
         var running = start(command, errors, stopAsked, code);
-        Runtime.getRuntime()
-                .addShutdownHook(new Thread(() -> awaitStop(stopAsked, stopped), "shutdown"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> awaitHalt(stopAsked), "shutdown"));
         await(stopAsked);
-        running.stop();
-        stopped.countDown();
-        // Inside a shutdown that a signal began, exit would wait for itself.
-        Runtime.getRuntime().halt(code.get());
+        try {
+            running.stop();
+        } finally {
+            // Inside a shutdown that a signal began, exit would wait for itself.
+            Runtime.getRuntime().halt(code.get());
+        }
     }
 
     private static ProgramCommand.Running start(
@@ -76,9 +76,10 @@
         }
     }
 
-    private static void awaitStop(CountDownLatch stopAsked, CountDownLatch stopped) {
+    /** Returns never: once all shutdown hooks return, the signal decides on the exit code. */
+    private static void awaitHalt(CountDownLatch stopAsked) {
         stopAsked.countDown();
-        await(stopped);
+        await(new CountDownLatch(1));
     }
 
     private static void await(CountDownLatch latch) {
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -59,7 +59,8 @@
 
     @Then("router {int} ends by itself")
     public void routerEnds(int number) throws InterruptedException {
-        sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        int code = sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        assertThat("exit code of router " + number, code, is(0));
     }
 
     @When("the agent of {word} is told to stop")
@@ -69,7 +70,8 @@
 
     @Then("the agent of {word} ends by itself")
     public void agentEnds(String vm) throws InterruptedException {
-        sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        int code = sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        assertThat("exit code of the agent of " + vm, code, is(0));
     }
 
     @Then("{word} had no answer broken off")
