Leave a resumed answer to its new reader; use ejected replicas before none

Three faults that bin/soak found. Cause 2: ejection is kept by node name, so a replacement inherited the failures of the VM that it replaced. Cause 3: a request found no replica while one that was only ejected was left. Change: an attempt is forgotten, and cancelled, only by the listener that still holds it; another address is a healthy replica; where only ejected replicas are left, one of them is tried.

--- a/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
+++ b/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
@@ -52,11 +52,12 @@
         return new OutlierEjection(settings, set);
     }
 
-    /** Takes a changed set; replicas that are gone are forgotten. */
+    /** Takes a changed set; replicas that are gone or were replaced are forgotten. */
     public synchronized void onReplicas(ReplicaSet set) {
         if (mSet != set) {
+            var former = mSet;
             mSet = set;
-            mHealth.keySet().removeIf(node -> set.indexOf(node) < 0);
+            mHealth.keySet().removeIf(node -> isGone(node, former, set));
             mDomains.onReplicas(set);
         }
     }
@@ -128,6 +129,14 @@
         return health == null || draw < health.mEjection.share(nowNanos);
     }
 
+    private static boolean isGone(NodeId node, ReplicaSet former, ReplicaSet set) {
+        int before = former.indexOf(node);
+        int now = set.indexOf(node);
+        return before < 0
+                || now < 0
+                || !former.replica(before).address().equals(set.replica(now).address());
+    }
+
     private void eject(Health health, long nowNanos) {
         health.mEjection.begin(nowNanos);
         // Coming back, one failure is enough to be ejected again.
--- a/src/main/java/org/fescueport/internal/fleet/AgentLink.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentLink.java
@@ -67,9 +67,12 @@
         mConnection.send(frame);
     }
 
-    /** Stops listening to an attempt; frames of it that still arrive are dropped and counted. */
-    public void forget(AttemptId id) {
-        mAttempts.remove(id);
+    /**
+     * Ends a listener's part in an attempt: frames of it that still arrive are dropped and counted.
+     * Returns false when another listener has taken the attempt over, which then goes on.
+     */
+    public boolean forget(AttemptId id, AttemptListener listener) {
+        return mAttempts.remove(id, listener) || !mAttempts.containsKey(id);
     }
 
     /** Makes a call; the future fails with {@link WireException} when the agent is lost. */
--- a/src/main/java/org/fescueport/internal/router/ReplicaChoice.java
+++ b/src/main/java/org/fescueport/internal/router/ReplicaChoice.java
@@ -33,15 +33,13 @@
     /** Returns the replica for the next attempt, or why there is none. */
     Choice next() {
         var set = mContext.membership().replicas(mRequest.pool());
-        var choice =
-                mContext.placement()
-                        .choose(
-                                set,
-                                PlacementRequests.of(mRequest, mContext.tokens()).after(mRefusals),
-                                PlacementRequests.boundOf(mRequest),
-                                mContext.membership().loads(mRequest.pool()),
-                                filter(set),
-                                now());
+        ReplicaFilter untried = replica -> !mTried.contains(replica.node());
+        var health = mContext.health().of(mRequest.pool(), set);
+        var choice = choose(set, untried.and(health.filter(mRequest.id().low(), now())));
+        if (choice instanceof Choice.NoReplica) {
+            // One that failed lately is better than none.
+            choice = choose(set, untried);
+        }
         if (choice instanceof Choice.Chosen chosen) {
             mContext.counters().onChoice(chosen.reason());
         }
@@ -72,10 +70,15 @@
         return mContext.retries().after(failed);
     }
 
-    private ReplicaFilter filter(ReplicaSet set) {
-        ReplicaFilter untried = replica -> !mTried.contains(replica.node());
-        var health = mContext.health().of(mRequest.pool(), set);
-        return untried.and(health.filter(mRequest.id().low(), now()));
+    private Choice choose(ReplicaSet set, ReplicaFilter filter) {
+        return mContext.placement()
+                .choose(
+                        set,
+                        PlacementRequests.of(mRequest, mContext.tokens()).after(mRefusals),
+                        PlacementRequests.boundOf(mRequest),
+                        mContext.membership().loads(mRequest.pool()),
+                        filter,
+                        now());
     }
 
     private long now() {
--- a/src/main/java/org/fescueport/internal/router/RequestRun.java
+++ b/src/main/java/org/fescueport/internal/router/RequestRun.java
@@ -541,8 +541,9 @@
 
         private void cancel() {
             if (mLink != null) {
-                mLink.forget(mId);
-                mLink.send(Frames.cancel(mId));
+                if (mLink.forget(mId, this)) {
+                    mLink.send(Frames.cancel(mId));
+                }
                 loads().onLost(mReplica.node(), mIsReported ? 0 : mTokens);
             }
             end("cancelled");
--- a/src/main/java/org/fescueport/internal/router/ResumedAnswer.java
+++ b/src/main/java/org/fescueport/internal/router/ResumedAnswer.java
@@ -78,8 +78,7 @@
     }
 
     synchronized void onCallerGone() {
-        if (!mFinished && mLink != null) {
-            mLink.forget(mToken.attempt());
+        if (!mFinished && mLink != null && mLink.forget(mToken.attempt(), this)) {
             mLink.send(Frames.cancel(mToken.attempt()));
         }
         finish(Outcome.UNKNOWN, "caller_gone");
--- a/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
+++ b/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.ArrayList;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.NodeId;
@@ -49,6 +50,17 @@
         assertThat(share(node, 26 * SECOND), is(1.0));
     }
 
+    @Test
+    void shouldTakeAReplacementAtAnotherAddressAsHealthy() {
+        var node = NodeId.of("r1");
+        fail(node, 0);
+        var replaced = new ArrayList<>(mSet.replicas());
+        var old = mSet.replica(mSet.indexOf(node));
+        replaced.set(mSet.indexOf(node), Replica.of(node, old.domain(), "elsewhere:1"));
+        mEjection.onReplicas(ReplicaSet.of(Replicas.POOL, replaced));
+        assertThat(share(node, SECOND), is(1.0));
+    }
+
     @Test
     void shouldEjectForLongerEachTime() {
         var node = NodeId.of("r1");
