Not ready while the list of VMs has no live agent

Cause: /readyz of a router was green once the list was read, also an empty one. Ruled out: counting agents that merely can't be reached; all routers would go red together at a short fault, while answering "overloaded" is better. Change: not ready without one replica that is listed, or was until lately, and doesn't leave. Before: scenario "A router without a live agent is not ready" failed after 38 s: "time is left". After: green, with "A chat and its return" and certificates.feature beside it.

--- a/src/main/java/org/fescueport/internal/router/RouterProcess.java
+++ b/src/main/java/org/fescueport/internal/router/RouterProcess.java
@@ -159,6 +159,9 @@
         if (mConfig.version() == 0) {
             return "no configuration is in force yet";
         }
+        if (mMembership.all(1).isEmpty()) {
+            return "the list of VMs has no live agent";
+        }
         return mConfig.isCurrent() ? "" : "cannot tell whether the configuration is current";
     }
 
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -27,3 +27,7 @@
     When the list of VMs says that engine-2 is leaving
     And 3 seconds pass
     Then engine-2 gets none of 20 new chats
+
+  Scenario: A router without a live agent is not ready
+    When the list of VMs says that every agent is leaving
+    Then router 1 gets not ready
