--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -3,6 +3,7 @@
 
 FLEET_DIR=
 FLEET_PIDS=()
+FLEET_NAMES=()
 START_SECONDS=30
 
 # Makes the folder for logs; its processes end with this script.
@@ -15,11 +16,13 @@
 launch() {
     local name=$1 program=$2
     shift 2
+    : >"$FLEET_DIR/$name.log"
     # shellcheck disable=SC2086
     "$JAVA_HOME/bin/java" ${FESCUE_JAVA_OPTIONS:--Xmx256m -XX:+UseSerialGC} \
         --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
         -jar "$JARS/fescueport-$program.jar" "$@" >"$FLEET_DIR/$name.log" 2>&1 &
     FLEET_PIDS+=($!)
+    FLEET_NAMES+=("$name")
 }
 
 # address_of NAME [WORD]: waits for the line "[WORD ]listening IP:PORT" and prints the address.
@@ -72,10 +75,12 @@
     local pid
     for pid in "${FLEET_PIDS[@]}"; do
         kill "$pid" 2>/dev/null || true
+        kill -CONT "$pid" 2>/dev/null || true
     done
     for pid in "${FLEET_PIDS[@]}"; do
         wait "$pid" 2>/dev/null || true
     done
     FLEET_PIDS=()
+    FLEET_NAMES=()
     [ -z "$FLEET_DIR" ] || rm -rf "$FLEET_DIR"
 }
--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -50,9 +50,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(AgentCore.class);
     private static final Duration KEEP_ANSWER = Duration.ofSeconds(30);
     private static final AttemptRegister.Limits REGISTER_LIMITS =
-            new AttemptRegister.Limits(50_000, 10_000, Duration.ofMinutes(2).toNanos());
+            new AttemptRegister.Limits(250_000, 50_000, Duration.ofMinutes(2).toNanos());
     private static final AnswerBuffer.Limits BUFFER_LIMITS =
-            new AnswerBuffer.Limits(256 * 1024, 12 * 1024 * 1024, 20_000, KEEP_ANSWER.toNanos());
+            new AnswerBuffer.Limits(256 * 1024, 12 * 1024 * 1024, 50_000, KEEP_ANSWER.toNanos());
     private static final double DEFAULT_LOAD_BOUND = 1.25;
     private static final long FLOOR_TOKENS = 300;
 
@@ -317,7 +317,7 @@
         if (isLeaving()) {
             return RefusalReason.LEAVING;
         }
-        return mIsBackendUp ? null : RefusalReason.OVERLOADED;
+        return mIsBackendUp ? null : RefusalReason.BACKEND_DOWN;
     }
 
     /**
@@ -417,18 +417,19 @@
         if (run.isEnded()) {
             return false;
         }
+        if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
+            refuseBeforeStart(run, RefusalReason.ANSWERS_FULL);
+            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
+            return false;
+        }
         if (!mRegister.start(run.id(), now())) {
+            mBuffer.discard(run.id());
             end(
                     run,
                     BackendListener.End.failed(
                             Outcome.NOT_RUN, "deadline_passed", "it waited past its deadline"));
             return false;
         }
-        if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
-            mRegister.finish(run.id(), now());
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
-            return false;
-        }
         if (!mPoison.start(run)) {
             mRegister.finish(run.id(), now());
             end(run, BackendListener.End.failed(Outcome.NOT_RUN, "suspect", ""));
--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -7,6 +7,7 @@
 
 import com.google.protobuf.ByteString;
 import io.micrometer.core.instrument.MockClock;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,9 @@
 import org.fescueport.internal.decision.AttemptId;
 import org.fescueport.internal.decision.RequestId;
 import org.fescueport.internal.telemetry.Telemetry;
+import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.generated.Frame;
 import org.fescueport.internal.wire.generated.Submit;
 import org.fescueport.platform.Engine;
 import org.jmock.lib.concurrent.DeterministicScheduler;
@@ -63,6 +66,19 @@
         assertThat(mEngine.mListeners, is(empty()));
     }
 
+    @Test
+    void shouldSayThatTheBackendServerIsDownRegressionOfOverloaded() {
+        var channel = new EmbeddedChannel();
+        mCore.onHealth(false);
+
+        mCore.onSubmit(FrameConnection.over(channel), submit());
+
+        channel.flushOutbound();
+        Frame told = channel.readOutbound();
+        assertThat(told.getOutcome().getReason(), is("backend_down"));
+        assertThat(mEngine.mListeners, is(empty()));
+    }
+
     @Test
     void shouldNotRunAFrameThatWasHeldUpPastItsDeadline() {
         mClock.add(Duration.ofMinutes(1));
@@ -109,9 +125,29 @@
         assertThat(mCore.active(), is(0));
     }
 
+    @Test
+    void shouldRunEachOfAManyShortRequestsAtASteadyRate() {
+        for (int i = 0; i < 120_000; i++) {
+            var id = AttemptId.of(RequestId.of(3, i), 1);
+            mCore.onSubmit(FakeConnections.open(), submit(id));
+            mEngine.mListeners.getLast().onCompleted("stop", 3, 0, 1);
+            mLoop.runUntilIdle();
+            mClock.add(Duration.ofMillis(1));
+            if (i % 1000 == 0) {
+                mCore.sweep();
+            }
+        }
+
+        assertThat(mEngine.mListeners, hasSize(120_000));
+    }
+
     private static Submit submit() {
+        return submit(ID);
+    }
+
+    private static Submit submit(AttemptId id) {
         return Submit.newBuilder()
-                .setKey(Frames.keyOf(ID))
+                .setKey(Frames.keyOf(id))
                 .setTeam("water-board")
                 .setTeamWeight(1000)
                 .setTarget("gauge-notes")
