--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -34,3 +34,7 @@
     When the agent that answered is told to stop
     Then that agent ends by itself
     And the caller returns through router 1 to another replica, its prompt cached
+
+  Scenario: A router without a live agent is not ready
+    When the list of VMs says that every agent is leaving
+    Then router 1 gets not ready
