Place models under a lease; agents fence orders

Cause: the classes for leases, fenced orders and the reconciler were tested, but no process used them; nothing placed models.

Ruled out: passing an order on at once (the engine cuts off what it runs and refuses new work while it loads); telling what is served in every load report.

Change: three agents stand for the lease "placement". Its holder asks agents what their engines serve, plans each second and sends loads with its token. An agent looks at the token, sets its engine aside (refusal not_serving, told to routers by a hello), lets it finish, looks at the token again and passes the order on. AgentProcess gives its making of duties to SharedDuties and PlacementParts.

Conclusion: models are placed by processes. Left: adapters; an engine that checks tokens may get a former holder's order before the new one's first.

--- a/src/main/java/org/fescueport/internal/agent/AgentCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCalls.java
@@ -21,6 +21,7 @@
     private volatile KeyedRuns mKeyed;
     private volatile PoisonGuard mGuard;
     private volatile CacheImport mImport;
+    private volatile OrderCalls mOrders;
 
     private AgentCalls(
             ConfigFollower config, MeanGossip gossip, ClaimDecider decider, Executor loop) {
@@ -48,6 +49,11 @@
         mImport = cacheImport;
     }
 
+    /** Sets what takes orders to the engine; without it none are taken. */
+    void use(OrderCalls orders) {
+        mOrders = orders;
+    }
+
     /** Returns the reply's payload; the future fails when the call cannot be answered. */
     CompletableFuture<ByteString> answer(Call call) {
         return switch (call.getMethod()) {
@@ -67,12 +73,18 @@
                             ? CompletableFuture.completedFuture(ByteString.EMPTY)
                             : mImport.export(call.getPayload());
             case PeerCalls.ISSUE_KEY -> issueKey(call);
-            default ->
-                    CompletableFuture.failedFuture(
-                            WireException.of("unknown call " + call.getMethod(), null));
+            case PeerCalls.ORDER ->
+                    mOrders == null ? unknown(call) : mOrders.order(call.getPayload());
+            case PeerCalls.REPLICA -> mOrders == null ? unknown(call) : mOrders.replica();
+            default -> unknown(call);
         };
     }
 
+    private static CompletableFuture<ByteString> unknown(Call call) {
+        return CompletableFuture.failedFuture(
+                WireException.of("unknown call " + call.getMethod(), null));
+    }
+
     private CompletableFuture<ByteString> configRecords(Call call) {
         long offset = call.getPayload().asReadOnlyByteBuffer().getLong();
         var records = mConfig.recordsFrom(offset);
--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -34,6 +34,8 @@
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Credit;
+import org.fescueport.internal.wire.generated.Frame;
+import org.fescueport.internal.wire.generated.Hello;
 import org.fescueport.internal.wire.generated.Load;
 import org.fescueport.internal.wire.generated.Resume;
 import org.fescueport.internal.wire.generated.Submit;
@@ -88,6 +90,7 @@
     private int mActive;
     private boolean mIsBackendUp = true;
     private String mLeavingWhy = "";
+    private Frame mServesNothing;
 
     private AgentCore(
             Identity identity,
@@ -169,6 +172,9 @@
         var reason = reasonAgainst(submit);
         if (reason != null) {
             mRegister.refuse(id, reason, deadline, now);
+            if (mServesNothing != null) {
+                connection.send(mServesNothing);
+            }
             mRefusals.tellNotRun(connection, id, reason);
             return;
         }
@@ -261,6 +267,13 @@
         mConnections.forEach(connection -> connection.send(frame));
     }
 
+    /** Takes the hello that tells whether the engine serves, and tells the routers. */
+    void onServing(Hello hello) {
+        var frame = Frame.newBuilder().setHello(hello).build();
+        mServesNothing = hello.getServesNothing() ? frame : null;
+        mConnections.forEach(connection -> connection.send(frame));
+    }
+
     boolean isLeaving() {
         return !mLeavingWhy.isEmpty();
     }
@@ -317,6 +330,9 @@
         if (isLeaving()) {
             return RefusalReason.LEAVING;
         }
+        if (mServesNothing != null) {
+            return RefusalReason.NOT_SERVING;
+        }
         return mIsBackendUp ? null : RefusalReason.OVERLOADED;
     }
 
--- a/src/main/java/org/fescueport/internal/agent/AgentMain.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentMain.java
@@ -46,6 +46,22 @@
             description = "Requests that may wait, 0 to 100000. FESCUE_QUEUE")
     private String mQueue;
 
+    @Option(
+            name = "--weights-url",
+            title = "URL",
+            description =
+                    "The weight store. Without it this agent takes no orders and gives none."
+                            + " FESCUE_WEIGHTS_URL")
+    private String mWeightsUrl;
+
+    @Option(
+            name = "--weights-bytes-per-second",
+            title = "BYTES",
+            description =
+                    "Rate of the weight store, which all agents share, 1 to 2000000000."
+                            + " FESCUE_WEIGHTS_BYTES_PER_SECOND")
+    private String mWeightsBytesPerSecond;
+
     @Option(
             name = "--log-retention-seconds",
             title = "SECONDS",
@@ -88,6 +104,13 @@
                         reader.requiredText("--pool", mPool),
                         reader.integer("--in-flight", mInFlight, 64, 1, 10_000),
                         reader.integer("--queue", mQueue, 1024, 0, 100_000),
+                        reader.url("--weights-url", mWeightsUrl),
+                        reader.integer(
+                                "--weights-bytes-per-second",
+                                mWeightsBytesPerSecond,
+                                100_000_000,
+                                1,
+                                2_000_000_000),
                         reader.integer(
                                 "--log-retention-seconds",
                                 mLogRetentionSeconds,
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -5,6 +5,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -57,7 +58,6 @@
     private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(2);
     private static final Duration GOSSIP_INTERVAL = Duration.ofMillis(250);
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(200);
-    private static final Duration CANDIDATE_INTERVAL = Duration.ofSeconds(10);
     private static final int MAX_OWNED_KEYS = 20_000;
     private static final Duration HEALTH_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(40);
@@ -80,7 +80,9 @@
     private final ConfigSources mSources;
     private final ClaimDecider mDecider;
     private final MeanGossip mGossip;
+    private final Optional<ReplicaStatus> mReplica;
     private final Supervisor mRoot;
+    private volatile SharedDuties mDuties;
     private volatile boolean mIsLeaving;
     private volatile int mActive;
     private volatile boolean mIsBackendUp;
@@ -131,6 +133,7 @@
                         mLoop,
                         () -> mCore.load().getOutstandingTokens(),
                         mCore::onMean);
+        mReplica = replicaStatus();
         mRoot = supervisor();
     }
 
@@ -269,7 +272,9 @@
                 .add(Worker.periodic("vm-list", VM_LIST_INTERVAL, mTimers, mMembership::refresh))
                 .add(Worker.periodic("mean", GOSSIP_INTERVAL, mLoop, mGossip::round))
                 .add(Worker.periodic("probes", PROBE_INTERVAL, mTimers, mConnections::probe))
-                .add(Worker.of("snapshots", onFailure -> startSnapshots()))
+                .add(Worker.of("duties", onFailure -> startDuties()))
+                .add(Worker.periodic("placement", HEALTH_INTERVAL, mTimers, this::placeModels))
+                .add(Worker.periodic("replica", HEALTH_INTERVAL, mTimers, this::refreshReplica))
                 .add(Worker.of("admin", onFailure -> startAdmin()))
                 .add(Worker.of("frames", onFailure -> startFrames()));
     }
@@ -279,7 +284,7 @@
         return mConfig::close;
     }
 
-    private Runnable startSnapshots() {
+    private Runnable startDuties() {
         var self = NodeId.of(mSettings.node().node());
         long retentionMillis = TimeUnit.SECONDS.toMillis(mSettings.logRetentionSeconds());
         var keeper =
@@ -290,20 +295,43 @@
                         mClock,
                         mTelemetry.registry(),
                         LeaseKeeper.Settings.of(retentionMillis));
-        keeper.start();
-        var duty = SnapshotDuty.start(keeper, mLog, mConfig, mTimers, mClock, retentionMillis);
-        var candidate = SnapshotCandidate.of(self, mMembership, duty);
-        var looks =
-                mTimers.scheduleWithFixedDelay(
-                        candidate::look,
-                        CANDIDATE_INTERVAL.toMillis(),
-                        CANDIDATE_INTERVAL.toMillis(),
-                        TimeUnit.MILLISECONDS);
-        return () -> {
-            looks.cancel(false);
-            duty.close();
-            keeper.close();
-        };
+        var snapshots = SnapshotDuty.start(keeper, mLog, mConfig, mTimers, mClock, retentionMillis);
+        var placement = placementParts().duty(keeper);
+        mDuties = SharedDuties.start(self, mMembership, keeper, snapshots, placement, mTimers);
+        return mDuties::close;
+    }
+
+    /** Only engines of a fleet that places models are set aside and report what they serve. */
+    private Optional<ReplicaStatus> replicaStatus() {
+        return mBackend instanceof Backend.Model model && mSettings.weightsUrl().isPresent()
+                ? Optional.of(ReplicaStatus.create(model.engine(), mClock, this::onServing))
+                : Optional.empty();
+    }
+
+    private PlacementParts placementParts() {
+        return new PlacementParts(
+                mSettings,
+                mHttpCaller,
+                mLog,
+                mConfig,
+                mMembership,
+                mConnections,
+                mTimers,
+                mClock,
+                mTelemetry);
+    }
+
+    private void takeOrders(AgentCalls calls, Backend.Model model, ReplicaStatus status) {
+        calls.use(
+                placementParts()
+                        .orders(
+                                model.engine(),
+                                status,
+                                () -> CompletableFuture.supplyAsync(mCore::active, mLoop)));
+    }
+
+    private void onServing() {
+        mLoop.execute(() -> mCore.onServing(hello()));
     }
 
     private void checkHealth() {
@@ -315,6 +343,14 @@
                         });
     }
 
+    private void placeModels() {
+        mDuties.placeModels();
+    }
+
+    private void refreshReplica() {
+        mReplica.ifPresent(ReplicaStatus::refresh);
+    }
+
     private void sweep() {
         mCore.sweep();
         mActive = mCore.active();
@@ -343,6 +379,8 @@
             var cacheImport = cacheImport(model);
             calls.use(cacheImport);
             mCore.use(cacheImport);
+            mReplica.ifPresent(status -> takeOrders(calls, model, status));
+            onServing();
         }
         mConfig.addListener(this::onDeclarations);
         return () -> {
@@ -358,6 +396,7 @@
                 .setConfigVersion(mConfig.version())
                 .setLeaving(mIsLeaving)
                 .setLoad(mCore.load())
+                .setServesNothing(mReplica.map(status -> !status.isServing()).orElse(false))
                 .build();
     }
 
--- a/src/main/java/org/fescueport/internal/agent/SnapshotCandidate.java
+++ b/src/main/java/org/fescueport/internal/agent/DutyCandidate.java
@@ -4,31 +4,35 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.fleet.Membership;
-import org.fescueport.internal.log.config.SnapshotDuty;
 
-/** Lets this agent stand for the writing of snapshots while it is among the first of the list. */
-final class SnapshotCandidate {
+/** Lets this agent stand for the fleet's shared duties while it is among the first of the list. */
+final class DutyCandidate {
     private static final int CANDIDATES = 3;
-    private static final int MOST_AGENTS = 4096;
+
+    /** A duty for which a node may stand. */
+    @FunctionalInterface
+    interface Duty {
+        void setCandidate(boolean candidate);
+    }
 
     private final NodeId mSelf;
     private final Membership mMembership;
-    private final SnapshotDuty mDuty;
+    private final Duty mDuty;
 
-    private SnapshotCandidate(NodeId self, Membership membership, SnapshotDuty duty) {
+    private DutyCandidate(NodeId self, Membership membership, Duty duty) {
         mSelf = self;
         mMembership = membership;
         mDuty = duty;
     }
 
-    static SnapshotCandidate of(NodeId self, Membership membership, SnapshotDuty duty) {
-        return new SnapshotCandidate(self, membership, duty);
+    static DutyCandidate of(NodeId self, Membership membership, Duty duty) {
+        return new DutyCandidate(self, membership, duty);
     }
 
     /** Looks at the list again. */
     void look() {
         boolean isCandidate =
-                mMembership.all(MOST_AGENTS).stream()
+                mMembership.listed().stream()
                         .map(Replica::node)
                         .sorted(Comparator.comparing(NodeId::name))
                         .limit(CANDIDATES)
--- a/src/main/java/org/fescueport/internal/decision/attempt/RefusalReason.java
+++ b/src/main/java/org/fescueport/internal/decision/attempt/RefusalReason.java
@@ -16,6 +16,8 @@
     ALREADY_RUN,
     /** The agent is leaving. */
     LEAVING,
+    /** The engine has nothing loaded, or loads. */
+    NOT_SERVING,
     /** The agent has no memory left to follow another request. */
     REGISTER_FULL,
     /** The frame was meant for another incarnation of the agent. */
--- a/src/main/java/org/fescueport/internal/decision/order/OrderGuard.java
+++ b/src/main/java/org/fescueport/internal/decision/order/OrderGuard.java
@@ -22,7 +22,7 @@
     private static final long PAUSE_NANOS = 250_000_000;
     private static final long CONFIRMED_NANOS = 2_000_000_000;
 
-    private final boolean mEngineChecks;
+    private boolean mEngineChecks;
     private long mNewestToken;
     private boolean mRunning;
     private boolean mTicked;
@@ -39,6 +39,11 @@
         return new OrderGuard(engineChecks);
     }
 
+    /** Takes whether the engine itself refuses older tokens, when it is declared otherwise. */
+    public void setEngineChecks(boolean engineChecks) {
+        mEngineChecks = engineChecks;
+    }
+
     /** Call this every 100 ms, so that a pause of this process is noticed. */
     public void tick(long nowNanos) {
         if (mTicked && nowNanos - mTickNanos > PAUSE_NANOS) {
--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
@@ -32,7 +32,7 @@
     /** Time for which a replica that answered lately stays after it left the list. */
     private static final long UNLISTED_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
-    /** Time for which the word of a replica that it leaves outweighs the list. */
+    /** Time for which the word of a replica that it leaves or is empty outweighs the list. */
     private static final long LEAVING_HOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
 
     /** What is known of one replica. */
@@ -45,11 +45,16 @@
         private boolean mListedLeaving;
         private boolean mSaidLeaving;
         private long mSaidLeavingAtNanos;
+        private boolean mSaidServesNothing;
+        private long mSaidServesNothingAtNanos;
 
         boolean isLive(long nowNanos) {
             if (isHeldAsLeaving(nowNanos) || mListedLeaving) {
                 return false;
             }
+            if (mSaidServesNothing && nowNanos - mSaidServesNothingAtNanos < LEAVING_HOLD_NANOS) {
+                return false;
+            }
             return mListed || (mEverAnswered && nowNanos - lastSign() < UNLISTED_GRACE_NANOS);
         }
 
@@ -93,6 +98,7 @@
         if (seen.mReplica.incarnation() != incarnation) {
             seen.mReplica = seen.mReplica.withIncarnation(incarnation);
             seen.mSaidLeaving = false;
+            seen.mSaidServesNothing = false;
         }
         if (leaving && !seen.mSaidLeaving) {
             seen.mSaidLeaving = true;
@@ -102,6 +108,27 @@
         seen.mAnsweredAtNanos = nowNanos;
     }
 
+    /**
+     * Notes whether a replica said that it serves nothing. Its word holds for a while only, since
+     * it tells the next one just to those that are connected to it.
+     */
+    public void onServesNothing(NodeId node, boolean servesNothing, long nowNanos) {
+        Seen seen = mSeen.get(node);
+        if (seen != null) {
+            seen.mSaidServesNothing = servesNothing;
+            seen.mSaidServesNothingAtNanos = nowNanos;
+        }
+    }
+
+    /** Returns the replicas that are listed as live, whether or not they serve. */
+    public List<Replica> listed(long nowNanos) {
+        return mSeen.values().stream()
+                .filter(seen -> seen.mListed && !seen.mListedLeaving)
+                .filter(seen -> !seen.isHeldAsLeaving(nowNanos))
+                .map(seen -> seen.mReplica)
+                .toList();
+    }
+
     /** Notes that a replica said that this incarnation of it leaves. */
     public void onLeaving(NodeId node, long incarnation, long nowNanos) {
         onHello(node, incarnation, true, nowNanos);
--- a/src/main/java/org/fescueport/internal/fleet/Membership.java
+++ b/src/main/java/org/fescueport/internal/fleet/Membership.java
@@ -98,6 +98,19 @@
                 .toList();
     }
 
+    /** Returns the replicas of a pool that are listed as live, whether or not they serve. */
+    public List<Replica> listed(PoolId id) {
+        var pool = pool(id);
+        synchronized (pool) {
+            return pool.mDirectory.listed(mClock.monotonicTime());
+        }
+    }
+
+    /** Returns the replicas of all pools that are listed as live, whether or not they serve. */
+    public List<Replica> listed() {
+        return mPools.keySet().stream().flatMap(id -> listed(id).stream()).toList();
+    }
+
     public LoadBook loads(PoolId id) {
         return pool(id).mLoads;
     }
@@ -105,8 +118,10 @@
     public void onHello(NodeId node, Hello hello) {
         change(
                 node,
-                (directory, now) ->
-                        directory.onHello(node, hello.getIncarnation(), hello.getLeaving(), now));
+                (directory, now) -> {
+                    directory.onHello(node, hello.getIncarnation(), hello.getLeaving(), now);
+                    directory.onServesNothing(node, hello.getServesNothing(), now);
+                });
     }
 
     public void onLeaving(NodeId node, long incarnation) {
--- a/src/main/java/org/fescueport/internal/log/lease/FencedOrders.java
+++ b/src/main/java/org/fescueport/internal/log/lease/FencedOrders.java
@@ -27,6 +27,12 @@
 
     private record Waiting(Engine.Order order, CompletableFuture<Void> result) {}
 
+    /** Makes an engine ready for an order; fails when it cannot be now. */
+    @FunctionalInterface
+    public interface Preparation {
+        CompletableFuture<Void> prepare(Engine.Order order);
+    }
+
     private final Engine mEngine;
     private final OrderGuard mGuard;
     private final String mLease;
@@ -35,6 +41,9 @@
     private final Clock mClock;
     private final MeterRegistry mRegistry;
     private final ArrayDeque<Waiting> mWaiting = new ArrayDeque<>();
+    private Preparation mPreparation = order -> CompletableFuture.completedFuture(null);
+    private Waiting mPrepared;
+    private boolean mPreparing;
     private boolean mConfirming;
     private volatile boolean mClosed;
 
@@ -73,6 +82,19 @@
         return orders;
     }
 
+    /**
+     * Lets each order wait for this before it is passed on. Its token is looked at before, so that
+     * no old order sets an engine aside, and again after.
+     */
+    public void prepareBy(Preparation preparation) {
+        mExecutor.execute(() -> mPreparation = preparation);
+    }
+
+    /** Takes whether the engine itself refuses older tokens. */
+    public void setEngineChecks(boolean engineChecks) {
+        mExecutor.execute(() -> mGuard.setEngineChecks(engineChecks));
+    }
+
     /** Passes an order on when its turn comes. */
     public CompletableFuture<Void> order(Engine.Order order) {
         var waiting = new Waiting(order, new CompletableFuture<>());
@@ -104,12 +126,12 @@
     }
 
     private void next() {
-        if (mWaiting.isEmpty() || mConfirming) {
+        if (mWaiting.isEmpty() || mConfirming || mPreparing) {
             return;
         }
         var first = mWaiting.getFirst();
         switch (mGuard.offer(first.order().fencingToken(), mClock.monotonicTime())) {
-            case OrderDecision.Run run -> pass(mWaiting.removeFirst());
+            case OrderDecision.Run run -> passPrepared(first);
             case OrderDecision.Refuse refuse -> {
                 refuse(mWaiting.removeFirst(), "token " + refuse.newestToken() + " is newer", null);
                 next();
@@ -119,6 +141,30 @@
         }
     }
 
+    private void passPrepared(Waiting first) {
+        if (mPrepared == first) {
+            mPrepared = null;
+            mWaiting.removeFirst();
+            pass(first);
+            return;
+        }
+        mGuard.finished();
+        mPreparing = true;
+        mPreparation
+                .prepare(first.order())
+                .whenCompleteAsync((done, failure) -> onPrepared(first, failure), mExecutor);
+    }
+
+    private void onPrepared(Waiting waiting, Throwable failure) {
+        mPreparing = false;
+        if (failure == null) {
+            mPrepared = waiting;
+        } else if (mWaiting.remove(waiting)) {
+            refuse(waiting, "the engine is not ready for it", failure);
+        }
+        next();
+    }
+
     private void pass(Waiting waiting) {
         mRegistry.counter("fescue.orders.passed").increment();
         mEngine.order(waiting.order())
--- a/src/main/java/org/fescueport/internal/router/Reasons.java
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -24,7 +24,14 @@
             Set.of("log_unavailable", "log_slow", "begun_before", "answer_not_kept", "suspect");
 
     private static final Set<String> BUSY =
-            Set.of("load_bound", "queue_full", "displaced", "deadline", "leaving", "overloaded");
+            Set.of(
+                    "load_bound",
+                    "queue_full",
+                    "displaced",
+                    "deadline",
+                    "leaving",
+                    "overloaded",
+                    "not_serving");
 
     private static final Set<String> FOR_LOAD = Set.of("load_bound", "queue_full", "deadline");
 
--- a/src/main/java/org/fescueport/internal/standin/Faults.java
+++ b/src/main/java/org/fescueport/internal/standin/Faults.java
@@ -16,6 +16,7 @@
  * @param dropCacheEvents share of cache events, 0 to 1, that are lost
  * @param crashOn a prompt with this word ends the engine's process; empty for none
  * @param leaving a backend server says on its health check that it is leaving
+ * @param loadMillis time for which an engine serves nothing after an order to load
  * @param bytesPerSecond rate of the weight store
  */
 public record Faults(
@@ -32,6 +33,7 @@
         double dropCacheEvents,
         String crashOn,
         boolean leaving,
+        long loadMillis,
         long bytesPerSecond) {
     private static final int APPENDS_PER_SECOND = 400;
     private static final long RETENTION_MILLIS = 24 * 3600 * 1000L;
@@ -54,6 +56,7 @@
                 0,
                 "",
                 false,
+                0,
                 WEIGHTS_BYTES_PER_SECOND);
     }
 }
--- a/src/main/java/org/fescueport/internal/standin/engine/EngineHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/engine/EngineHandler.java
@@ -41,7 +41,12 @@
         mEvents = CacheEvents.create(clock, faults);
         mCache = PrefixCache.create(settings.cacheBlocks(), mEvents);
         mScheduler = BatchScheduler.create(settings, clock, executor, faults, mCache, crash);
-        mOrders = Orders.create(settings.checksFencing());
+        mOrders =
+                Orders.create(
+                        settings.checksFencing(),
+                        clock,
+                        faults,
+                        () -> mScheduler.stats().running());
     }
 
     /**
@@ -92,6 +97,10 @@
     }
 
     private void generate(HttpExchange exchange) throws BadRequestException {
+        if (mOrders.isLoading()) {
+            Json.respondError(exchange, 503, "loading", "the engine loads its weights");
+            return;
+        }
         var request = ChatRequest.parse(exchange.body());
         var head =
                 AnswerHead.of(
--- a/src/main/java/org/fescueport/internal/standin/engine/Orders.java
+++ b/src/main/java/org/fescueport/internal/standin/engine/Orders.java
@@ -1,9 +1,13 @@
 package org.fescueport.internal.standin.engine;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.micrometer.core.instrument.Clock;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.fescueport.internal.http.HttpExchange;
 import org.fescueport.internal.standin.BadRequestException;
+import org.fescueport.internal.standin.FaultSwitch;
 import org.fescueport.internal.standin.Json;
 
 /** Orders that an engine carried out, with or without a check of the fencing token. */
@@ -16,14 +20,24 @@
     private final ArrayDeque<Order> mOrders = new ArrayDeque<>();
     private long mHighestToken;
     private long mRefused;
+    private final Clock mClock;
+    private final FaultSwitch mFaults;
+    private final IntSupplier mRunning;
     private String mVersion = "";
+    private long mLoadedAtNanos;
+    private long mCutOff;
 
-    private Orders(boolean checks) {
+    private Orders(boolean checks, Clock clock, FaultSwitch faults, IntSupplier running) {
         mChecks = checks;
+        mClock = clock;
+        mFaults = faults;
+        mRunning = running;
+        mLoadedAtNanos = clock.monotonicTime();
     }
 
-    static Orders create(boolean checks) {
-        return new Orders(checks);
+    /** Returns an engine's orders; {@code running} tells how many sequences it runs. */
+    static Orders create(boolean checks, Clock clock, FaultSwitch faults, IntSupplier running) {
+        return new Orders(checks, clock, faults, running);
     }
 
     void handle(HttpExchange exchange) throws BadRequestException {
@@ -38,13 +52,18 @@
         }
     }
 
-    /** Returns what the engine loaded last. */
+    /** Returns what the engine loaded last; empty while it loads. */
     synchronized String version() {
-        return mVersion;
+        return isLoading() ? "" : mVersion;
+    }
+
+    /** Returns whether the engine loads and serves nothing. */
+    synchronized boolean isLoading() {
+        return mClock.monotonicTime() - mLoadedAtNanos < 0;
     }
 
     synchronized ObjectNode toJson() {
-        var body = Json.object().put("refused", mRefused);
+        var body = Json.object().put("refused", mRefused).put("cutOff", mCutOff);
         var list = body.putArray("orders");
         mOrders.forEach(order -> list.add(Json.of(order)));
         return body;
@@ -58,6 +77,10 @@
         mHighestToken = Math.max(mHighestToken, order.fencingToken());
         if (order.kind().equals("load")) {
             mVersion = order.subject();
+            mLoadedAtNanos =
+                    mClock.monotonicTime()
+                            + TimeUnit.MILLISECONDS.toNanos(mFaults.current().loadMillis());
+            mCutOff += mRunning.getAsInt();
         }
         mOrders.add(order);
         if (mOrders.size() > KEPT_ORDERS) {
--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -23,5 +23,11 @@
     /** Asks for the KV cache of a prompt: the request's body; empty when it is no longer held. */
     public static final String KV_EXPORT = "kv-export";
 
+    /** An order to the agent's engine: an OrderCall, answered by an OrderAnswer. */
+    public static final String ORDER = "order";
+
+    /** Asks what the agent's engine serves: empty, answered by a ReplicaReport. */
+    public static final String REPLICA = "replica";
+
     private PeerCalls() {}
 }
--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -16,6 +16,7 @@
 import org.fescueport.internal.decision.RequestId;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.Frames;
+import org.fescueport.internal.wire.generated.Hello;
 import org.fescueport.internal.wire.generated.Submit;
 import org.fescueport.platform.Engine;
 import org.jmock.lib.concurrent.DeterministicScheduler;
@@ -63,6 +64,13 @@
         assertThat(mEngine.mListeners, is(empty()));
     }
 
+    @Test
+    void shouldRefuseWhileTheEngineServesNothing() {
+        mCore.onServing(Hello.newBuilder().setServesNothing(true).build());
+        mCore.onSubmit(FakeConnections.open(), submit());
+        assertThat(mEngine.mListeners, is(empty()));
+    }
+
     @Test
     void shouldNotRunAFrameThatWasHeldUpPastItsDeadline() {
         mClock.add(Duration.ofMinutes(1));
--- a/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
+++ b/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
@@ -37,6 +37,23 @@
         assertThat(mDirectory.replicas(at(1)), sameInstance(set));
     }
 
+    @Test
+    void shouldLeaveOutAReplicaThatServesNothingUntilItSaysSo() {
+        list(0, false);
+        mDirectory.onServesNothing(NODE, true, at(1));
+        assertThat(liveAt(2), is(0));
+        assertThat(mDirectory.listed(at(2)).size(), is(1));
+        mDirectory.onServesNothing(NODE, false, at(3));
+        assertThat(liveAt(3), is(1));
+    }
+
+    @Test
+    void shouldTryAReplicaAgainLongAfterItServedNothing() {
+        list(0, false);
+        mDirectory.onServesNothing(NODE, true, at(1));
+        assertThat(liveAt(62), is(1));
+    }
+
     @Test
     void shouldKeepAReplicaThatAnsweredWhenTheListFlaps() {
         list(0, false);
--- a/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
+++ b/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
@@ -71,6 +71,22 @@
         assertThat(mObeyed, is(empty()));
     }
 
+    @Test
+    void shouldRefuseAnOrderWhoseLeaseEndedWhileTheEngineWasMadeReady() {
+        var orders = orders(false);
+        var ready = new CompletableFuture<Void>();
+        orders.prepareBy(order -> ready);
+        claim("first", 0, 10_000);
+        var late = order(orders, 1);
+        advance(10_000);
+        claim("second", 1, 10_000);
+        ready.complete(null);
+        advance(100);
+        var failure = assertThrows(ExecutionException.class, late::get).getCause();
+        assertThat(failure.getMessage(), containsString("token 2 is newer"));
+        assertThat(mObeyed, is(empty()));
+    }
+
     @Test
     void shouldRefuseWhatWaitsWhenTheAgentStops() {
         var orders = orders(true);
--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -1,14 +1,19 @@
 package org.fescueport.scenarios;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URI;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.agent.AgentMain;
 import org.fescueport.internal.ctl.CtlMain;
@@ -32,6 +37,15 @@
      */
     record Size(int routers, int engines, int services, boolean killable, boolean proxied) {}
 
+    /**
+     * How a fleet that places its models begins; its engines are processes of their own.
+     *
+     * @param checksFencing whether the engines refuse orders with older tokens
+     * @param loaded engines that have an artifact loaded at the start
+     * @param loadMillis time that an engine takes to load
+     */
+    record Placement(boolean checksFencing, int loaded, String artifact, long loadMillis) {}
+
     /** A router and where callers reach it. */
     record Router(String name, Program program, String url) {}
 
@@ -40,10 +54,15 @@
 
     private static final String TOKEN_KEYS = "1:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY";
     private static final Path DECLARATIONS = Path.of("examples", "demo");
+
+    /** Bytes per second at which an artifact of the stand-in takes 2 s. */
+    private static final String RATE = "500000";
+
     private static final long READY_SECONDS = 30;
     private static final long READY_CHECK_MILLIS = 50;
 
     private final Size mSize;
+    private final Optional<Placement> mPlacement;
     private final List<SocketProxy> mProxies = new ArrayList<>();
     private final List<Program> mPrograms = new ArrayList<>();
     private final Map<String, String> mBackends = new LinkedHashMap<>();
@@ -53,20 +72,26 @@
     private String mLogUrl;
     private String mVmsUrl;
     private String mTracesUrl;
+    private String mWeightsUrl;
 
-    private Fleet(Size size) {
+    private Fleet(Size size, Optional<Placement> placement) {
         mSize = size;
+        mPlacement = placement;
+    }
+
+    static Fleet start(Size size) throws InterruptedException {
+        return start(size, Optional.empty());
     }
 
     /**
      * Starts a fleet and waits until its routers are ready, which know all agents by then: the list
      * of VMs is in an outage until it is complete.
      */
-    static Fleet start(Size size) throws InterruptedException {
-        var fleet = new Fleet(size);
+    static Fleet start(Size size, Optional<Placement> placement) throws InterruptedException {
+        var fleet = new Fleet(size, placement);
         try {
             fleet.startPlatform();
-            var publisher = fleet.publish();
+            var publisher = fleet.publishFirst();
             var routers = fleet.startRouters();
             fleet.startEngines();
             fleet.startAgents();
@@ -126,6 +151,7 @@
         mLogUrl = platform.awaitUrl("log");
         mVmsUrl = platform.awaitUrl("vms");
         Http.put(mVmsUrl + "/v1/faults", "{\"outage\":true}");
+        mWeightsUrl = platform.awaitUrl("weights");
         mTracesUrl = platform.awaitUrl("collector");
         for (int i = 1; i <= engines; i++) {
             mBackends.put("engine-" + i, platform.awaitUrl("engine-" + i));
@@ -139,19 +165,64 @@
         int count = mSize.killable() ? mSize.engines() : 0;
         for (int i = 1; i <= count; i++) {
             var name = "engine-" + i;
-            var arguments = List.of("engine", "--step-millis", "5");
+            var arguments = new ArrayList<>(List.of("engine", "--step-millis", "5"));
+            mPlacement.ifPresent(
+                    it -> arguments.addAll(List.of("--check-fencing", "" + it.checksFencing())));
             mEngines.put(name, start(name, StandinMain.class, arguments));
         }
         for (var engine : mEngines.entrySet()) {
             mBackends.put(engine.getKey(), engine.getValue().awaitUrl(""));
         }
+        mPlacement.ifPresent(this::load);
+    }
+
+    /** Publishes the declarations with another artifact of the model. */
+    void publishArtifact(String artifact) throws InterruptedException {
+        var publisher = publish(declarationsWith(artifact, mPlacement.get().checksFencing()));
+        assertThat("exit code of publish", publisher.awaitExit(READY_SECONDS), is(0));
+    }
+
+    private Program publishFirst() {
+        return publish(
+                mPlacement
+                        .map(it -> declarationsWith(it.artifact(), it.checksFencing()))
+                        .orElse(DECLARATIONS));
     }
 
-    private Program publish() {
-        var arguments = List.of("publish", "--log-url", mLogUrl, DECLARATIONS.toString());
+    private Program publish(Path declarations) {
+        var arguments = List.of("publish", "--log-url", mLogUrl, declarations.toString());
         return start("publish", CtlMain.class, arguments);
     }
 
+    private static Path declarationsWith(String artifact, boolean checksFencing) {
+        var fencing = "checksFencing: " + checksFencing;
+        try (var files = Files.list(DECLARATIONS)) {
+            var directory = Files.createTempDirectory("declarations");
+            for (var file : files.toList()) {
+                var text =
+                        Files.readString(file)
+                                .replaceAll("artifact: .*", "artifact: " + artifact)
+                                .replaceAll("checksFencing: .*", fencing);
+                Files.writeString(directory.resolve(file.getFileName()), text);
+            }
+            return directory;
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write declarations", e);
+        }
+    }
+
+    private void load(Placement placement) {
+        int loaded = 0;
+        for (var url : mBackends.values()) {
+            if (loaded++ < placement.loaded()) {
+                var order = Http.JSON.createObjectNode().put("kind", "load");
+                order.put("subject", placement.artifact()).put("fencingToken", 0);
+                Http.send("POST", url + "/v1/orders", order.toString(), Map.of()).join();
+            }
+            Http.put(url + "/v1/faults", "{\"loadMillis\":" + placement.loadMillis() + "}");
+        }
+    }
+
     private void startAgents() throws InterruptedException {
         var agents = new LinkedHashMap<String, Program>();
         for (var backend : mBackends.entrySet()) {
@@ -161,6 +232,9 @@
             arguments.addAll(List.of("--backend-kind", isModel ? "model" : "service"));
             arguments.addAll(List.of("--backend-url", backend.getValue()));
             arguments.addAll(List.of("--pool", poolOf(name)));
+            mPlacement.ifPresent(it -> arguments.addAll(List.of("--weights-url", mWeightsUrl)));
+            mPlacement.ifPresent(
+                    it -> arguments.addAll(List.of("--weights-bytes-per-second", RATE)));
             agents.put(name, start("agent-" + name, AgentMain.class, arguments));
         }
         for (var agent : agents.entrySet()) {
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -7,6 +7,7 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Steps on the fleet itself: starting, faults and planned stops. */
@@ -19,6 +20,10 @@
         return sFleet;
     }
 
+    static void start(Fleet.Size size, Fleet.Placement placement) throws InterruptedException {
+        sFleet = Fleet.start(size, Optional.of(placement));
+    }
+
     @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
     public void start(int routers, int engines, int services) throws InterruptedException {
         sFleet = Fleet.start(new Fleet.Size(routers, engines, services, false, false));
