--- a/src/main/java/org/fescueport/internal/router/Reasons.java
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -31,6 +31,8 @@
                     "deadline",
                     "leaving",
                     "overloaded",
+                    "answers_full",
+                    "backend_down",
                     "not_serving");
 
     private static final Set<String> FOR_LOAD = Set.of("load_bound", "queue_full", "deadline");
@@ -45,7 +47,9 @@
         return CALLERS_FAULT.containsKey(reason) || SAME_EVERYWHERE.contains(reason);
     }
 
-    /** Returns whether the replica is in good health and only has no room now. */
+    /**
+     * Returns whether the agent refused at once and cheaply, so that the next rank may be asked.
+     */
     static boolean isBusy(String reason) {
         return BUSY.contains(reason);
     }
