--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -34,6 +34,8 @@
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Credit;
+import org.fescueport.internal.wire.generated.Frame;
+import org.fescueport.internal.wire.generated.Hello;
 import org.fescueport.internal.wire.generated.Load;
 import org.fescueport.internal.wire.generated.Resume;
 import org.fescueport.internal.wire.generated.Submit;
@@ -90,6 +92,7 @@
     private int mActive;
     private boolean mIsBackendUp = true;
     private String mLeavingWhy = "";
+    private Frame mServesNothing;
 
     private AgentCore(
             Identity identity,
@@ -177,6 +180,9 @@
         var reason = reasonAgainst(submit);
         if (reason != null) {
             mRegister.refuse(id, reason, deadline, now);
+            if (mServesNothing != null) {
+                connection.send(mServesNothing);
+            }
             mRefusals.tellNotRun(connection, id, reason);
             return;
         }
@@ -272,6 +278,13 @@
         }
     }
 
+    /** Takes the hello that tells whether the engine serves, and tells the routers. */
+    void onServing(Hello hello) {
+        var frame = Frame.newBuilder().setHello(hello).build();
+        mServesNothing = hello.getServesNothing() ? frame : null;
+        mConnections.forEach(connection -> connection.send(frame));
+    }
+
     boolean isLeaving() {
         return !mLeavingWhy.isEmpty();
     }
@@ -328,6 +341,9 @@
         if (isLeaving()) {
             return RefusalReason.LEAVING;
         }
+        if (mServesNothing != null) {
+            return RefusalReason.NOT_SERVING;
+        }
         return mIsBackendUp ? null : RefusalReason.BACKEND_DOWN;
     }
 
--- a/src/main/java/org/fescueport/internal/router/Reasons.java
+++ b/src/main/java/org/fescueport/internal/router/Reasons.java
@@ -32,7 +32,8 @@
                     "leaving",
                     "overloaded",
                     "answers_full",
-                    "backend_down");
+                    "backend_down",
+                    "not_serving");
 
     private static final Set<String> FOR_LOAD = Set.of("load_bound", "queue_full", "deadline");
 
