Take the agent's own state out of the core

Change: SubmitGuard knows whether the agent leaves, its backend server is up and its engine serves, and tells what speaks against a request. Conclusion: no behaviour changed.

--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -39,8 +39,6 @@
 import org.fescueport.internal.wire.generated.Load;
 import org.fescueport.internal.wire.generated.Resume;
 import org.fescueport.internal.wire.generated.Submit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Decides and follows every attempt at one backend server.
@@ -49,7 +47,6 @@
  * events are handed to it.
  */
 final class AgentCore {
-    private static final Logger LOG = LoggerFactory.getLogger(AgentCore.class);
     private static final Duration KEEP_ANSWER = Duration.ofSeconds(30);
     private static final AttemptRegister.Limits REGISTER_LIMITS =
             new AttemptRegister.Limits(250_000, 50_000, Duration.ofMinutes(2).toNanos());
@@ -62,13 +59,13 @@
     private static final double PREFILL_PER_SECOND = 20_000;
 
     private static final double DECODE_PER_SECOND = 50;
-    private static final Duration CLOCK_SKEW = Duration.ofSeconds(1);
     private static final String BACKEND_LOST = "backend_lost";
 
     /** Who this agent is. */
     record Identity(String node, long incarnation, String failureDomain) {}
 
     private final Identity mIdentity;
+    private final SubmitGuard mGuard;
     private final Backend mBackend;
     private final Executor mLoop;
     private final Clock mClock;
@@ -90,9 +87,6 @@
     private final ArrayDeque<Run> mEnded = new ArrayDeque<>();
     private final Set<FrameConnection> mConnections = new HashSet<>();
     private int mActive;
-    private boolean mIsBackendUp = true;
-    private String mLeavingWhy = "";
-    private Frame mServesNothing;
 
     private AgentCore(
             Identity identity,
@@ -103,6 +97,7 @@
             Clock clock,
             Telemetry telemetry) {
         mIdentity = identity;
+        mGuard = SubmitGuard.of(identity, clock);
         mBackend = backend;
         var bound = LoadBound.of(DEFAULT_LOAD_BOUND, FLOOR_TOKENS);
         mQueue = AdmissionQueue.create(new AdmissionLimits(inFlight, queue, bound), mSpeeds);
@@ -177,13 +172,11 @@
         var id = Frames.idOf(submit.getKey());
         long now = now();
         long deadline = now + TimeUnit.MILLISECONDS.toNanos(submit.getDeadlineInMs());
-        var reason = reasonAgainst(submit);
-        if (reason != null) {
-            mRegister.refuse(id, reason, deadline, now);
-            if (mServesNothing != null) {
-                connection.send(mServesNothing);
-            }
-            mRefusals.tellNotRun(connection, id, reason);
+        var reason = mGuard.reasonAgainst(submit);
+        if (reason.isPresent()) {
+            mRegister.refuse(id, reason.get(), deadline, now);
+            mGuard.remind(connection);
+            mRefusals.tellNotRun(connection, id, reason.get());
             return;
         }
         switch (mRegister.submit(id, !submit.getNotRepeatable(), deadline, now)) {
@@ -266,11 +259,9 @@
 
     /** Says that the agent leaves: refuses new work from now on and tells the routers. */
     void leave(String why) {
-        if (!mLeavingWhy.isEmpty()) {
+        if (!mGuard.leave(why)) {
             return;
         }
-        mLeavingWhy = why;
-        LOG.info("{} is leaving: {}", mIdentity.node(), why);
         var frame = AgentFrames.leaving(mIdentity.incarnation(), why);
         mConnections.forEach(connection -> connection.send(frame));
         if (mHandover != null) {
@@ -281,12 +272,12 @@
     /** Takes the hello that tells whether the engine serves, and tells the routers. */
     void onServing(Hello hello) {
         var frame = Frame.newBuilder().setHello(hello).build();
-        mServesNothing = hello.getServesNothing() ? frame : null;
+        mGuard.onServesNothing(hello.getServesNothing() ? Optional.of(frame) : Optional.empty());
         mConnections.forEach(connection -> connection.send(frame));
     }
 
     boolean isLeaving() {
-        return !mLeavingWhy.isEmpty();
+        return mGuard.isLeaving();
     }
 
     /** Returns the attempts that wait or run. */
@@ -295,14 +286,7 @@
     }
 
     void onHealth(boolean up) {
-        if (up != mIsBackendUp) {
-            LOG.info("backend server of {} is {}", mIdentity.node(), up ? "up" : "down");
-        }
-        mIsBackendUp = up;
-    }
-
-    boolean isBackendUp() {
-        return mIsBackendUp;
+        mGuard.onHealth(up);
     }
 
     /** Drops what is over: waiting work past its deadline, answers past their time. */
@@ -330,31 +314,6 @@
                 .build();
     }
 
-    private RefusalReason reasonAgainst(Submit submit) {
-        long expected = submit.getExpectedIncarnation();
-        if (expected != 0 && expected != mIdentity.incarnation()) {
-            return RefusalReason.OTHER_INCARNATION;
-        }
-        if (isHeldUp(submit)) {
-            return RefusalReason.DEADLINE_PASSED;
-        }
-        if (isLeaving()) {
-            return RefusalReason.LEAVING;
-        }
-        if (mServesNothing != null) {
-            return RefusalReason.NOT_SERVING;
-        }
-        return mIsBackendUp ? null : RefusalReason.BACKEND_DOWN;
-    }
-
-    /**
-     * Tells a frame that waited in a frozen process or a cut connection until its time was over.
-     */
-    private boolean isHeldUp(Submit submit) {
-        long latest = submit.getDeadlineWallMs() + CLOCK_SKEW.toMillis();
-        return submit.getDeadlineWallMs() > 0 && mClock.wallTime() > latest;
-    }
-
     private void admit(FrameConnection connection, AttemptId id, Submit submit, long deadline) {
         var span = mTelemetry.startSpan("agent.run", SpanKind.SERVER, submit.getTraceparent());
         var run = Run.of(id, submit, span, deadline, connection);
