--- a/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
+++ b/src/test/java/org/fescueport/internal/agent/AgentCoreTest.java
@@ -19,6 +19,7 @@
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Frame;
+import org.fescueport.internal.wire.generated.Hello;
 import org.fescueport.internal.wire.generated.Submit;
 import org.fescueport.platform.Engine;
 import org.fescueport.platform.PlatformException;
@@ -67,6 +68,13 @@
         assertThat(mEngine.mListeners, is(empty()));
     }
 
+    @Test
+    void shouldRefuseWhileTheEngineServesNothing() {
+        mCore.onServing(Hello.newBuilder().setServesNothing(true).build());
+        mCore.onSubmit(FakeConnections.open(), submit());
+        assertThat(mEngine.mListeners, is(empty()));
+    }
+
     @Test
     void shouldSayThatTheBackendServerIsDownRegressionOfOverloaded() {
         var channel = new EmbeddedChannel();
