--- a/src/main/java/org/fescueport/internal/load/experiment/FakeReplica.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/FakeReplica.java
@@ -134,6 +134,11 @@
         mListener.onLoad(this);
     }
 
+    void revive() {
+        mAlive = true;
+        mListener.onLoad(this);
+    }
+
     private void start(Job job) {
         var id = job.attemptId();
         job.mCachedTokens =
--- a/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Fleet.java
@@ -165,6 +165,16 @@
         mTime.after(mSettings.listLagNanos(), this::publishList);
     }
 
+    /** The first failure domain is there again, with its caches, before any list has changed. */
+    void returnFirstDomain() {
+        for (var replica : mReplicas) {
+            if (!replica.mAlive && replica.mNumber % mSettings.domains() == 0) {
+                replica.revive();
+                mLive.add(replica);
+            }
+        }
+    }
+
     void join() {
         add();
         publishList();
