--- a/src/test/java/org/fescueport/internal/load/MeasuresCommandTest.java
+++ b/src/test/java/org/fescueport/internal/load/MeasuresCommandTest.java
@@ -41,4 +41,15 @@
         assertThat(report.path("cache_reuse").asDouble(), is(0.9));
         assertThat(report.path("skew_bound").isNull(), is(true));
     }
+
+    @Test
+    void shouldNameTheReuseOfEachBaseline() throws IOException {
+        JsonNode none = JSON.createObjectNode();
+        JsonNode experiment =
+                JSON.readTree("{\"cache_reuse_baselines\":{\"random\":0.1,\"least_load\":0.2}}");
+
+        JsonNode report = MeasuresCommand.gather(none, none, experiment);
+
+        assertThat(report.at("/cache_reuse_baselines/least_load").asDouble(), is(0.2));
+    }
 }
