Split the stand-in engine's prompts without a regular expression

Cause: of 179 samples of the stand-in at 300 requests a second (JFR) 16 were in ChatRequest.tokenHashes, mostly in the regular expression that split each prompt. Ruled out: the step loop (34 samples for all of decoding and sending). Change: a scan for the same white space; the hashes are the same. EngineHandlerTest passes. Conclusion: kept for its lower allocation; the speed of the stand-in is open.

--- a/src/main/java/org/fescueport/internal/standin/engine/ChatRequest.java
+++ b/src/main/java/org/fescueport/internal/standin/engine/ChatRequest.java
@@ -3,8 +3,8 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
-import java.util.stream.LongStream;
 import org.fescueport.internal.standin.BadRequestException;
 import org.fescueport.internal.standin.Json;
 
@@ -59,13 +59,22 @@
 
     /** Returns a hash of each word of {@code text}. */
     static long[] tokenHashes(String text) {
-        var hashes = LongStream.builder();
-        for (var word : text.split("\\s+")) {
-            if (!word.isEmpty()) {
-                hashes.add(Hashing.xxh3_64().hashCharsToLong(word));
+        var hashes = new long[(text.length() + 1) / 2];
+        int count = 0;
+        int begin = 0;
+        for (int i = 0; i <= text.length(); i++) {
+            if (i == text.length() || isSpace(text.charAt(i))) {
+                if (i > begin) {
+                    hashes[count++] = Hashing.xxh3_64().hashCharsToLong(text.substring(begin, i));
+                }
+                begin = i + 1;
             }
         }
-        return hashes.build().toArray();
+        return Arrays.copyOf(hashes, count);
+    }
+
+    private static boolean isSpace(char letter) {
+        return letter == ' ' || letter >= '\t' && letter <= '\r';
     }
 
     /** Returns the tokens that are still to be generated. */
