Send the frames that wait for the I/O thread with one wake-up

Cause: every frame that the agent's loop sent woke the I/O thread (a system call), made a task for the write, one for the flush's listener and a future that nobody read. 15 of 242 samples of the agent at 300 requests a second (JFR) were in the selector's wake-up, most of them from FrameConnection.send. Ruled out: frames sent on the I/O thread itself: their flushes were consolidated before. Change: frames go into a queue; one task writes what is there and flushes once. Before: FrameConnectionTest saw 100 flushes for 100 frames. After: it sees at most 2. Conclusion: its use at 1,600 a second is still to be measured.

--- a/src/main/java/org/fescueport/internal/wire/FrameConnection.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameConnection.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
-import java.util.concurrent.CompletableFuture;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fescueport.internal.wire.generated.Frame;
 
@@ -10,6 +13,8 @@
 public final class FrameConnection {
     private final Channel mChannel;
     private final AtomicLong mSentBytes;
+    private final Queue<Frame> mOutgoing = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean mIsWriting = new AtomicBoolean();
     private volatile Object mAttachment;
 
     private FrameConnection(Channel channel, AtomicLong sentBytes) {
@@ -27,24 +32,37 @@
     }
 
     /**
-     * Sends a frame. The future tells when it was handed to the operating system, which is no
-     * evidence that the peer has it.
+     * Sends a frame. That it was sent is no evidence that the peer has it: the listener hears when
+     * the connection is lost.
      */
-    public CompletableFuture<Void> send(Frame frame) {
+    public void send(Frame frame) {
         mSentBytes.addAndGet(frame.getSerializedSize());
-        var sent = new CompletableFuture<Void>();
-        mChannel.writeAndFlush(frame)
-                .addListener(
-                        done -> {
-                            if (done.isSuccess()) {
-                                sent.complete(null);
-                            } else {
-                                sent.completeExceptionally(
-                                        WireException.of(
-                                                "could not send to " + this, done.cause()));
-                            }
-                        });
-        return sent;
+        mOutgoing.add(frame);
+        if (mChannel.eventLoop().inEventLoop()) {
+            writeOutgoing();
+        } else if (mIsWriting.compareAndSet(false, true)) {
+            wakeWriter();
+        }
+    }
+
+    /** Frames that are sent until the I/O thread comes to them share one wake-up and one flush. */
+    private void wakeWriter() {
+        try {
+            mChannel.eventLoop().execute(this::writeOutgoing);
+        } catch (RejectedExecutionException e) {
+            // The transport is closed, and so is this connection.
+            mOutgoing.clear();
+        }
+    }
+
+    private void writeOutgoing() {
+        mIsWriting.set(false);
+        Frame frame = mOutgoing.poll();
+        while (frame != null) {
+            mChannel.write(frame);
+            frame = mOutgoing.poll();
+        }
+        mChannel.flush();
     }
 
     /** Returns whether the connection is open. */
