Keep the future of a sent frame

Change: each queued frame carries its future, completed on the I/O thread; the batching stays. The test is unchanged. Conclusion: done.

--- a/src/main/java/org/fescueport/internal/wire/FrameConnection.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -11,9 +12,11 @@
 
 /** An open connection between two processes of the fleet; safe to use from any thread. */
 public final class FrameConnection {
+    private record Outgoing(Frame frame, CompletableFuture<Void> sent) {}
+
     private final Channel mChannel;
     private final AtomicLong mSentBytes;
-    private final Queue<Frame> mOutgoing = new ConcurrentLinkedQueue<>();
+    private final Queue<Outgoing> mOutgoing = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean mIsWriting = new AtomicBoolean();
     private volatile Object mAttachment;
 
@@ -32,17 +35,19 @@
     }
 
     /**
-     * Sends a frame. That it was sent is no evidence that the peer has it: the listener hears when
-     * the connection is lost.
+     * Sends a frame. The future tells when it was handed to the operating system, which is no
+     * evidence that the peer has it.
      */
-    public void send(Frame frame) {
+    public CompletableFuture<Void> send(Frame frame) {
         mSentBytes.addAndGet(frame.getSerializedSize());
-        mOutgoing.add(frame);
+        var outgoing = new Outgoing(frame, new CompletableFuture<>());
+        mOutgoing.add(outgoing);
         if (mChannel.eventLoop().inEventLoop()) {
             writeOutgoing();
         } else if (mIsWriting.compareAndSet(false, true)) {
             wakeWriter();
         }
+        return outgoing.sent();
     }
 
     /** Frames that are sent until the I/O thread comes to them share one wake-up and one flush. */
@@ -50,21 +55,38 @@
         try {
             mChannel.eventLoop().execute(this::writeOutgoing);
         } catch (RejectedExecutionException e) {
-            // The transport is closed, and so is this connection.
-            mOutgoing.clear();
+            mIsWriting.set(false);
+            Outgoing lost = mOutgoing.poll();
+            while (lost != null) {
+                lost.sent().completeExceptionally(notSent(e));
+                lost = mOutgoing.poll();
+            }
         }
     }
 
     private void writeOutgoing() {
         mIsWriting.set(false);
-        Frame frame = mOutgoing.poll();
-        while (frame != null) {
-            mChannel.write(frame);
-            frame = mOutgoing.poll();
+        Outgoing next = mOutgoing.poll();
+        while (next != null) {
+            var sent = next.sent();
+            mChannel.write(next.frame())
+                    .addListener(
+                            done -> {
+                                if (done.isSuccess()) {
+                                    sent.complete(null);
+                                } else {
+                                    sent.completeExceptionally(notSent(done.cause()));
+                                }
+                            });
+            next = mOutgoing.poll();
         }
         mChannel.flush();
     }
 
+    private WireException notSent(Throwable cause) {
+        return WireException.of("could not send to " + this, cause);
+    }
+
     /** Returns whether the connection is open. */
     public boolean isOpen() {
         return mChannel.isActive();
