--- a/src/main/java/org/fescueport/internal/wire/FrameConnection.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameConnection.java
@@ -2,14 +2,22 @@
 
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.fescueport.internal.wire.generated.Frame;
 
 /** An open connection between two processes of the fleet; safe to use from any thread. */
 public final class FrameConnection {
+    private record Outgoing(Frame frame, CompletableFuture<Void> sent) {}
+
     private final Channel mChannel;
     private final AtomicLong mSentBytes;
+    private final Queue<Outgoing> mOutgoing = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean mIsWriting = new AtomicBoolean();
     private volatile Object mAttachment;
 
     private FrameConnection(Channel channel, AtomicLong sentBytes) {
@@ -32,19 +40,51 @@
      */
     public CompletableFuture<Void> send(Frame frame) {
         mSentBytes.addAndGet(frame.getSerializedSize());
-        var sent = new CompletableFuture<Void>();
-        mChannel.writeAndFlush(frame)
-                .addListener(
-                        done -> {
-                            if (done.isSuccess()) {
-                                sent.complete(null);
-                            } else {
-                                sent.completeExceptionally(
-                                        WireException.of(
-                                                "could not send to " + this, done.cause()));
-                            }
-                        });
-        return sent;
+        var outgoing = new Outgoing(frame, new CompletableFuture<>());
+        mOutgoing.add(outgoing);
+        if (mChannel.eventLoop().inEventLoop()) {
+            writeOutgoing();
+        } else if (mIsWriting.compareAndSet(false, true)) {
+            wakeWriter();
+        }
+        return outgoing.sent();
+    }
+
+    /** Frames that are sent until the I/O thread comes to them share one wake-up and one flush. */
+    private void wakeWriter() {
+        try {
+            mChannel.eventLoop().execute(this::writeOutgoing);
+        } catch (RejectedExecutionException e) {
+            mIsWriting.set(false);
+            Outgoing lost = mOutgoing.poll();
+            while (lost != null) {
+                lost.sent().completeExceptionally(notSent(e));
+                lost = mOutgoing.poll();
+            }
+        }
+    }
+
+    private void writeOutgoing() {
+        mIsWriting.set(false);
+        Outgoing next = mOutgoing.poll();
+        while (next != null) {
+            var sent = next.sent();
+            mChannel.write(next.frame())
+                    .addListener(
+                            done -> {
+                                if (done.isSuccess()) {
+                                    sent.complete(null);
+                                } else {
+                                    sent.completeExceptionally(notSent(done.cause()));
+                                }
+                            });
+            next = mOutgoing.poll();
+        }
+        mChannel.flush();
+    }
+
+    private WireException notSent(Throwable cause) {
+        return WireException.of("could not send to " + this, cause);
     }
 
     /** Returns whether the connection is open. */
