Tell "not run" in the header of requests that a router refuses itself

Cause: docs/CALLERS.md says that Fescue-Outcome is not_run with 400, but requests refused before they were placed had no such header. Ruled out: the header on GET /v1/answers too; what it resumes may have run. Change: POST resources tell not_run with every refusal of the request itself.

--- a/src/main/java/org/fescueport/internal/router/CallerApi.java
+++ b/src/main/java/org/fescueport/internal/router/CallerApi.java
@@ -3,10 +3,12 @@
 import io.micrometer.core.instrument.Clock;
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.Declarations;
+import org.fescueport.internal.decision.Outcome;
 import org.fescueport.internal.http.HttpExchange;
 import org.fescueport.internal.http.JsonError;
 import org.fescueport.internal.http.Routes;
@@ -130,10 +132,18 @@
         } catch (RequestException e) {
             mContext.counters().onRejected(e.type());
             span.end();
-            JsonError.respond(exchange, e.status(), e.type(), e.getMessage());
+            var headers = outcomeOf(exchange);
+            JsonError.respond(exchange, e.status(), e.type(), e.getMessage(), headers);
         }
     }
 
+    /** What a GET resumes may have run; a sending that is refused here surely did not. */
+    private static Map<String, String> outcomeOf(HttpExchange exchange) {
+        return exchange.method().equals("POST")
+                ? Map.of("Fescue-Outcome", Failure.nameOf(Outcome.NOT_RUN))
+                : Map.of();
+    }
+
     private void start(HttpExchange exchange, CallerRequest request, Answer answer, Span span) {
         mContext.counters().onRequest(request.team().id().name());
         mActive.incrementAndGet();
