Change the key of tickets and tokens through the configuration

Cause: the keys were read at the start only; a change took three rounds of restarts, and nobody could say from when on an old key is refused everywhere. Ruled out: secrets in declarations, clear or encrypted (decision record 0302). Records with it have format 2, so an older release knows that it can't read them. Before: there was no such kind and no such file. Conclusion: 255 changes, then all nodes need a new file at once.

--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -38,8 +38,7 @@
 import org.fescueport.internal.platform.HttpPlainService;
 import org.fescueport.internal.platform.HttpVmList;
 import org.fescueport.internal.security.NodeTls;
-import org.fescueport.internal.security.SealedTokens;
-import org.fescueport.internal.security.TokenKeyRing;
+import org.fescueport.internal.security.TokenKeys;
 import org.fescueport.internal.settings.ProgramCommand;
 import org.fescueport.internal.supervision.RestartPolicy;
 import org.fescueport.internal.supervision.Supervisor;
@@ -71,6 +70,7 @@
     private final ScheduledThreadPoolExecutor mTimers = new ScheduledThreadPoolExecutor(1);
     private final Telemetry mTelemetry;
     private final AsyncHttpCaller mHttpCaller;
+    private final TokenKeys mTokenKeys;
     private final NodeTls mTls;
     private final FrameTransport mTransport;
     private final Backend mBackend;
@@ -95,6 +95,8 @@
         mLoop.setRemoveOnCancelPolicy(true);
         mTelemetry = Telemetry.create("fescue-agent", node.node(), node.tracesUrl(), mClock);
         mHttpCaller = AsyncHttpCaller.create(HttpCallerSettings.defaults());
+        mTokenKeys =
+                TokenKeys.create(node.tokenKeysFile(), node.tokenKeys(), mTelemetry.registry());
         mTls = NodeTls.create(node.tls(), Optional.empty(), mClock, mTelemetry.registry());
         mTransport =
                 FrameTransport.create(WIRE_THREADS, mTls::server, mTls::client, mTls::onRefused);
@@ -112,6 +114,7 @@
                         mTelemetry.registry(),
                         FollowerSettings.DEFAULT,
                         mIncarnation);
+        mConfig.addListener(mTokenKeys::use);
         mConnections = connections();
         mSources.use(mConnections);
         mDecider =
@@ -228,11 +231,10 @@
         var claims =
                 AtMostOnce.start(self, deciders::of, mClock, mTimers, settings, new SecureRandom());
         var address = mAddress.getHostString() + ":" + mAddress.getPort();
-        var keys = TokenKeyRing.parse(mSettings.node().tokenKeys());
         return KeyedRuns.create(
                 claims,
                 OwnerBoundKeys.create(self, address, MAX_OWNED_KEYS, mClock),
-                SealedTokens.of(keys),
+                mTokenKeys.tokens(),
                 mConfig::declarations,
                 settings.window(),
                 mClock,
@@ -274,6 +276,9 @@
                 .add(Worker.periodic("mean", GOSSIP_INTERVAL, mLoop, mGossip::round))
                 .add(Worker.periodic("probes", PROBE_INTERVAL, mTimers, mConnections::probe))
                 .add(Worker.of("snapshots", onFailure -> startSnapshots()))
+                .add(
+                        Worker.periodic(
+                                "token-keys", NodeTls.LOOK_INTERVAL, mTimers, mTokenKeys::look))
                 .add(Worker.periodic("tls-files", NodeTls.LOOK_INTERVAL, mTimers, mTls::look))
                 .add(Worker.of("admin", onFailure -> startAdmin()))
                 .add(Worker.of("frames", onFailure -> startFrames()));
--- a/src/main/java/org/fescueport/internal/ctl/FileText.java
+++ b/src/main/java/org/fescueport/internal/ctl/FileText.java
@@ -1,9 +1,11 @@
 package org.fescueport.internal.ctl;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.TreeSet;
 import org.fescueport.internal.decision.OperationDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 import org.fescueport.internal.decision.WorkKind;
 import org.fescueport.internal.decision.config.DeclarationFile;
 
@@ -19,6 +21,7 @@
             case DeclarationFile.ModelFile f -> text.add(f);
             case DeclarationFile.ServiceFile f -> text.add(f);
             case DeclarationFile.TeamsFile f -> f.teams().values().forEach(text::add);
+            case DeclarationFile.TokenKeysFile f -> text.add(f.keys());
         }
         return List.copyOf(text.mLines);
     }
@@ -51,6 +54,12 @@
         team.targets().forEach(target -> line(where + ".targets", target));
     }
 
+    private void add(TokenKeyDeclaration keys) {
+        line("signs", keys.signs());
+        keys.acceptedUntilMillis()
+                .forEach((id, until) -> line("accepted." + id, Instant.ofEpochMilli(until)));
+    }
+
     private void line(String name, Object value) {
         mLines.add(name + ": " + value);
     }
--- a/src/main/java/org/fescueport/internal/decision/Declarations.java
+++ b/src/main/java/org/fescueport/internal/decision/Declarations.java
@@ -16,24 +16,27 @@
  * <p>Immutable: a node replaces it whole when it applies a newer version.
  */
 public final class Declarations {
-    private static final Declarations NONE = of(0, Map.of(), Map.of(), Map.of());
+    private static final Declarations NONE = of(0, Map.of(), Map.of(), Map.of(), Optional.empty());
 
     private final long mVersion;
     private final Map<String, ModelDeclaration> mModels;
     private final Map<String, ServiceDeclaration> mServices;
     private final Map<TeamId, TeamDeclaration> mTeams;
     private final Map<String, TeamDeclaration> mTeamsByKeyHash;
+    private final Optional<TokenKeyDeclaration> mTokenKeys;
 
     private Declarations(
             long version,
             Map<String, ModelDeclaration> models,
             Map<String, ServiceDeclaration> services,
-            Map<TeamId, TeamDeclaration> teams) {
+            Map<TeamId, TeamDeclaration> teams,
+            Optional<TokenKeyDeclaration> tokenKeys) {
         mVersion = version;
         mModels = Map.copyOf(models);
         mServices = Map.copyOf(services);
         mTeams = Map.copyOf(teams);
         mTeamsByKeyHash = byKeyHash(mTeams);
+        mTokenKeys = tokenKeys;
     }
 
     /** Returns declarations with nothing in them, at version 0. */
@@ -47,7 +50,17 @@
             Map<String, ModelDeclaration> models,
             Map<String, ServiceDeclaration> services,
             Map<TeamId, TeamDeclaration> teams) {
-        return new Declarations(version, models, services, teams);
+        return of(version, models, services, teams, Optional.empty());
+    }
+
+    /** Returns declarations that rule the keys of tokens too, where these are declared. */
+    public static Declarations of(
+            long version,
+            Map<String, ModelDeclaration> models,
+            Map<String, ServiceDeclaration> services,
+            Map<TeamId, TeamDeclaration> teams,
+            Optional<TokenKeyDeclaration> tokenKeys) {
+        return new Declarations(version, models, services, teams, tokenKeys);
     }
 
     /** Returns the version, an offset in the log; 0 before the first. */
@@ -70,6 +83,11 @@
         return mTeams;
     }
 
+    /** Returns what is declared of the keys that sign tokens. */
+    public Optional<TokenKeyDeclaration> tokenKeys() {
+        return mTokenKeys;
+    }
+
     /** Returns the team that holds this API key. */
     public Optional<TeamDeclaration> teamOfKey(String apiKey) {
         return Optional.ofNullable(mTeamsByKeyHash.get(hashOfKey(apiKey)));
--- a/src/main/java/org/fescueport/internal/decision/config/ClashIndex.java
+++ b/src/main/java/org/fescueport/internal/decision/config/ClashIndex.java
@@ -6,11 +6,12 @@
 import java.util.Map;
 import org.fescueport.internal.decision.TeamDeclaration;
 
-/** Who owns what may be declared once only: pools, teams and API keys. */
+/** Who owns what may be declared once only: pools, teams, API keys and the keys of tokens. */
 final class ClashIndex {
     private final Map<String, String> mPools = new HashMap<>();
     private final Map<String, String> mTeams = new HashMap<>();
     private final Map<String, String> mKeys = new HashMap<>();
+    private String mTokenKeysFile = "";
 
     /** Returns why {@code file} can't stand beside the files already added; empty if it can. */
     List<String> clashesOf(DeclarationFile file) {
@@ -22,6 +23,11 @@
                     poolClash(f.name(), f.service().pool().name(), clashes);
             case DeclarationFile.TeamsFile f ->
                     f.teams().values().forEach(team -> teamClashes(f.name(), team, clashes));
+            case DeclarationFile.TokenKeysFile f -> {
+                if (!mTokenKeysFile.isEmpty() && !mTokenKeysFile.equals(f.name())) {
+                    clashes.add("tokenKeys are already declared in " + mTokenKeysFile);
+                }
+            }
         }
         return clashes;
     }
@@ -32,6 +38,7 @@
             case DeclarationFile.ServiceFile f -> mPools.put(f.service().pool().name(), f.name());
             case DeclarationFile.TeamsFile f ->
                     f.teams().values().forEach(t -> addTeam(f.name(), t));
+            case DeclarationFile.TokenKeysFile f -> mTokenKeysFile = f.name();
         }
     }
 
@@ -41,6 +48,7 @@
             case DeclarationFile.ServiceFile f ->
                     mPools.remove(f.service().pool().name(), f.name());
             case DeclarationFile.TeamsFile f -> f.teams().values().forEach(this::removeTeam);
+            case DeclarationFile.TokenKeysFile f -> mTokenKeysFile = "";
         }
     }
 
--- a/src/main/java/org/fescueport/internal/decision/config/CrossCheck.java
+++ b/src/main/java/org/fescueport/internal/decision/config/CrossCheck.java
@@ -57,6 +57,9 @@
                     f.teams().keySet().forEach(t -> mTeams.add(t.name()));
             case DeclarationFile.ModelFile f -> mTargets.add(f.name());
             case DeclarationFile.ServiceFile f -> mTargets.add(f.name());
+            case DeclarationFile.TokenKeysFile f -> {
+                // Nothing can name it.
+            }
         }
     }
 
@@ -66,6 +69,9 @@
             case DeclarationFile.ServiceFile f -> checkGrants(file, f.teams());
             case DeclarationFile.TeamsFile f ->
                     f.teams().values().forEach(team -> checkTargets(file, team.targets()));
+            case DeclarationFile.TokenKeysFile f -> {
+                // Names nothing.
+            }
         }
     }
 
@@ -91,6 +97,9 @@
         if (clash.startsWith("pool ")) {
             return "pool";
         }
+        if (clash.startsWith("tokenKeys ")) {
+            return "kind";
+        }
         var words = clash.split(" ", -1);
         var team = clash.startsWith("team ") ? words[1] : words[4];
         return file.lines().containsKey("team:" + team) ? "team:" + team : "name";
--- a/src/main/java/org/fescueport/internal/decision/config/DeclarationFile.java
+++ b/src/main/java/org/fescueport/internal/decision/config/DeclarationFile.java
@@ -7,6 +7,7 @@
 import org.fescueport.internal.decision.ServiceDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 
 /** What one file declares. A file's name is unique over all kinds, and is what is published. */
 public sealed interface DeclarationFile {
@@ -45,6 +46,9 @@
         }
     }
 
+    /** The keys that sign tokens; at most one file declares them. */
+    record TokenKeysFile(String name, TokenKeyDeclaration keys) implements DeclarationFile {}
+
     /** Teams that several models and services share. */
     record TeamsFile(String name, Map<TeamId, TeamDeclaration> teams) implements DeclarationFile {
         public TeamsFile {
--- a/src/main/java/org/fescueport/internal/decision/config/DeclarationParser.java
+++ b/src/main/java/org/fescueport/internal/decision/config/DeclarationParser.java
@@ -16,6 +16,7 @@
 import org.fescueport.internal.decision.ServiceDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 import org.fescueport.internal.decision.WorkKind;
 
 /**
@@ -32,7 +33,7 @@
     public static final int SCHEMA = 1;
 
     /** Kinds of a file. */
-    private static final String KINDS = "model, service or teams";
+    private static final String KINDS = "model, service, teams or tokenKeys";
 
     private static final int PRIORITY_MAX = 7;
     private static final int REPLICAS_MAX = 10_000;
@@ -42,6 +43,7 @@
     private static final double WEIGHT_MAX = 1_000_000;
     private static final Duration DEADLINE_MAX = Duration.ofDays(1);
     private static final Duration KEY_WINDOW_MAX = Duration.ofDays(1);
+    private static final Pattern TOKEN_KEY_ID = Pattern.compile("[0-9]{1,3}");
     private static final Pattern KEY_HASH = Pattern.compile("[0-9a-f]{64}");
 
     private final String mPath;
@@ -79,6 +81,7 @@
             case "model" -> model(root);
             case "service" -> service(root);
             case "teams" -> teams(root);
+            case "tokenKeys" -> tokenKeys(root);
             case "" -> null;
             default -> {
                 var why = "there is no such kind";
@@ -163,6 +166,34 @@
         return DeclarationFile.TeamsFile.of(name, teams);
     }
 
+    private DeclarationFile tokenKeys(YamlNode root) {
+        var fields = fields("token keys", root, "schema", "kind", "name", "signs", "accepted");
+        mLines.put("kind", fields.lineOf("kind"));
+        var name = named(fields);
+        var signs = fields.integer("signs", 0, TokenKeyDeclaration.MAX_ID);
+        var keys = new TokenKeyDeclaration(signs, acceptedKeys(fields, signs));
+        return new DeclarationFile.TokenKeysFile(name, keys);
+    }
+
+    private Map<Integer, Long> acceptedKeys(Fields keys, int signs) {
+        var accepted = new HashMap<Integer, Long>();
+        if (!keys.has("accepted")) {
+            return accepted;
+        }
+        var fields = fields("accepted", keys.node("accepted"));
+        for (var entry : fields.entries()) {
+            var isId = TOKEN_KEY_ID.matcher(entry.key()).matches();
+            var id = isId ? Integer.parseInt(entry.key()) : signs;
+            if (id == signs || id > TokenKeyDeclaration.MAX_ID) {
+                var why = "it must be the id of a former key";
+                fields.problem(entry.line(), "key " + entry.key(), why, "0 to 255, not " + signs);
+            } else {
+                accepted.put(id, fields.time(entry.key()));
+            }
+        }
+        return accepted;
+    }
+
     private TeamDeclaration team(Fields teams, YamlNode.Entry entry, Map<String, String> holders) {
         var name = teams.entryName(entry, "team");
         mLines.put("team:" + name, entry.line());
--- a/src/main/java/org/fescueport/internal/decision/config/DeclarationsBuilder.java
+++ b/src/main/java/org/fescueport/internal/decision/config/DeclarationsBuilder.java
@@ -4,12 +4,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.decision.Declarations;
 import org.fescueport.internal.decision.ModelDeclaration;
 import org.fescueport.internal.decision.ServiceDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 
 /** Joins files into what is in force. */
 public final class DeclarationsBuilder {
@@ -20,6 +22,7 @@
     private final Map<String, ServiceDeclaration> mServices = new HashMap<>();
     private final Map<TeamId, TeamDeclaration> mTeams = new HashMap<>();
     private final Map<String, Set<String>> mTeamsByTarget = new HashMap<>();
+    private Optional<TokenKeyDeclaration> mTokenKeys = Optional.empty();
 
     private DeclarationsBuilder() {}
 
@@ -28,7 +31,8 @@
         var builder = new DeclarationsBuilder();
         files.forEach(file -> file.content().ifPresent(builder::add));
         builder.mTeams.replaceAll((id, team) -> builder.withTargets(team));
-        return Declarations.of(version, builder.mModels, builder.mServices, builder.mTeams);
+        return Declarations.of(
+                version, builder.mModels, builder.mServices, builder.mTeams, builder.mTokenKeys);
     }
 
     private void add(DeclarationFile file) {
@@ -42,6 +46,7 @@
                 mTeamsByTarget.put(f.name(), f.teams());
             }
             case DeclarationFile.TeamsFile f -> mTeams.putAll(f.teams());
+            case DeclarationFile.TokenKeysFile f -> mTokenKeys = Optional.of(f.keys());
         }
     }
 
--- a/src/main/java/org/fescueport/internal/decision/config/Fields.java
+++ b/src/main/java/org/fescueport/internal/decision/config/Fields.java
@@ -1,6 +1,8 @@
 package org.fescueport.internal.decision.config;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.time.format.DateTimeParseException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -186,6 +188,19 @@
                 });
     }
 
+    /** Returns a point in time in milliseconds since 1970. */
+    long time(String field) {
+        return parsed(field, "a time such as 2026-12-05T00:00:00Z", 0L, Fields::asMillis);
+    }
+
+    private static Long asMillis(String text) {
+        try {
+            return Instant.parse(text).toEpochMilli();
+        } catch (DateTimeParseException e) {
+            return null;
+        }
+    }
+
     /** Returns the items of a sequence; none, without a problem, when the field is absent. */
     List<YamlNode> items(String field) {
         if (!has(field)) {
--- a/src/main/java/org/fescueport/internal/log/config/ConfigCodec.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigCodec.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.stream.Stream;
 import org.fescueport.internal.decision.config.ConfigRecord;
 import org.fescueport.internal.decision.config.DeclarationFile;
 import org.fescueport.internal.decision.config.FileState;
@@ -15,14 +16,18 @@
 
 /** Records of the configuration's stream as bytes. Decoding never fails: see {@link #decode}. */
 public final class ConfigCodec {
-    private static final int FORMAT = 1;
+    /** The newest format that this release reads: records with token keys. */
+    private static final int FORMAT = 2;
+
+    private static final int FORMAT_WITHOUT_TOKEN_KEYS = 1;
 
     private ConfigCodec() {}
 
     /** Returns the record's bytes. */
     public static byte[] encode(ConfigRecord record) {
         var coded =
-                org.fescueport.internal.wire.generated.ConfigRecord.newBuilder().setFormat(FORMAT);
+                org.fescueport.internal.wire.generated.ConfigRecord.newBuilder()
+                        .setFormat(formatOf(record));
         switch (record) {
             case ConfigRecord.Change change -> coded.setChange(encode(change));
             case ConfigRecord.Snapshot snapshot -> coded.setSnapshot(encode(snapshot));
@@ -34,6 +39,21 @@
         return coded.build().toByteArray();
     }
 
+    /** A release that would skip a record's content must know that it can't read it. */
+    private static int formatOf(ConfigRecord record) {
+        var files =
+                switch (record) {
+                    case ConfigRecord.Change change -> change.content().stream();
+                    case ConfigRecord.Snapshot snapshot ->
+                            snapshot.files().values().stream()
+                                    .flatMap(state -> state.content().stream());
+                    case ConfigRecord.Opening opening -> Stream.<DeclarationFile>empty();
+                    case ConfigRecord.Unreadable unreadable -> Stream.<DeclarationFile>empty();
+                };
+        var hasKeys = files.anyMatch(DeclarationFile.TokenKeysFile.class::isInstance);
+        return hasKeys ? FORMAT : FORMAT_WITHOUT_TOKEN_KEYS;
+    }
+
     /** Returns the record, or {@link ConfigRecord.Unreadable}, alike on every node. */
     public static ConfigRecord decode(byte[] data) {
         try {
--- a/src/main/java/org/fescueport/internal/log/config/FileCodec.java
+++ b/src/main/java/org/fescueport/internal/log/config/FileCodec.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.decision.ServiceDeclaration;
 import org.fescueport.internal.decision.TeamDeclaration;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 import org.fescueport.internal.decision.WorkKind;
 import org.fescueport.internal.decision.config.DeclarationFile;
 import org.fescueport.internal.wire.generated.DeclaredFile;
@@ -20,6 +21,7 @@
 import org.fescueport.internal.wire.generated.DeclaredService;
 import org.fescueport.internal.wire.generated.DeclaredTeam;
 import org.fescueport.internal.wire.generated.DeclaredTeams;
+import org.fescueport.internal.wire.generated.DeclaredTokenKeys;
 import org.fescueport.internal.wire.generated.DeclaredWork;
 
 /**
@@ -37,6 +39,7 @@
             case DeclarationFile.ModelFile f -> coded.setModel(encode(f));
             case DeclarationFile.ServiceFile f -> coded.setService(encode(f));
             case DeclarationFile.TeamsFile f -> coded.setTeams(encode(f));
+            case DeclarationFile.TokenKeysFile f -> coded.setTokenKeys(encode(f));
         }
         return coded.build();
     }
@@ -47,6 +50,7 @@
             case MODEL -> decode(coded.getModel());
             case SERVICE -> decode(coded.getService());
             case TEAMS -> decode(coded.getTeams());
+            case TOKEN_KEYS -> decode(coded.getTokenKeys());
             case KIND_NOT_SET -> throw new IllegalArgumentException("a file of no known kind");
         };
     }
@@ -195,6 +199,25 @@
                 new HashSet<>(coded.getTargetsList()));
     }
 
+    private static DeclaredTokenKeys encode(DeclarationFile.TokenKeysFile file) {
+        return DeclaredTokenKeys.newBuilder()
+                .setName(file.name())
+                .setSigns(file.keys().signs())
+                .putAllAcceptedUntilMs(file.keys().acceptedUntilMillis())
+                .build();
+    }
+
+    private static DeclarationFile decode(DeclaredTokenKeys coded) {
+        requireKeyId(coded.getSigns());
+        coded.getAcceptedUntilMsMap().keySet().forEach(FileCodec::requireKeyId);
+        var keys = new TokenKeyDeclaration(coded.getSigns(), coded.getAcceptedUntilMsMap());
+        return new DeclarationFile.TokenKeysFile(name(coded.getName()), keys);
+    }
+
+    private static void requireKeyId(int id) {
+        require(id >= 0 && id <= TokenKeyDeclaration.MAX_ID, "a token key's id is out of range");
+    }
+
     private static WorkKind workKind(String name, int priority, long deadlineMillis) {
         require(deadlineMillis > 0 && priority >= 0, "a kind of work has no deadline or priority");
         return new WorkKind(name(name), priority, Duration.ofMillis(deadlineMillis));
--- a/src/main/java/org/fescueport/internal/router/RouterProcess.java
+++ b/src/main/java/org/fescueport/internal/router/RouterProcess.java
@@ -28,8 +28,7 @@
 import org.fescueport.internal.platform.HttpLogService;
 import org.fescueport.internal.platform.HttpVmList;
 import org.fescueport.internal.security.NodeTls;
-import org.fescueport.internal.security.SealedTokens;
-import org.fescueport.internal.security.TokenKeyRing;
+import org.fescueport.internal.security.TokenKeys;
 import org.fescueport.internal.settings.ProgramCommand;
 import org.fescueport.internal.supervision.RestartPolicy;
 import org.fescueport.internal.supervision.Supervisor;
@@ -62,6 +61,7 @@
     private final ScheduledThreadPoolExecutor mTimers = new ScheduledThreadPoolExecutor(2);
     private final Telemetry mTelemetry;
     private final AsyncHttpCaller mHttpCaller;
+    private final TokenKeys mTokenKeys;
     private final NodeTls mTls;
     private final FrameTransport mTransport;
     private final Membership mMembership;
@@ -81,6 +81,8 @@
         mTimers.setRemoveOnCancelPolicy(true);
         mTelemetry = Telemetry.create("fescue-router", node.node(), node.tracesUrl(), mClock);
         mHttpCaller = AsyncHttpCaller.create(HttpCallerSettings.defaults());
+        mTokenKeys =
+                TokenKeys.create(node.tokenKeysFile(), node.tokenKeys(), mTelemetry.registry());
         mTls = NodeTls.create(node.tls(), settings.callersTls(), mClock, mTelemetry.registry());
         mTransport =
                 FrameTransport.create(WIRE_THREADS, mTls::server, mTls::client, mTls::onRefused);
@@ -110,6 +112,7 @@
                         mClock,
                         mTelemetry);
         mSources.use(mConnections);
+        mConfig.addListener(mTokenKeys::use);
         mApi = CallerApi.create(mConfig::declarations, context());
         mRoot = supervisor();
     }
@@ -176,13 +179,12 @@
     }
 
     private RouterContext context() {
-        var keys = TokenKeyRing.parse(mSettings.node().tokenKeys());
         var budget = RetryBudget.create(RETRY_SHARE, MAX_RETRY_TOKENS);
         return new RouterContext(
                 mConnections,
                 mMembership,
                 Placement.create(FailureDomain.of(mSettings.node().failureDomain())),
-                RouterTokens.of(SealedTokens.of(keys), mClock),
+                RouterTokens.of(mTokenKeys.tokens(), mClock),
                 PoolHealth.create(),
                 budget,
                 RetryPolicy.create(budget, new SecureRandom()),
@@ -209,6 +211,9 @@
                                 timers,
                                 mConnections::closeIdle))
                 .add(Worker.periodic("probes", PROBE_INTERVAL, timers, mConnections::probe))
+                .add(
+                        Worker.periodic(
+                                "token-keys", NodeTls.LOOK_INTERVAL, mTimers, mTokenKeys::look))
                 .add(Worker.periodic("tls-files", NodeTls.LOOK_INTERVAL, mTimers, mTls::look))
                 .add(Worker.of("admin", onFailure -> startAdmin()))
                 .add(Worker.of("callers", onFailure -> startCallers()));
--- a/src/main/java/org/fescueport/internal/security/SealedTokens.java
+++ b/src/main/java/org/fescueport/internal/security/SealedTokens.java
@@ -55,12 +55,19 @@
         }
     }
 
-    private final int mSigningKey;
-    private final Map<Integer, Signer> mSigners = new HashMap<>();
+    /** Who signs, and the keys by id. */
+    private record Signers(int signing, Map<Integer, Signer> byId) {
+        private static Signers of(TokenKeyRing ring) {
+            var byId = new HashMap<Integer, Signer>();
+            ring.keys().forEach(key -> byId.put(key.id(), signer(key)));
+            return new Signers(ring.keys().getFirst().id(), Map.copyOf(byId));
+        }
+    }
+
+    private volatile Signers mSigners;
 
     private SealedTokens(TokenKeyRing ring) {
-        mSigningKey = ring.keys().getFirst().id();
-        ring.keys().forEach(key -> mSigners.put(key.id(), signer(key)));
+        mSigners = Signers.of(ring);
     }
 
     /** Returns the tokens of a fleet with this key ring. */
@@ -68,6 +75,11 @@
         return new SealedTokens(ring);
     }
 
+    /** Signs and checks with these keys from now on. */
+    void use(TokenKeyRing ring) {
+        mSigners = Signers.of(ring);
+    }
+
     /** Returns the token's text. */
     public String seal(ChatTicketToken token) {
         return seal(Purpose.CHAT_TICKET, TokenCodec.encode(token));
@@ -114,13 +126,14 @@
     }
 
     private String seal(Purpose purpose, byte[] content) {
+        var signers = mSigners;
         int signed = HEADER_BYTES + content.length;
         byte[] token = new byte[signed + SIGNATURE_BYTES];
         token[0] = VERSION;
-        token[1] = (byte) mSigningKey;
+        token[1] = (byte) signers.signing();
         token[2] = purpose.code();
         System.arraycopy(content, 0, token, HEADER_BYTES, content.length);
-        byte[] signature = mSigners.get(mSigningKey).sign(token, signed);
+        byte[] signature = signers.byId().get(signers.signing()).sign(token, signed);
         System.arraycopy(signature, 0, token, signed, SIGNATURE_BYTES);
         return Base64.getUrlEncoder().withoutPadding().encodeToString(token);
     }
@@ -131,7 +144,7 @@
         if (token.length < HEADER_BYTES + SIGNATURE_BYTES || token[0] != VERSION) {
             return Either.left(TokenRefusal.MALFORMED);
         }
-        Signer signer = mSigners.get(Byte.toUnsignedInt(token[1]));
+        Signer signer = mSigners.byId().get(Byte.toUnsignedInt(token[1]));
         if (signer == null || nowMillis >= signer.acceptedUntilMillis()) {
             return Either.left(TokenRefusal.UNKNOWN_KEY);
         }
--- a/src/main/java/org/fescueport/internal/security/TokenKey.java
+++ b/src/main/java/org/fescueport/internal/security/TokenKey.java
@@ -25,6 +25,11 @@
         secret = secret.clone();
     }
 
+    /** Returns this key with an end, unless its own is earlier. */
+    TokenKey until(long endMillis) {
+        return new TokenKey(id, secret, Math.min(endMillis, acceptedUntilMillis));
+    }
+
     /** Parses {@code ID:SECRET} or {@code ID:SECRET@MILLIS}, the secret in base64url. */
     public static TokenKey parse(String text) {
         int colon = text.indexOf(':');
--- a/src/main/java/org/fescueport/internal/settings/NodeOptions.java
+++ b/src/main/java/org/fescueport/internal/settings/NodeOptions.java
@@ -3,6 +3,9 @@
 import com.github.rvesse.airline.HelpOption;
 import com.github.rvesse.airline.annotations.AirlineModule;
 import com.github.rvesse.airline.annotations.Option;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Optional;
 import org.fescueport.internal.security.TokenKeyRing;
 
@@ -60,6 +63,14 @@
                             + " least 32 bytes in base64url. Prefer FESCUE_TOKEN_KEYS.")
     private String mTokenKeys;
 
+    @Option(
+            name = "--token-keys-file",
+            title = "FILE",
+            description =
+                    "The same keys, one a line, in a file that is read again while the program"
+                            + " runs; in place of --token-keys. FESCUE_TOKEN_KEYS_FILE")
+    private String mTokenKeysFile;
+
     @Option(
             name = "--tls-certificates",
             title = "FILE",
@@ -94,6 +105,7 @@
 
     /** Reads the settings; wrong ones are gathered by the reader. */
     public NodeSettings read(SettingsReader reader) {
+        var keysFile = reader.file("--token-keys-file", mTokenKeysFile);
         return new NodeSettings(
                 reader.requiredText("--node", mNode),
                 reader.requiredText("--failure-domain", mFailureDomain),
@@ -102,7 +114,8 @@
                 reader.requiredUrl("--log-url", mLogUrl),
                 reader.requiredUrl("--vms-url", mVmsUrl),
                 reader.url("--traces-url", mTracesUrl),
-                tokenKeys(reader),
+                tokenKeys(reader, keysFile),
+                keysFile,
                 TlsOptions.read(
                         reader,
                         new TlsOptions.Flag("--tls-certificates", mTlsCertificates),
@@ -110,14 +123,22 @@
                         Optional.of(new TlsOptions.Flag("--tls-trust", mTlsTrust))));
     }
 
-    private String tokenKeys(SettingsReader reader) {
-        var text = reader.requiredText("--token-keys", mTokenKeys);
+    private String tokenKeys(SettingsReader reader, Optional<Path> file) {
+        var flag = file.isPresent() ? "--token-keys-file" : "--token-keys";
         try {
+            var text =
+                    file.isPresent()
+                            ? Files.readString(file.get())
+                            : reader.requiredText(flag, mTokenKeys);
             TokenKeyRing.parse(text);
+            return text;
+        } catch (IOException e) {
+            var allowed = "a file that can be read (" + e.getClass().getSimpleName() + ")";
+            reader.addProblem(flag, file.orElseThrow().toString(), allowed);
         } catch (IllegalArgumentException e) {
             // The value holds secrets, so the message doesn't repeat it.
-            reader.addProblem("--token-keys", "(not shown)", "ID:SECRET,...; " + e.getMessage());
+            reader.addProblem(flag, "(not shown)", "ID:SECRET,...; " + e.getMessage());
         }
-        return text;
+        return "";
     }
 }
--- a/src/main/java/org/fescueport/internal/settings/NodeSettings.java
+++ b/src/main/java/org/fescueport/internal/settings/NodeSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.file.Path;
 import java.util.Optional;
 import org.fescueport.internal.security.TlsFiles;
 
@@ -11,6 +12,7 @@
  * @param node name of the VM
  * @param adminListen where operators' resources are offered
  * @param tokenKeys keys that sign what callers bring back
+ * @param tokenKeysFile where these keys were read, if in a file; it is read again later
  * @param tls for connections between processes of the fleet; absent for plain TCP
  */
 public record NodeSettings(
@@ -22,6 +24,7 @@
         URI vmsUrl,
         Optional<URI> tracesUrl,
         String tokenKeys,
+        Optional<Path> tokenKeysFile,
         Optional<TlsFiles> tls) {
     /** Prints where a node listens, in the two lines that scripts read. */
     public void announce(int port, int adminPort) {
--- a/src/main/java/org/fescueport/internal/settings/SettingsReader.java
+++ b/src/main/java/org/fescueport/internal/settings/SettingsReader.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -76,6 +77,16 @@
                 parse(flag, given, "", "a URL such as http://10.0.0.5:8080", this::parseUrl));
     }
 
+    /** Reads the path of a file; empty when none is given. */
+    public Optional<Path> file(String flag, String given) {
+        var text = raw(flag, given).orElse("");
+        if (text.isBlank()) {
+            return Optional.empty();
+        }
+        // An InvalidPathException is an IllegalArgumentException.
+        return Optional.ofNullable(parse(flag, given, "", "the path of a file", Path::of));
+    }
+
     /** Reads a URL that must be given. */
     public URI requiredUrl(String flag, String given) {
         return parse(flag, given, "", "a URL such as http://10.0.0.5:8080", this::parseUrl);
--- a/src/main/java/org/fescueport/internal/settings/TlsOptions.java
+++ b/src/main/java/org/fescueport/internal/settings/TlsOptions.java
@@ -1,7 +1,6 @@
 package org.fescueport.internal.settings;
 
 import io.micrometer.core.instrument.Clock;
-import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
@@ -27,9 +26,9 @@
             SettingsReader reader, Flag certificates, Flag key, Optional<Flag> trust) {
         var paths =
                 List.of(
-                        path(reader, certificates, CERTIFICATES),
-                        path(reader, key, KEY),
-                        trust.flatMap(flag -> path(reader, flag, TRUST)));
+                        reader.file(certificates.name(), certificates.given()),
+                        reader.file(key.name(), key.given()),
+                        trust.flatMap(flag -> reader.file(flag.name(), flag.given())));
         if (paths.stream().allMatch(Optional::isEmpty)) {
             return Optional.empty();
         }
@@ -80,17 +79,4 @@
             reader.addProblem(flag.name(), "", allowed + ", as others of TLS are given");
         }
     }
-
-    private static Optional<Path> path(SettingsReader reader, Flag flag, String allowed) {
-        var text = reader.text(flag.name(), flag.given(), "");
-        if (text.isBlank()) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(Path.of(text));
-        } catch (InvalidPathException e) {
-            reader.addProblem(flag.name(), text, allowed);
-            return Optional.empty();
-        }
-    }
 }
--- a/src/test/java/org/fescueport/internal/decision/config/DeclarationParserTest.java
+++ b/src/test/java/org/fescueport/internal/decision/config/DeclarationParserTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.fescueport.internal.decision.Declarations;
+import org.fescueport.internal.decision.TokenKeyDeclaration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -29,6 +30,16 @@
               reserve: {idempotent: false, keyWindow: 10m, priority: 0, deadline: 10s}
             """;
 
+    private static final String TOKEN_KEYS =
+            """
+            schema: 1
+            kind: tokenKeys
+            name: token-keys
+            signs: 2
+            accepted:
+              1: 2026-12-05T00:00:00Z
+            """;
+
     @ParameterizedTest
     @CsvSource({
         "loadBound: 2.0, loadBound: 0.5, 5, it must be a number",
@@ -72,6 +83,29 @@
         assertThat(lines, containsInAnyOrder(6, 7, 8, 10, 10, 11));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "signs: 2, signs: 256, 4, it must be a whole number",
+        "1: 2026-12-05T00:00:00Z, 2: 2026-12-05T00:00:00Z, 6, the id of a former key",
+        "1: 2026-12-05T00:00:00Z, old: 2026-12-05T00:00:00Z, 6, the id of a former key",
+        "1: 2026-12-05T00:00:00Z, 1: tomorrow, 6, it must be a time",
+        "signs: 2, secret: 2, 4, it is no field of token keys",
+    })
+    void shouldTellWhatIsWrongWithTokenKeys(String right, String wrong, int line, String why) {
+        var problems = problemsOf(TOKEN_KEYS.replace(right, wrong));
+        var texts = String.join("\n", problems.stream().map(Problem::toString).toList());
+        assertThat(texts, problems.stream().map(Problem::line).toList(), hasItem(line));
+        assertThat(texts, containsString(why));
+    }
+
+    @Test
+    void shouldReadTokenKeys() {
+        var file = DeclarationParser.parse("keys.yaml", TOKEN_KEYS).get().file();
+        var until = java.time.Instant.parse("2026-12-05T00:00:00Z").toEpochMilli();
+        var keys = new TokenKeyDeclaration(2, java.util.Map.of(1, until));
+        assertThat(file, is(new DeclarationFile.TokenKeysFile("token-keys", keys)));
+    }
+
     @Test
     void shouldRefuseAKeyInClear() {
         var text =
--- a/src/test/java/org/fescueport/scenarios/BookingSteps.java
+++ b/src/test/java/org/fescueport/scenarios/BookingSteps.java
@@ -9,7 +9,9 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -22,6 +24,7 @@
     private static final String OPERATION = "/v1/services/" + Fleet.SERVICE + "/reserve";
     private static final int AT_ONCE_MILLIS = 2000;
 
+    private final List<String> mOwned = new ArrayList<>();
     private String mKey = "";
     private CompletableFuture<HttpResponse<String>> mFirst;
     private CompletableFuture<HttpResponse<String>> mLast;
@@ -41,12 +44,41 @@
 
     @When("the driver asks router {int} for an owner-bound key and books with it")
     public void bookOwnerBound(int router) {
+        askKey(router);
+        mKey = mOwned.getLast();
+        mFirst = book(router);
+        mLast = mFirst;
+    }
+
+    @When("the driver books with the first key through router {int}")
+    public void bookWithFirst(int router) {
+        mKey = mOwned.getFirst();
+        mLast = book(router);
+    }
+
+    @When("the driver books with the second key through router {int}")
+    public void bookWithSecond(int router) {
+        mKey = mOwned.get(1);
+        mLast = book(router);
+    }
+
+    @Then("the booking is refused as invalid")
+    public void refused() {
+        assertThat(mLast.join().body(), mLast.join().statusCode(), is(400));
+        assertThat(outcomeOf(mLast.join()), is("not_run"));
+    }
+
+    @When("the driver asks router {int} for one more")
+    public void askAnotherKey(int router) {
+        askKey(router);
+    }
+
+    @When("the driver asks router {int} for an owner-bound key")
+    public void askKey(int router) {
         var url = FleetSteps.fleet().router(router).url() + OPERATION + "/keys";
         var answer = Http.send("POST", url, "", Map.of("Authorization", AUTHORIZATION)).join();
         assertThat(answer.body(), answer.statusCode(), is(201));
-        mKey = Http.json(answer.body()).path("idempotencyKey").asText();
-        mFirst = book(router);
-        mLast = mFirst;
+        mOwned.add(Http.json(answer.body()).path("idempotencyKey").asText());
     }
 
     @When("a service has begun to run the booking")
--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.agent.AgentMain;
 import org.fescueport.internal.ctl.CtlMain;
@@ -33,19 +32,28 @@
      */
     record Size(int routers, int engines, int services, boolean killable, boolean proxied) {}
 
+    /** Flags of routers and agents beside those that all have. */
+    interface NodeFlags {
+        NodeFlags NONE = node -> List.of();
+
+        List<String> argumentsOf(String node);
+    }
+
     /** A router and where callers reach it. */
     record Router(String name, Program program, String url) {}
 
     static final String MODEL = "gauge-notes";
     static final String SERVICE = "booking";
 
+    static final String TOKEN_KEYS_FILE = "--token-keys-file";
+
     private static final String TOKEN_KEYS = "1:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY";
     private static final Path DECLARATIONS = Path.of("examples", "demo");
     private static final long READY_SECONDS = 30;
     private static final long READY_CHECK_MILLIS = 50;
 
     private final Size mSize;
-    private final Optional<FleetTls> mTls;
+    private final NodeFlags mFlags;
     private final Map<String, String> mAdmins = new LinkedHashMap<>();
     private final List<SocketProxy> mProxies = new ArrayList<>();
     private final List<Program> mPrograms = new ArrayList<>();
@@ -57,20 +65,20 @@
     private String mVmsUrl;
     private String mTracesUrl;
 
-    private Fleet(Size size, Optional<FleetTls> tls) {
+    private Fleet(Size size, NodeFlags flags) {
         mSize = size;
-        mTls = tls;
+        mFlags = flags;
     }
 
     /**
      * Starts a fleet and waits until its routers are ready, which know all agents by then: the list
      * of VMs is in an outage until it is complete.
      */
-    static Fleet start(Size size, Optional<FleetTls> tls) throws InterruptedException {
-        var fleet = new Fleet(size, tls);
+    static Fleet start(Size size, NodeFlags flags) throws InterruptedException {
+        var fleet = new Fleet(size, flags);
         try {
             fleet.startPlatform();
-            var publisher = fleet.publish();
+            var publisher = fleet.publish(DECLARATIONS);
             var routers = fleet.startRouters();
             fleet.startEngines();
             fleet.startAgents();
@@ -156,8 +164,8 @@
         }
     }
 
-    private Program publish() {
-        var arguments = List.of("publish", "--log-url", mLogUrl, DECLARATIONS.toString());
+    Program publish(Path declarations) {
+        var arguments = List.of("publish", "--log-url", mLogUrl, declarations.toString());
         return start("publish", CtlMain.class, arguments);
     }
 
@@ -203,7 +211,7 @@
     private void awaitRouters(List<Program> programs) throws InterruptedException {
         for (var program : programs) {
             var url = program.awaitUrl("");
-            var scheme = mTls.isPresent() ? "https" : "http";
+            var scheme = mFlags instanceof FleetTls ? "https" : "http";
             var router = new Router(program.name(), program, url.replace("http", scheme));
             awaitAdmin(program);
             mRouters.add(router);
@@ -222,8 +230,10 @@
         arguments.addAll(List.of("--log-url", mLogUrl));
         arguments.addAll(List.of("--vms-url", mVmsUrl));
         arguments.addAll(List.of("--traces-url", mTracesUrl));
-        arguments.addAll(List.of("--token-keys", TOKEN_KEYS));
-        mTls.ifPresent(tls -> arguments.addAll(tls.argumentsOf(node)));
+        arguments.addAll(mFlags.argumentsOf(node));
+        if (!arguments.contains(TOKEN_KEYS_FILE)) {
+            arguments.addAll(List.of("--token-keys", TOKEN_KEYS));
+        }
         return arguments;
     }
 
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -7,7 +7,6 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Steps on the fleet itself: starting, faults and planned stops. */
@@ -20,23 +19,23 @@
         return sFleet;
     }
 
-    static void start(Fleet.Size size, Optional<FleetTls> tls) throws InterruptedException {
-        sFleet = Fleet.start(size, tls);
+    static void start(Fleet.Size size, Fleet.NodeFlags flags) throws InterruptedException {
+        sFleet = Fleet.start(size, flags);
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
     public void start(int routers, int engines, int services) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, services, false, false), Optional.empty());
+        start(new Fleet.Size(routers, engines, services, false, false), Fleet.NodeFlags.NONE);
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) as processes and {int} service(s)")
     public void startKillable(int routers, int engines, int services) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, services, true, false), Optional.empty());
+        start(new Fleet.Size(routers, engines, services, true, false), Fleet.NodeFlags.NONE);
     }
 
     @Given("a fleet of {int} router(s) and {int} engine(s) with proxies before the agents")
     public void startProxied(int routers, int engines) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, 0, false, true), Optional.empty());
+        start(new Fleet.Size(routers, engines, 0, false, true), Fleet.NodeFlags.NONE);
     }
 
     @When("the connections between routers and agents are cut")
--- a/src/test/java/org/fescueport/scenarios/FleetTls.java
+++ b/src/test/java/org/fescueport/scenarios/FleetTls.java
@@ -18,7 +18,7 @@
 import org.fescueport.testing.TestAuthority;
 
 /** Certificates of a fleet, in files of a folder that the system's temporary files are in. */
-final class FleetTls {
+final class FleetTls implements Fleet.NodeFlags {
     private static final TestAuthority CALLERS = authority("callers");
     private static final int READ_MILLIS = 5000;
 
@@ -44,7 +44,8 @@
     }
 
     /** Makes a node's certificates and returns the flags that name them. */
-    List<String> argumentsOf(String node) {
+    @Override
+    public List<String> argumentsOf(String node) {
         write(node);
         var fleet = TestAuthority.filesIn(mFolder.resolve(node));
         var callers = TestAuthority.filesIn(mFolder.resolve(node + "-callers"));
--- a/src/test/java/org/fescueport/scenarios/TlsSteps.java
+++ b/src/test/java/org/fescueport/scenarios/TlsSteps.java
@@ -7,22 +7,15 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.io.IOException;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.TimeUnit;
-import java.util.regex.Pattern;
 
 /** Steps on the certificates of a fleet. */
 public final class TlsSteps {
-    private static final long LOOK_SECONDS = 20;
-    private static final long CHECK_MILLIS = 100;
-
     private FleetTls mTls;
 
     @Given("a fleet of {int} router(s) and {int} engine(s) with TLS")
     public void start(int routers, int engines) throws InterruptedException, IOException {
         mTls = FleetTls.create();
-        FleetSteps.start(new Fleet.Size(routers, engines, 0, false, false), Optional.of(mTls));
+        FleetSteps.start(new Fleet.Size(routers, engines, 0, false, false), mTls);
     }
 
     @When("all certificates are renewed")
@@ -54,17 +47,6 @@
 
     private static void awaitCount(String admin, String tags, String name, int count)
             throws InterruptedException {
-        var line = Pattern.compile(name + "\\{" + tags + "\\} " + count + "\\.0");
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LOOK_SECONDS);
-        while (!line.matcher(metrics(admin)).find()) {
-            if (System.nanoTime() > end) {
-                throw new AssertionError(admin + " has no " + line + " in " + metrics(admin));
-            }
-            Thread.sleep(CHECK_MILLIS);
-        }
-    }
-
-    private static String metrics(String admin) {
-        return Http.send("GET", admin + "/metrics", "", Map.of()).join().body();
+        Metrics.await(admin, name + "\\{" + tags + "\\} " + count + "\\.0");
     }
 }
