--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -34,6 +34,8 @@
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.Frames;
 import org.fescueport.internal.wire.generated.Credit;
+import org.fescueport.internal.wire.generated.Frame;
+import org.fescueport.internal.wire.generated.Hello;
 import org.fescueport.internal.wire.generated.Load;
 import org.fescueport.internal.wire.generated.Resume;
 import org.fescueport.internal.wire.generated.Submit;
@@ -81,6 +83,8 @@
     private KeyedStart mKeyedStart;
     private PoisonGate mPoison;
     private CacheImport mImport;
+    private CacheHandover mHandover;
+    private long mHandoverSeconds;
     private final Speeds mSpeeds = Speeds.startingAt(PREFILL_PER_SECOND, DECODE_PER_SECOND);
     private final Map<AttemptId, Run> mRuns = new HashMap<>();
     private final ArrayDeque<Run> mEnded = new ArrayDeque<>();
@@ -88,6 +92,7 @@
     private int mActive;
     private boolean mIsBackendUp = true;
     private String mLeavingWhy = "";
+    private Frame mServesNothing;
 
     private AgentCore(
             Identity identity,
@@ -137,6 +142,12 @@
         mImport = cacheImport;
     }
 
+    /** Sets what hands caches over on a planned leave, for at most so long. */
+    void use(CacheHandover handover, long seconds) {
+        mHandover = handover;
+        mHandoverSeconds = seconds;
+    }
+
     /** Takes the declared bound on the load, as a multiple of the pool's mean. */
     void onLoadBound(double factor) {
         mQueue.setBound(LoadBound.of(factor, FLOOR_TOKENS));
@@ -169,6 +180,9 @@
         var reason = reasonAgainst(submit);
         if (reason != null) {
             mRegister.refuse(id, reason, deadline, now);
+            if (mServesNothing != null) {
+                connection.send(mServesNothing);
+            }
             mRefusals.tellNotRun(connection, id, reason);
             return;
         }
@@ -259,6 +273,16 @@
         LOG.info("{} is leaving: {}", mIdentity.node(), why);
         var frame = AgentFrames.leaving(mIdentity.incarnation(), why);
         mConnections.forEach(connection -> connection.send(frame));
+        if (mHandover != null) {
+            mHandover.begin(mHandoverSeconds);
+        }
+    }
+
+    /** Takes the hello that tells whether the engine serves, and tells the routers. */
+    void onServing(Hello hello) {
+        var frame = Frame.newBuilder().setHello(hello).build();
+        mServesNothing = hello.getServesNothing() ? frame : null;
+        mConnections.forEach(connection -> connection.send(frame));
     }
 
     boolean isLeaving() {
@@ -317,6 +341,9 @@
         if (isLeaving()) {
             return RefusalReason.LEAVING;
         }
+        if (mServesNothing != null) {
+            return RefusalReason.NOT_SERVING;
+        }
         return mIsBackendUp ? null : RefusalReason.BACKEND_DOWN;
     }
 
@@ -478,6 +505,9 @@
             mRegister.finish(run.id(), now);
             mBuffer.end(run.id(), now);
             keepAnswer(run, end);
+            if (mHandover != null && end.outcome() == Outcome.COMPLETED) {
+                mHandover.onCompleted(run, end.usage().promptTokens());
+            }
             mPoison.onEnd(run, "cancelled".equals(end.reason()));
         }
         if (!mQueue.cancel(run.id())) {
@@ -520,6 +550,7 @@
                                 mLoop.execute(
                                         () -> {
                                             if (failure != null) {
+                                                onHealth(false);
                                                 mCounters.onBackendDeath();
                                                 run.setStrikes(mPoison.onBackendDied(run));
                                             }
--- a/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
+++ b/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
@@ -37,6 +37,23 @@
         assertThat(mDirectory.replicas(at(1)), sameInstance(set));
     }
 
+    @Test
+    void shouldLeaveOutAReplicaThatServesNothingUntilItSaysSo() {
+        list(0, false);
+        mDirectory.onServesNothing(NODE, true, at(1));
+        assertThat(liveAt(2), is(0));
+        assertThat(mDirectory.listed(at(2)).size(), is(1));
+        mDirectory.onServesNothing(NODE, false, at(3));
+        assertThat(liveAt(3), is(1));
+    }
+
+    @Test
+    void shouldTryAReplicaAgainLongAfterItServedNothing() {
+        list(0, false);
+        mDirectory.onServesNothing(NODE, true, at(1));
+        assertThat(liveAt(62), is(1));
+    }
+
     @Test
     void shouldKeepAReplicaThatAnsweredWhenTheListFlaps() {
         list(0, false);
@@ -81,6 +98,26 @@
         assertThat(liveAt(63), is(1));
     }
 
+    @Test
+    void shouldTakeAReplacementAtAnotherAddressAtOnceRegressionOfEmptyPool() {
+        list(0, false);
+        mDirectory.onHello(NODE, 5, false, at(1));
+        mDirectory.onLeaving(NODE, 5, at(2));
+        mDirectory.onList(List.of(new Listed(NODE, DOMAIN, "a:2", 1, false)), at(4));
+        assertThat(liveAt(4), is(1));
+    }
+
+    @Test
+    void shouldSoonTryTheAddressOfALeavingReplicaThatEnded() {
+        list(0, false);
+        mDirectory.onLeaving(NODE, 5, at(2));
+        mDirectory.onClosed(NODE, at(10));
+        assertThat(liveAt(12), is(0));
+        assertThat(liveAt(14), is(1));
+        mDirectory.onLeaving(NODE, 5, at(15));
+        assertThat(liveAt(16), is(0));
+    }
+
     @Test
     void shouldDropAReplicaThatTheListCallsLeaving() {
         list(0, false);
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -7,6 +7,7 @@
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Steps on the fleet itself: starting, faults and planned stops. */
@@ -19,23 +20,33 @@
         return sFleet;
     }
 
-    static void start(Fleet.Size size, Fleet.NodeFlags flags) throws InterruptedException {
-        sFleet = Fleet.start(size, flags);
+    static void start(Fleet.Size size, Fleet.NodeFlags flags, Optional<Fleet.Placement> placement)
+            throws InterruptedException {
+        sFleet = Fleet.start(size, flags, placement);
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
     public void start(int routers, int engines, int services) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, services, false, false), Fleet.NodeFlags.NONE);
+        start(
+                new Fleet.Size(routers, engines, services, false, false),
+                Fleet.NodeFlags.NONE,
+                Optional.empty());
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) as processes and {int} service(s)")
     public void startKillable(int routers, int engines, int services) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, services, true, false), Fleet.NodeFlags.NONE);
+        start(
+                new Fleet.Size(routers, engines, services, true, false),
+                Fleet.NodeFlags.NONE,
+                Optional.empty());
     }
 
     @Given("a fleet of {int} router(s) and {int} engine(s) with proxies before the agents")
     public void startProxied(int routers, int engines) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, 0, false, true), Fleet.NodeFlags.NONE);
+        start(
+                new Fleet.Size(routers, engines, 0, false, true),
+                Fleet.NodeFlags.NONE,
+                Optional.empty());
     }
 
     @When("the connections between routers and agents are cut")
@@ -63,7 +74,8 @@
 
     @Then("router {int} ends by itself")
     public void routerEnds(int number) throws InterruptedException {
-        sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        int code = sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        assertThat("exit code of router " + number, code, is(0));
     }
 
     @When("the agent of {word} is told to stop")
@@ -73,7 +85,8 @@
 
     @Then("the agent of {word} ends by itself")
     public void agentEnds(String vm) throws InterruptedException {
-        sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        int code = sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        assertThat("exit code of the agent of " + vm, code, is(0));
     }
 
     @Then("{word} had no answer broken off")
--- a/src/test/java/org/fescueport/scenarios/KeySteps.java
+++ b/src/test/java/org/fescueport/scenarios/KeySteps.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 
 /** Steps on the keys that sign tickets and tokens. */
 public final class KeySteps {
@@ -26,7 +27,8 @@
         Files.writeString(file(), KEY_1);
         FleetSteps.start(
                 new Fleet.Size(routers, engines, services, false, false),
-                node -> List.of(Fleet.TOKEN_KEYS_FILE, file().toString()));
+                node -> List.of(Fleet.TOKEN_KEYS_FILE, file().toString()),
+                Optional.empty());
     }
 
     @When("key 2 is added to the file of keys")
--- a/src/test/java/org/fescueport/scenarios/TlsSteps.java
+++ b/src/test/java/org/fescueport/scenarios/TlsSteps.java
@@ -7,6 +7,7 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.io.IOException;
+import java.util.Optional;
 
 /** Steps on the certificates of a fleet. */
 public final class TlsSteps {
@@ -15,7 +16,7 @@
     @Given("a fleet of {int} router(s) and {int} engine(s) with TLS")
     public void start(int routers, int engines) throws InterruptedException, IOException {
         mTls = FleetTls.create();
-        FleetSteps.start(new Fleet.Size(routers, engines, 0, false, false), mTls);
+        FleetSteps.start(new Fleet.Size(routers, engines, 0, false, false), mTls, Optional.empty());
     }
 
     @When("all certificates are renewed")
