Tell a lost handshake from a refused peer

Cause: a connection that ended during its handshake, such as a balancer's check of the port, was counted and logged as a refused peer (reason "protocol"). Ruled out: the message "Connection closed while ..." alone; Netty gives a ClosedChannelException when no byte of the handshake came. Change: such ends are counted as "closed" and never logged as refusals. A second test holds that a peer's refusal of our own certificate is counted on both sides. Before: shouldTellAnAbandonedHandshakeFromAStranger failed: not counted once as closed, tls_peers_refused reason=protocol count 1.0.

--- a/src/main/java/org/fescueport/internal/security/RefusedPeers.java
+++ b/src/main/java/org/fescueport/internal/security/RefusedPeers.java
@@ -3,8 +3,10 @@
 import io.micrometer.core.instrument.Clock;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.handler.ssl.NotSslRecordException;
+import java.io.IOException;
 import java.security.cert.CertificateException;
 import java.time.Duration;
+import javax.net.ssl.SSLException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -12,6 +14,9 @@
 final class RefusedPeers {
     private static final Logger LOG = LoggerFactory.getLogger(RefusedPeers.class);
 
+    /** Reason of a connection that ended in its handshake without a word. */
+    private static final String CLOSED = "closed";
+
     /** Without a refusal for this time, the next one is news again. */
     private static final Duration QUIET = Duration.ofMinutes(1);
 
@@ -31,7 +36,12 @@
 
     /** Counts one refusal; the first after a quiet time is logged. */
     synchronized void onRefused(Throwable failure) {
-        mRegistry.counter("tls_peers_refused", "reason", reasonOf(failure)).increment();
+        var reason = reasonOf(failure);
+        mRegistry.counter("tls_peers_refused", "reason", reason).increment();
+        if (reason.equals(CLOSED)) {
+            // A health check of the port looks like this; nobody was refused.
+            return;
+        }
         mLastNanos = mClock.monotonicTime();
         if (!mIsRefusing) {
             mIsRefusing = true;
@@ -54,8 +64,8 @@
                 return "plain";
             } else if (message.contains("Received fatal alert")) {
                 return "by_peer";
-            } else if (message.contains("Connection closed while")) {
-                return "closed";
+            } else if (isLost(cause)) {
+                return CLOSED;
             } else if (cause instanceof CertificateException
                     || message.contains("Empty client certificate chain")) {
                 return "certificate";
@@ -64,6 +74,12 @@
         return "protocol";
     }
 
+    /** Returns whether the connection ended by itself, before TLS found anything wrong. */
+    private static boolean isLost(Throwable cause) {
+        return cause instanceof IOException && !(cause instanceof SSLException)
+                || String.valueOf(cause.getMessage()).contains("Connection closed while");
+    }
+
     private static String describe(Throwable failure) {
         var text = new StringBuilder(String.valueOf(failure.getMessage()));
         for (var cause = failure.getCause(); cause != null; cause = cause.getCause()) {
--- a/src/test/java/org/fescueport/internal/wire/FrameTlsTest.java
+++ b/src/test/java/org/fescueport/internal/wire/FrameTlsTest.java
@@ -136,6 +136,27 @@
         }
     }
 
+    @Test
+    void shouldTellAnAbandonedHandshakeFromAStranger() throws Exception {
+        try (var probe = new java.net.Socket(mAddress.getAddress(), mAddress.getPort())) {
+            assertThat(probe.isConnected(), is(true));
+        }
+
+        awaitRefusal(mAgentMeters, "closed");
+    }
+
+    @Test
+    void shouldCountThatThePeerRefusesUs() throws Exception {
+        var next = TestAuthority.create("next");
+        write("router", sign(next, FleetRole.ROUTER), mOurs, next);
+        mRouterTls.look();
+
+        sendIfOpen(mRouter);
+
+        awaitRefusal(mRouterMeters, "by_peer");
+        awaitRefusal(mAgentMeters, "certificate");
+    }
+
     @Test
     void shouldRefuseARouterThatTakesAnAgentsPlace() throws Exception {
         var address = mRouter.listen(LOOPBACK, new Recorder());
