--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -37,6 +37,13 @@
      */
     record Size(int routers, int engines, int services, boolean killable, boolean proxied) {}
 
+    /** Flags of routers and agents beside those that all have. */
+    interface NodeFlags {
+        NodeFlags NONE = node -> List.of();
+
+        List<String> argumentsOf(String node);
+    }
+
     /**
      * How a fleet that places its models begins; its engines are processes of their own.
      *
@@ -52,6 +59,8 @@
     static final String MODEL = "gauge-notes";
     static final String SERVICE = "booking";
 
+    static final String TOKEN_KEYS_FILE = "--token-keys-file";
+
     private static final String TOKEN_KEYS = "1:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY";
     private static final Path DECLARATIONS = Path.of("examples", "demo");
 
@@ -62,7 +71,7 @@
     private static final long READY_CHECK_MILLIS = 50;
 
     private final Size mSize;
-    private final Optional<FleetTls> mTls;
+    private final NodeFlags mFlags;
     private final Map<String, String> mAdmins = new LinkedHashMap<>();
     private final Optional<Placement> mPlacement;
     private final List<SocketProxy> mProxies = new ArrayList<>();
@@ -76,9 +85,9 @@
     private String mTracesUrl;
     private String mWeightsUrl;
 
-    private Fleet(Size size, Optional<FleetTls> tls, Optional<Placement> placement) {
+    private Fleet(Size size, NodeFlags flags, Optional<Placement> placement) {
         mSize = size;
-        mTls = tls;
+        mFlags = flags;
         mPlacement = placement;
     }
 
@@ -86,9 +95,9 @@
      * Starts a fleet and waits until its routers are ready, which know all agents by then: the list
      * of VMs is in an outage until it is complete.
      */
-    static Fleet start(Size size, Optional<FleetTls> tls, Optional<Placement> placement)
+    static Fleet start(Size size, NodeFlags flags, Optional<Placement> placement)
             throws InterruptedException {
-        var fleet = new Fleet(size, tls, placement);
+        var fleet = new Fleet(size, flags, placement);
         try {
             fleet.startPlatform();
             var publisher = fleet.publishFirst();
@@ -194,7 +203,7 @@
                         .orElse(DECLARATIONS));
     }
 
-    private Program publish(Path declarations) {
+    Program publish(Path declarations) {
         var arguments = List.of("publish", "--log-url", mLogUrl, declarations.toString());
         return start("publish", CtlMain.class, arguments);
     }
@@ -273,7 +282,7 @@
     private void awaitRouters(List<Program> programs) throws InterruptedException {
         for (var program : programs) {
             var url = program.awaitUrl("");
-            var scheme = mTls.isPresent() ? "https" : "http";
+            var scheme = mFlags instanceof FleetTls ? "https" : "http";
             var router = new Router(program.name(), program, url.replace("http", scheme));
             awaitAdmin(program);
             mRouters.add(router);
@@ -292,8 +301,10 @@
         arguments.addAll(List.of("--log-url", mLogUrl));
         arguments.addAll(List.of("--vms-url", mVmsUrl));
         arguments.addAll(List.of("--traces-url", mTracesUrl));
-        arguments.addAll(List.of("--token-keys", TOKEN_KEYS));
-        mTls.ifPresent(tls -> arguments.addAll(tls.argumentsOf(node)));
+        arguments.addAll(mFlags.argumentsOf(node));
+        if (!arguments.contains(TOKEN_KEYS_FILE)) {
+            arguments.addAll(List.of("--token-keys", TOKEN_KEYS));
+        }
         return arguments;
     }
 
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -20,16 +20,16 @@
         return sFleet;
     }
 
-    static void start(Fleet.Size size, Optional<FleetTls> tls, Optional<Fleet.Placement> placement)
+    static void start(Fleet.Size size, Fleet.NodeFlags flags, Optional<Fleet.Placement> placement)
             throws InterruptedException {
-        sFleet = Fleet.start(size, tls, placement);
+        sFleet = Fleet.start(size, flags, placement);
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
     public void start(int routers, int engines, int services) throws InterruptedException {
         start(
                 new Fleet.Size(routers, engines, services, false, false),
-                Optional.empty(),
+                Fleet.NodeFlags.NONE,
                 Optional.empty());
     }
 
@@ -37,13 +37,16 @@
     public void startKillable(int routers, int engines, int services) throws InterruptedException {
         start(
                 new Fleet.Size(routers, engines, services, true, false),
-                Optional.empty(),
+                Fleet.NodeFlags.NONE,
                 Optional.empty());
     }
 
     @Given("a fleet of {int} router(s) and {int} engine(s) with proxies before the agents")
     public void startProxied(int routers, int engines) throws InterruptedException {
-        start(new Fleet.Size(routers, engines, 0, false, true), Optional.empty(), Optional.empty());
+        start(
+                new Fleet.Size(routers, engines, 0, false, true),
+                Fleet.NodeFlags.NONE,
+                Optional.empty());
     }
 
     @When("the connections between routers and agents are cut")
--- a/src/test/java/org/fescueport/scenarios/PlacementSteps.java
+++ b/src/test/java/org/fescueport/scenarios/PlacementSteps.java
@@ -39,7 +39,7 @@
         var placement = new Fleet.Placement(check.equals("check"), loaded, artifact, LOAD_MILLIS);
         FleetSteps.start(
                 new Fleet.Size(routers, engines, 0, true, false),
-                Optional.empty(),
+                Fleet.NodeFlags.NONE,
                 Optional.of(placement));
     }
 
