Tell VMs apart that reuse a name or an address

Cause: a late word of a replaced incarnation made its successor count as leaving for 60 s; a VM replaced at another address kept its former's word; a VM that answers at another's address was taken for that one, maybe of another model; a replica that flaps in the list flapped in the set.

Ruled out: heartbeats and gossip of suspicion (bytes that grow, storms after a cut). Ignoring replaced incarnations for ever: two that swap would stay swapped, as incarnations have no order.

Change: words of a replaced incarnation are not heard for 10 s; another address is another VM; a hello by another node closes the connection; the time that an unlisted replica stays doubles with each flap, up to 60 s.

Not done: a scenario with a cut between regions of processes.

--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaDirectory.java
@@ -1,7 +1,9 @@
 package org.fescueport.internal.decision.placement;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,22 @@
     /** Time for which a replica that answered lately stays after it left the list. */
     private static final long UNLISTED_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /** The same for a replica that keeps dropping out of the list. */
+    private static final long LONGEST_GRACE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** Time after which a replica that stayed in the list no longer counts as flapping. */
+    private static final long FLAPS_KEPT_NANOS = TimeUnit.MINUTES.toNanos(5);
+
+    private static final int MOST_FLAPS = 8;
+
+    /**
+     * Time for which late words of a replaced incarnation are not heard. Not for good: incarnations
+     * have no order, and two that swap must come right again.
+     */
+    private static final long FORMER_KEPT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private record Former(long incarnation, long replacedAtNanos) {}
+
     /** Time for which the word of a replica that it leaves or is empty outweighs the list. */
     private static final long LEAVING_HOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
 
@@ -40,7 +58,11 @@
         private Replica mReplica;
         private long mListedAtNanos;
         private long mAnsweredAtNanos;
+        private final ArrayDeque<Former> mFormer = new ArrayDeque<>();
         private boolean mEverAnswered;
+        private boolean mIsUnreachable;
+        private int mFlaps;
+        private long mFlappedAtNanos;
         private boolean mListed;
         private boolean mListedLeaving;
         private boolean mSaidLeaving;
@@ -48,6 +70,28 @@
         private boolean mSaidServesNothing;
         private long mSaidServesNothingAtNanos;
 
+        /** Takes the incarnation that answers; false if another one has replaced it. */
+        boolean replaceBy(long incarnation, long nowNanos) {
+            mFormer.removeIf(former -> nowNanos - former.replacedAtNanos() > FORMER_KEPT_NANOS);
+            if (mFormer.stream().anyMatch(former -> former.incarnation() == incarnation)) {
+                return false;
+            }
+            if (mReplica.incarnation() != incarnation) {
+                if (mReplica.incarnation() != 0) {
+                    mFormer.addLast(new Former(mReplica.incarnation(), nowNanos));
+                }
+                mReplica = mReplica.withIncarnation(incarnation);
+                mSaidLeaving = false;
+                mSaidServesNothing = false;
+            }
+            return true;
+        }
+
+        /** A replica that keeps dropping out of the list and coming back stays for longer. */
+        private long graceNanos() {
+            return Math.min(UNLISTED_GRACE_NANOS << mFlaps, LONGEST_GRACE_NANOS);
+        }
+
         boolean isLive(long nowNanos) {
             if (isHeldAsLeaving(nowNanos) || mListedLeaving) {
                 return false;
@@ -55,7 +99,8 @@
             if (mSaidServesNothing && nowNanos - mSaidServesNothingAtNanos < LEAVING_HOLD_NANOS) {
                 return false;
             }
-            return mListed || (mEverAnswered && nowNanos - lastSign() < UNLISTED_GRACE_NANOS);
+            var stays = !mIsUnreachable && (mEverAnswered || mFlaps > 0);
+            return mListed || (stays && nowNanos - lastSign() < graceNanos());
         }
 
         boolean isHeldAsLeaving(long nowNanos) {
@@ -83,28 +128,30 @@
 
     /** Takes the pool's part of the list of VMs as it was just read. */
     public void onList(List<Listed> listed, long nowNanos) {
-        mSeen.values().forEach(seen -> seen.mListed = false);
+        var wasListed = new HashSet<NodeId>();
+        for (var seen : mSeen.values()) {
+            if (seen.mListed) {
+                wasListed.add(seen.mReplica.node());
+            }
+            seen.mListed = false;
+        }
         for (var entry : listed) {
-            list(entry, nowNanos);
+            list(entry, wasListed.contains(entry.node()), nowNanos);
         }
     }
 
     /** Notes that a replica said hello, or answered in any way. */
     public void onHello(NodeId node, long incarnation, boolean leaving, long nowNanos) {
         Seen seen = mSeen.get(node);
-        if (seen == null) {
+        if (seen == null || !seen.replaceBy(incarnation, nowNanos)) {
             return;
         }
-        if (seen.mReplica.incarnation() != incarnation) {
-            seen.mReplica = seen.mReplica.withIncarnation(incarnation);
-            seen.mSaidLeaving = false;
-            seen.mSaidServesNothing = false;
-        }
         if (leaving && !seen.mSaidLeaving) {
             seen.mSaidLeaving = true;
             seen.mSaidLeavingAtNanos = nowNanos;
         }
         seen.mEverAnswered = true;
+        seen.mIsUnreachable = false;
         seen.mAnsweredAtNanos = nowNanos;
     }
 
@@ -112,9 +159,10 @@
      * Notes whether a replica said that it serves nothing. Its word holds for a while only, since
      * it tells the next one just to those that are connected to it.
      */
-    public void onServesNothing(NodeId node, boolean servesNothing, long nowNanos) {
+    public void onServesNothing(
+            NodeId node, long incarnation, boolean servesNothing, long nowNanos) {
         Seen seen = mSeen.get(node);
-        if (seen != null) {
+        if (seen != null && seen.mReplica.incarnation() == incarnation) {
             seen.mSaidServesNothing = servesNothing;
             seen.mSaidServesNothingAtNanos = nowNanos;
         }
@@ -139,6 +187,7 @@
         Seen seen = mSeen.get(node);
         if (seen != null) {
             seen.mEverAnswered = false;
+            seen.mIsUnreachable = true;
         }
     }
 
@@ -161,12 +210,19 @@
         return !seen.mListed && !seen.isLive(nowNanos) && !seen.isHeldAsLeaving(nowNanos);
     }
 
-    private void list(Listed entry, long nowNanos) {
-        Seen seen = mSeen.computeIfAbsent(entry.node(), node -> new Seen());
-        long incarnation = 0;
-        if (seen.mReplica != null && seen.mReplica.address().equals(entry.address())) {
-            incarnation = seen.mReplica.incarnation();
+    private void list(Listed entry, boolean wasListed, long nowNanos) {
+        Seen seen = mSeen.get(entry.node());
+        if (seen == null || !seen.mReplica.address().equals(entry.address())) {
+            // A VM at another address is another one, whatever was known of the former.
+            seen = new Seen();
+            mSeen.put(entry.node(), seen);
+        } else if (wasListed) {
+            seen.mFlaps = nowNanos - seen.mFlappedAtNanos > FLAPS_KEPT_NANOS ? 0 : seen.mFlaps;
+        } else {
+            seen.mFlaps = Math.min(seen.mFlaps + 1, MOST_FLAPS);
+            seen.mFlappedAtNanos = nowNanos;
         }
+        long incarnation = seen.mReplica == null ? 0 : seen.mReplica.incarnation();
         seen.mReplica =
                 new Replica(
                         entry.node(), entry.domain(), entry.address(), entry.weight(), incarnation);
--- a/src/main/java/org/fescueport/internal/fleet/AgentConnections.java
+++ b/src/main/java/org/fescueport/internal/fleet/AgentConnections.java
@@ -34,6 +34,7 @@
     private final Clock mClock;
     private final Counter mOpened;
     private final Counter mStaleFrames;
+    private final Counter mOtherNodes;
     private final Map<String, CompletableFuture<AgentLink>> mLinks = new ConcurrentHashMap<>();
     private final Set<AgentLink> mLinked = ConcurrentHashMap.newKeySet();
 
@@ -55,6 +56,7 @@
         mClock = clock;
         mOpened = telemetry.counter("router_agent_connections_opened");
         mStaleFrames = telemetry.counter("router_stale_frames");
+        mOtherNodes = telemetry.counter("other_nodes_at_an_address");
     }
 
     /** Told of the version of declarations that a peer has in force. */
@@ -136,7 +138,14 @@
             return;
         }
         switch (frame.getBodyCase()) {
-            case HELLO -> onHello(link, frame.getHello());
+            case HELLO -> {
+                if (!isFrom(link.node(), frame.getHello())) {
+                    mOtherNodes.increment();
+                    link.close();
+                    return;
+                }
+                onHello(link, frame.getHello());
+            }
             case LEAVING -> mMembership.onLeaving(link.node(), frame.getLeaving().getIncarnation());
             default -> {
                 // The link hands it to the attempt or call that it belongs to.
@@ -154,6 +163,11 @@
         }
     }
 
+    /** The list lags: another VM, maybe one of another model, may have the address by now. */
+    private static boolean isFrom(NodeId node, Hello hello) {
+        return hello.getNode().equals(node.name());
+    }
+
     private void onHello(AgentLink link, Hello hello) {
         mMembership.onHello(link.node(), hello);
         mPeerVersions.onVersion(link, hello.getConfigVersion());
--- a/src/main/java/org/fescueport/internal/fleet/Membership.java
+++ b/src/main/java/org/fescueport/internal/fleet/Membership.java
@@ -120,7 +120,8 @@
                 node,
                 (directory, now) -> {
                     directory.onHello(node, hello.getIncarnation(), hello.getLeaving(), now);
-                    directory.onServesNothing(node, hello.getServesNothing(), now);
+                    directory.onServesNothing(
+                            node, hello.getIncarnation(), hello.getServesNothing(), now);
                 });
     }
 
--- a/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
+++ b/src/test/java/org/fescueport/internal/decision/placement/ReplicaDirectoryTest.java
@@ -40,17 +40,19 @@
     @Test
     void shouldLeaveOutAReplicaThatServesNothingUntilItSaysSo() {
         list(0, false);
-        mDirectory.onServesNothing(NODE, true, at(1));
+        mDirectory.onHello(NODE, 5, false, at(1));
+        mDirectory.onServesNothing(NODE, 5, true, at(1));
         assertThat(liveAt(2), is(0));
         assertThat(mDirectory.listed(at(2)).size(), is(1));
-        mDirectory.onServesNothing(NODE, false, at(3));
+        mDirectory.onServesNothing(NODE, 5, false, at(3));
         assertThat(liveAt(3), is(1));
     }
 
     @Test
     void shouldTryAReplicaAgainLongAfterItServedNothing() {
         list(0, false);
-        mDirectory.onServesNothing(NODE, true, at(1));
+        mDirectory.onHello(NODE, 5, false, at(1));
+        mDirectory.onServesNothing(NODE, 5, true, at(1));
         assertThat(liveAt(62), is(1));
     }
 
@@ -104,4 +106,36 @@
         list(1, true);
         assertThat(liveAt(1), is(0));
     }
+
+    @Test
+    void shouldNotHearAnIncarnationThatAnotherHasReplaced() {
+        list(0, false);
+        mDirectory.onHello(NODE, 5, false, at(1));
+        mDirectory.onHello(NODE, 6, false, at(2));
+        mDirectory.onLeaving(NODE, 5, at(3));
+        assertThat(liveAt(3), is(1));
+        assertThat(mDirectory.replicas(at(3)).replica(0).incarnation(), is(6L));
+    }
+
+    @Test
+    void shouldTakeAVmAtAnotherAddressForAnotherOne() {
+        list(0, false);
+        mDirectory.onLeaving(NODE, 5, at(1));
+        mDirectory.onList(List.of(new Listed(NODE, DOMAIN, "b:1", 1, false)), at(2));
+        assertThat(liveAt(2), is(1));
+        assertThat(mDirectory.replicas(at(2)).replica(0).incarnation(), is(0L));
+    }
+
+    @Test
+    void shouldKeepAReplicaThatFlapsInTheList() {
+        list(0, false);
+        mDirectory.onList(List.of(), at(2));
+        list(4, false);
+        mDirectory.onList(List.of(), at(6));
+        assertThat(liveAt(8), is(1));
+        list(9, false);
+        mDirectory.onList(List.of(), at(11));
+        assertThat(liveAt(20), is(1));
+        assertThat(liveAt(80), is(0));
+    }
 }
