--- a/src/test/java/org/fescueport/scenarios/ChatSteps.java
+++ b/src/test/java/org/fescueport/scenarios/ChatSteps.java
@@ -140,6 +140,12 @@
 
     private static HttpRequest request(
             int router, String chat, String ticket, int tokens, String messages) {
+        var url = FleetSteps.fleet().router(router).url();
+        return request(url, chat, ticket, tokens, messages);
+    }
+
+    static HttpRequest request(
+            String router, String chat, String ticket, int tokens, String messages) {
         var body = Http.JSON.createObjectNode();
         body.put("model", Fleet.MODEL).put("stream", true).put("max_tokens", tokens);
         body.set("messages", Http.json(messages));
@@ -147,7 +153,6 @@
         if (!ticket.isEmpty()) {
             headers.put("Fescue-Ticket", ticket);
         }
-        var url = FleetSteps.fleet().router(router).url() + "/v1/chat/completions";
-        return Http.request("POST", url, body.toString(), headers);
+        return Http.request("POST", router + "/v1/chat/completions", body.toString(), headers);
     }
 }
--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -1,6 +1,7 @@
 package org.fescueport.scenarios;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.net.URI;
@@ -9,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.agent.AgentMain;
 import org.fescueport.internal.ctl.CtlMain;
@@ -49,7 +51,7 @@
     private final Map<String, String> mBackends = new LinkedHashMap<>();
     private final Map<String, Program> mEngines = new LinkedHashMap<>();
     private final Map<String, Vm> mVms = new LinkedHashMap<>();
-    private final List<Router> mRouters = new ArrayList<>();
+    private final List<Router> mRouters = new CopyOnWriteArrayList<>();
     private String mLogUrl;
     private String mVmsUrl;
     private String mTracesUrl;
@@ -154,24 +156,50 @@
 
     private void startAgents() throws InterruptedException {
         var agents = new LinkedHashMap<String, Program>();
-        for (var backend : mBackends.entrySet()) {
-            var name = backend.getKey();
-            var arguments = new ArrayList<>(nodeArguments(name));
-            boolean isModel = name.startsWith("engine");
-            arguments.addAll(List.of("--backend-kind", isModel ? "model" : "service"));
-            arguments.addAll(List.of("--backend-url", backend.getValue()));
-            arguments.addAll(List.of("--pool", poolOf(name)));
-            agents.put(name, start("agent-" + name, AgentMain.class, arguments));
-        }
+        mBackends.keySet().forEach(name -> agents.put(name, startAgent(name)));
         for (var agent : agents.entrySet()) {
-            var name = agent.getKey();
-            int port = portTo(agent.getValue());
-            var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent.getValue(), port);
-            mVms.put(name, vm);
-            list(vm, "live");
+            addAgent(agent.getKey(), agent.getValue());
         }
     }
 
+    private Program startAgent(String name) {
+        var arguments = new ArrayList<>(nodeArguments(name));
+        boolean isModel = name.startsWith("engine");
+        arguments.addAll(List.of("--backend-kind", isModel ? "model" : "service"));
+        arguments.addAll(List.of("--backend-url", mBackends.get(name)));
+        arguments.addAll(List.of("--pool", poolOf(name)));
+        return start("agent-" + name, AgentMain.class, arguments);
+    }
+
+    private void addAgent(String name, Program agent) throws InterruptedException {
+        var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent, portTo(agent));
+        mVms.put(name, vm);
+        list(vm, "live");
+    }
+
+    /** Replaces an agent as planned: it is told to stop, and another takes its place. */
+    void replaceAgent(String name) throws InterruptedException {
+        stop(mVms.get(name).agent());
+        addAgent(name, startAgent(name));
+    }
+
+    /** Replaces a router as planned, and waits until the new one is ready. */
+    void replaceRouter(int number) throws InterruptedException {
+        var old = router(number);
+        stop(old.program());
+        var program = start(old.name(), RouterMain.class, nodeArguments(old.name()));
+        var router = new Router(old.name(), program, program.awaitUrl(""));
+        putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+        awaitReady(router);
+        mRouters.set(number - 1, router);
+    }
+
+    private static void stop(Program program) throws InterruptedException {
+        program.terminate();
+        int code = program.awaitExit(READY_SECONDS);
+        assertThat("exit code of " + program.name(), code, is(0));
+    }
+
     private int portTo(Program agent) throws InterruptedException {
         int port = URI.create(agent.awaitUrl("")).getPort();
         if (!mSize.proxied()) {
@@ -211,16 +239,20 @@
 
     private void awaitReady() throws InterruptedException {
         Http.put(mVmsUrl + "/v1/faults", "{\"outage\":false}");
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
         for (var router : mRouters) {
-            while (!isReady(router)) {
-                assertThat(router.name() + " is ready in time", System.nanoTime(), lessThan(end));
-                Thread.sleep(READY_CHECK_MILLIS);
-            }
+            awaitReady(router);
+        }
+    }
+
+    private static void awaitReady(Router router) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+        while (!isReady(router)) {
+            assertThat(router.name() + " is ready in time", System.nanoTime(), lessThan(end));
+            Thread.sleep(READY_CHECK_MILLIS);
         }
     }
 
-    private static boolean isReady(Router router) {
+    static boolean isReady(Router router) {
         return Http.send("GET", router.url() + "/readyz", "", Map.of()).join().statusCode() == 200;
     }
 
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -27,3 +27,8 @@
     When the list of VMs says that engine-2 is leaving
     And 3 seconds pass
     Then engine-2 gets none of 20 new chats
+
+  Scenario: Rolling replacement under load loses nothing
+    When 8 callers chat all the time, with seed 1
+    And each agent and each router is replaced in turn
+    Then every answer was whole and none was broken off
