--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.agent.AgentMain;
@@ -46,6 +47,8 @@
     private static final long READY_CHECK_MILLIS = 50;
 
     private final Size mSize;
+    private final Optional<FleetTls> mTls;
+    private final Map<String, String> mAdmins = new LinkedHashMap<>();
     private final List<SocketProxy> mProxies = new ArrayList<>();
     private final List<Program> mPrograms = new ArrayList<>();
     private final Map<String, String> mBackends = new LinkedHashMap<>();
@@ -56,16 +59,17 @@
     private String mVmsUrl;
     private String mTracesUrl;
 
-    private Fleet(Size size) {
+    private Fleet(Size size, Optional<FleetTls> tls) {
         mSize = size;
+        mTls = tls;
     }
 
     /**
      * Starts a fleet and waits until its routers are ready, which know all agents by then: the list
      * of VMs is in an outage until it is complete.
      */
-    static Fleet start(Size size) throws InterruptedException {
-        var fleet = new Fleet(size);
+    static Fleet start(Size size, Optional<FleetTls> tls) throws InterruptedException {
+        var fleet = new Fleet(size, tls);
         try {
             fleet.startPlatform();
             var publisher = fleet.publish();
@@ -100,6 +104,11 @@
         return mRouters;
     }
 
+    /** Returns where operators reach each router and agent, by its program's name. */
+    Map<String, String> admins() {
+        return mAdmins;
+    }
+
     void setLogFaults(String json) {
         Http.put(mLogUrl + "/v1/faults", json);
     }
@@ -172,7 +181,9 @@
     }
 
     private void addAgent(String name, Program agent) throws InterruptedException {
-        var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent, portTo(agent));
+        int port = portTo(agent);
+        awaitAdmin(agent);
+        var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent, port);
         mVms.put(name, vm);
         list(vm, "live");
     }
@@ -188,8 +199,7 @@
         var old = router(number);
         stop(old.program());
         var program = start(old.name(), RouterMain.class, nodeArguments(old.name()));
-        var router = new Router(old.name(), program, program.awaitUrl(""));
-        putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+        var router = awaitRouter(program);
         awaitReady(router);
         mRouters.set(number - 1, router);
     }
@@ -220,12 +230,23 @@
 
     private void awaitRouters(List<Program> programs) throws InterruptedException {
         for (var program : programs) {
-            var router = new Router(program.name(), program, program.awaitUrl(""));
-            mRouters.add(router);
-            putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+            mRouters.add(awaitRouter(program));
         }
     }
 
+    private Router awaitRouter(Program program) throws InterruptedException {
+        var url = program.awaitUrl("");
+        var scheme = mTls.isPresent() ? "https" : "http";
+        var router = new Router(program.name(), program, url.replace("http", scheme));
+        awaitAdmin(program);
+        putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+        return router;
+    }
+
+    private void awaitAdmin(Program program) throws InterruptedException {
+        mAdmins.put(program.name(), "http://" + program.awaitLine("^admin (\\S+)").group(1));
+    }
+
     private List<String> nodeArguments(String node) {
         var arguments = new ArrayList<String>();
         arguments.addAll(List.of("--node", node));
@@ -234,6 +255,7 @@
         arguments.addAll(List.of("--vms-url", mVmsUrl));
         arguments.addAll(List.of("--traces-url", mTracesUrl));
         arguments.addAll(List.of("--token-keys", TOKEN_KEYS));
+        mTls.ifPresent(tls -> arguments.addAll(tls.argumentsOf(node)));
         return arguments;
     }
 
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -32,3 +32,14 @@
     When 8 callers chat all the time, with seed 1
     And each agent and each router is replaced in turn
     Then every answer was whole and none was broken off
+
+  Scenario: A chat returns after its agent left as planned
+    When a caller asks for 20 tokens through router 1
+    Then the answer is whole
+    When the agent that answered is told to stop
+    Then that agent ends by itself
+    And the caller returns through router 1 to another replica, its prompt cached
+
+  Scenario: A router without a live agent is not ready
+    When the list of VMs says that every agent is leaving
+    Then router 1 gets not ready
