Replace routers first in the rolling scenario, and ask for answers after it

Cause: with agents first, a router that lost its replicas was itself replaced before anybody missed them; callers that found no router ready were not counted. Change: routers go first; two answers for each caller must follow within 10 s.

--- a/src/test/java/org/fescueport/scenarios/RollingSteps.java
+++ b/src/test/java/org/fescueport/scenarios/RollingSteps.java
@@ -43,13 +43,24 @@
         }
     }
 
-    @When("each agent and each router is replaced in turn")
+    /** Routers go first, so that each lives through the replacement of all agents. */
+    @When("each router and each agent is replaced in turn")
     public void replaceAll() throws InterruptedException {
+        for (int i = 1; i <= FleetSteps.fleet().routers().size(); i++) {
+            FleetSteps.fleet().replaceRouter(i);
+        }
         for (var vm : FleetSteps.fleet().vms("engine")) {
             FleetSteps.fleet().replaceAgent(vm.name());
         }
-        for (int i = 1; i <= FleetSteps.fleet().routers().size(); i++) {
-            FleetSteps.fleet().replaceRouter(i);
+    }
+
+    @Then("the callers are answered as before")
+    public void answeredAsBefore() throws InterruptedException {
+        int enough = mWhole.get() + 2 * mCallers.size();
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MOST_MILLIS);
+        while (mWhole.get() < enough) {
+            assertThat("answers go on in time", System.nanoTime(), lessThan(end));
+            Thread.sleep(RETRY_MILLIS);
         }
     }
 
@@ -111,15 +122,14 @@
     }
 
     /** Picks as the platform's balancer does: a router whose health check passes. */
-    private static Fleet.Router pick(SplittableRandom random) throws InterruptedException {
+    private Fleet.Router pick(SplittableRandom random) throws InterruptedException {
         var routers = FleetSteps.fleet().routers();
-        while (true) {
-            var router = routers.get(random.nextInt(routers.size()));
-            if (isReady(router)) {
-                return router;
-            }
+        var router = routers.get(random.nextInt(routers.size()));
+        while (!mStopped && !isReady(router)) {
             Thread.sleep(RETRY_MILLIS);
+            router = routers.get(random.nextInt(routers.size()));
         }
+        return router;
     }
 
     private static boolean isReady(Fleet.Router router) {
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -30,8 +30,9 @@
 
   Scenario: Rolling replacement under load loses nothing
     When 8 callers chat all the time, with seed 1
-    And each agent and each router is replaced in turn
-    Then every answer was whole and none was broken off
+    And each router and each agent is replaced in turn
+    Then the callers are answered as before
+    And every answer was whole and none was broken off
 
   Scenario: A chat returns after its agent left as planned
     When a caller asks for 20 tokens through router 1
