--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -26,5 +26,11 @@
     /** Brings a KV cache that the peer is to import, as its sender leaves. */
     public static final String KV_IMPORT = "kv-import";
 
+    /** An order to the agent's engine: an OrderCall, answered by an OrderAnswer. */
+    public static final String ORDER = "order";
+
+    /** Asks what the agent's engine serves: empty, answered by a ReplicaReport. */
+    public static final String REPLICA = "replica";
+
     private PeerCalls() {}
 }
--- a/src/test/java/org/fescueport/scenarios/TlsSteps.java
+++ b/src/test/java/org/fescueport/scenarios/TlsSteps.java
@@ -22,7 +22,10 @@
     @Given("a fleet of {int} router(s) and {int} engine(s) with TLS")
     public void start(int routers, int engines) throws InterruptedException, IOException {
         mTls = FleetTls.create();
-        FleetSteps.start(new Fleet.Size(routers, engines, 0, false, false), Optional.of(mTls));
+        FleetSteps.start(
+                new Fleet.Size(routers, engines, 0, false, false),
+                Optional.of(mTls),
+                Optional.empty());
     }
 
     @When("all certificates are renewed")
