--- a/src/test/java/org/fescueport/scenarios/Fleet.java
+++ b/src/test/java/org/fescueport/scenarios/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.agent.AgentMain;
 import org.fescueport.internal.ctl.CtlMain;
@@ -79,7 +80,7 @@
     private final Map<String, String> mBackends = new LinkedHashMap<>();
     private final Map<String, Program> mEngines = new LinkedHashMap<>();
     private final Map<String, Vm> mVms = new LinkedHashMap<>();
-    private final List<Router> mRouters = new ArrayList<>();
+    private final List<Router> mRouters = new CopyOnWriteArrayList<>();
     private String mLogUrl;
     private String mVmsUrl;
     private String mTracesUrl;
@@ -258,28 +259,53 @@
 
     private void startAgents() throws InterruptedException {
         var agents = new LinkedHashMap<String, Program>();
-        for (var backend : mBackends.entrySet()) {
-            var name = backend.getKey();
-            var arguments = new ArrayList<>(nodeArguments(name));
-            boolean isModel = name.startsWith("engine");
-            arguments.addAll(List.of("--backend-kind", isModel ? "model" : "service"));
-            arguments.addAll(List.of("--backend-url", backend.getValue()));
-            arguments.addAll(List.of("--pool", poolOf(name)));
-            mPlacement.ifPresent(it -> arguments.addAll(List.of("--weights-url", mWeightsUrl)));
-            mPlacement.ifPresent(
-                    it -> arguments.addAll(List.of("--weights-bytes-per-second", RATE)));
-            agents.put(name, start("agent-" + name, AgentMain.class, arguments));
-        }
+        mBackends.keySet().forEach(name -> agents.put(name, startAgent(name)));
         for (var agent : agents.entrySet()) {
-            var name = agent.getKey();
-            int port = portTo(agent.getValue());
-            awaitAdmin(agent.getValue());
-            var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent.getValue(), port);
-            mVms.put(name, vm);
-            list(vm, "live");
+            addAgent(agent.getKey(), agent.getValue());
         }
     }
 
+    private Program startAgent(String name) {
+        var arguments = new ArrayList<>(nodeArguments(name));
+        boolean isModel = name.startsWith("engine");
+        arguments.addAll(List.of("--backend-kind", isModel ? "model" : "service"));
+        arguments.addAll(List.of("--backend-url", mBackends.get(name)));
+        arguments.addAll(List.of("--pool", poolOf(name)));
+        mPlacement.ifPresent(it -> arguments.addAll(List.of("--weights-url", mWeightsUrl)));
+        mPlacement.ifPresent(it -> arguments.addAll(List.of("--weights-bytes-per-second", RATE)));
+        return start("agent-" + name, AgentMain.class, arguments);
+    }
+
+    private void addAgent(String name, Program agent) throws InterruptedException {
+        int port = portTo(agent);
+        awaitAdmin(agent);
+        var vm = new Vm(name, mEngines.get(name), mBackends.get(name), agent, port);
+        mVms.put(name, vm);
+        list(vm, "live");
+    }
+
+    /** Replaces an agent as planned: it is told to stop, and another takes its place. */
+    void replaceAgent(String name) throws InterruptedException {
+        stop(mVms.get(name).agent());
+        addAgent(name, startAgent(name));
+    }
+
+    /** Replaces a router as planned, and waits until the new one is ready. */
+    void replaceRouter(int number) throws InterruptedException {
+        var old = router(number);
+        stop(old.program());
+        var program = start(old.name(), RouterMain.class, nodeArguments(old.name()));
+        var router = awaitRouter(program);
+        awaitReady(router);
+        mRouters.set(number - 1, router);
+    }
+
+    private static void stop(Program program) throws InterruptedException {
+        program.terminate();
+        int code = program.awaitExit(READY_SECONDS);
+        assertThat("exit code of " + program.name(), code, is(0));
+    }
+
     private int portTo(Program agent) throws InterruptedException {
         int port = URI.create(agent.awaitUrl("")).getPort();
         if (!mSize.proxied()) {
@@ -300,15 +326,19 @@
 
     private void awaitRouters(List<Program> programs) throws InterruptedException {
         for (var program : programs) {
-            var url = program.awaitUrl("");
-            var scheme = mFlags instanceof FleetTls ? "https" : "http";
-            var router = new Router(program.name(), program, url.replace("http", scheme));
-            awaitAdmin(program);
-            mRouters.add(router);
-            putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+            mRouters.add(awaitRouter(program));
         }
     }
 
+    private Router awaitRouter(Program program) throws InterruptedException {
+        var url = program.awaitUrl("");
+        var scheme = mFlags instanceof FleetTls ? "https" : "http";
+        var router = new Router(program.name(), program, url.replace("http", scheme));
+        awaitAdmin(program);
+        putVm(router.name(), "live", "router", URI.create(router.url()).getPort(), "");
+        return router;
+    }
+
     private void awaitAdmin(Program program) throws InterruptedException {
         mAdmins.put(program.name(), "http://" + program.awaitLine("^admin (\\S+)").group(1));
     }
@@ -335,12 +365,16 @@
 
     private void awaitReady() throws InterruptedException {
         Http.put(mVmsUrl + "/v1/faults", "{\"outage\":false}");
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
         for (var router : mRouters) {
-            while (!isReady(router)) {
-                assertThat(router.name() + " is ready in time", System.nanoTime(), lessThan(end));
-                Thread.sleep(READY_CHECK_MILLIS);
-            }
+            awaitReady(router);
+        }
+    }
+
+    private static void awaitReady(Router router) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+        while (!isReady(router)) {
+            assertThat(router.name() + " is ready in time", System.nanoTime(), lessThan(end));
+            Thread.sleep(READY_CHECK_MILLIS);
         }
     }
 
--- a/src/test/resources/scenarios/leaving.feature
+++ b/src/test/resources/scenarios/leaving.feature
@@ -28,6 +28,12 @@
     And 3 seconds pass
     Then engine-2 gets none of 20 new chats
 
+  Scenario: Rolling replacement under load loses nothing
+    When 8 callers chat all the time, with seed 1
+    And each router and each agent is replaced in turn
+    Then the callers are answered as before
+    And every answer was whole and none was broken off
+
   Scenario: A chat returns after its agent left as planned
     When a caller asks for 20 tokens through router 1
     Then the answer is whole
