--- a/src/main/java/org/fescueport/internal/agent/AgentCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCalls.java
@@ -72,6 +72,10 @@
                     mImport == null
                             ? CompletableFuture.completedFuture(ByteString.EMPTY)
                             : mImport.export(call.getPayload());
+            case PeerCalls.KV_IMPORT ->
+                    mImport == null
+                            ? CompletableFuture.completedFuture(ByteString.EMPTY)
+                            : mImport.take(call.getPayload());
             case PeerCalls.ISSUE_KEY -> issueKey(call);
             case PeerCalls.ORDER ->
                     mOrders == null ? unknown(call) : mOrders.order(call.getPayload());
--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -38,6 +38,7 @@
 import org.fescueport.internal.platform.HttpLogService;
 import org.fescueport.internal.platform.HttpPlainService;
 import org.fescueport.internal.platform.HttpVmList;
+import org.fescueport.internal.security.NodeTls;
 import org.fescueport.internal.security.SealedTokens;
 import org.fescueport.internal.security.TokenKeyRing;
 import org.fescueport.internal.settings.ProgramCommand;
@@ -70,6 +71,7 @@
     private final ScheduledThreadPoolExecutor mTimers = new ScheduledThreadPoolExecutor(1);
     private final Telemetry mTelemetry;
     private final AsyncHttpCaller mHttpCaller;
+    private final NodeTls mTls;
     private final FrameTransport mTransport;
     private final Backend mBackend;
     private final ConfigFollower mConfig;
@@ -88,6 +90,7 @@
     private volatile boolean mIsBackendUp;
     private InetSocketAddress mAddress;
     private HttpServer mAdminServer;
+    private CacheHandover mHandover;
 
     private AgentProcess(AgentSettings settings) {
         mSettings = settings;
@@ -95,7 +98,9 @@
         mLoop.setRemoveOnCancelPolicy(true);
         mTelemetry = Telemetry.create("fescue-agent", node.node(), node.tracesUrl(), mClock);
         mHttpCaller = AsyncHttpCaller.create(HttpCallerSettings.defaults());
-        mTransport = FrameTransport.create(WIRE_THREADS, Optional::empty, Optional::empty);
+        mTls = NodeTls.create(node.tls(), Optional.empty(), mClock, mTelemetry.registry());
+        mTransport =
+                FrameTransport.create(WIRE_THREADS, mTls::server, mTls::client, mTls::onRefused);
         mBackend = backend();
         mLog = HttpLogService.of(mHttpCaller, node.logUrl().toString(), PLATFORM_TIMEOUT);
         var list = HttpVmList.of(mHttpCaller, node.vmsUrl().toString(), PLATFORM_TIMEOUT);
@@ -150,7 +155,7 @@
         long end = mClock.monotonicTime() + TimeUnit.SECONDS.toNanos(mSettings.drainSeconds());
         do {
             await(DRAIN_POLL);
-        } while (mActive > 0 && mClock.monotonicTime() - end < 0);
+        } while ((mActive > 0 || isHandingOver()) && mClock.monotonicTime() - end < 0);
         mRoot.stop();
         mTransport.close();
         mLoop.shutdownNow();
@@ -159,6 +164,10 @@
         mTelemetry.close();
     }
 
+    private boolean isHandingOver() {
+        return mHandover != null && !mHandover.isDone();
+    }
+
     @Override
     public Status status() {
         return new Status(
@@ -243,6 +252,18 @@
         return CacheImport.of(model.engine(), mMembership, mConnections, mLoop, mClock, counters);
     }
 
+    private CacheHandover cacheHandover(Backend.Model model) {
+        return CacheHandover.of(
+                model.engine(),
+                NodeId.of(mSettings.node().node()),
+                PoolId.of(mSettings.pool()),
+                mMembership,
+                CacheHandover.over(mConnections),
+                mLoop,
+                mClock,
+                AgentCounters.of(mTelemetry));
+    }
+
     private void onDeclarations(Declarations declarations) {
         var pool = PoolId.of(mSettings.pool());
         declarations
@@ -272,6 +293,7 @@
                 .add(Worker.periodic("vm-list", VM_LIST_INTERVAL, mTimers, mMembership::refresh))
                 .add(Worker.periodic("mean", GOSSIP_INTERVAL, mLoop, mGossip::round))
                 .add(Worker.periodic("probes", PROBE_INTERVAL, mTimers, mConnections::probe))
+                .add(Worker.periodic("tls-files", NodeTls.LOOK_INTERVAL, mTimers, mTls::look))
                 .add(Worker.of("duties", onFailure -> startDuties()))
                 .add(Worker.periodic("placement", HEALTH_INTERVAL, mTimers, this::placeModels))
                 .add(Worker.periodic("replica", HEALTH_INTERVAL, mTimers, this::refreshReplica))
@@ -379,6 +401,8 @@
             var cacheImport = cacheImport(model);
             calls.use(cacheImport);
             mCore.use(cacheImport);
+            mHandover = cacheHandover(model);
+            mCore.use(mHandover, mSettings.drainSeconds());
             mReplica.ifPresent(status -> takeOrders(calls, model, status));
             onServing();
         }
--- a/src/test/java/org/fescueport/internal/fleet/AgentConnectionsTest.java
+++ b/src/test/java/org/fescueport/internal/fleet/AgentConnectionsTest.java
@@ -28,7 +28,7 @@
     private static final long TIMEOUT_SECONDS = 5;
 
     private final FrameTransport mTransport =
-            FrameTransport.create(1, Optional::empty, Optional::empty);
+            FrameTransport.create(1, Optional::empty, Optional::empty, refused -> {});
     private final Telemetry mTelemetry =
             Telemetry.create("test", "router-1", Optional.empty(), Clock.SYSTEM);
     private final AgentConnections mConnections =
--- a/src/test/java/org/fescueport/scenarios/FleetSteps.java
+++ b/src/test/java/org/fescueport/scenarios/FleetSteps.java
@@ -20,23 +20,30 @@
         return sFleet;
     }
 
-    static void start(Fleet.Size size, Fleet.Placement placement) throws InterruptedException {
-        sFleet = Fleet.start(size, Optional.of(placement));
+    static void start(Fleet.Size size, Optional<FleetTls> tls, Optional<Fleet.Placement> placement)
+            throws InterruptedException {
+        sFleet = Fleet.start(size, tls, placement);
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) and {int} service(s)")
     public void start(int routers, int engines, int services) throws InterruptedException {
-        sFleet = Fleet.start(new Fleet.Size(routers, engines, services, false, false));
+        start(
+                new Fleet.Size(routers, engines, services, false, false),
+                Optional.empty(),
+                Optional.empty());
     }
 
     @Given("a fleet of {int} router(s), {int} engine(s) as processes and {int} service(s)")
     public void startKillable(int routers, int engines, int services) throws InterruptedException {
-        sFleet = Fleet.start(new Fleet.Size(routers, engines, services, true, false));
+        start(
+                new Fleet.Size(routers, engines, services, true, false),
+                Optional.empty(),
+                Optional.empty());
     }
 
     @Given("a fleet of {int} router(s) and {int} engine(s) with proxies before the agents")
     public void startProxied(int routers, int engines) throws InterruptedException {
-        sFleet = Fleet.start(new Fleet.Size(routers, engines, 0, false, true));
+        start(new Fleet.Size(routers, engines, 0, false, true), Optional.empty(), Optional.empty());
     }
 
     @When("the connections between routers and agents are cut")
@@ -64,7 +71,8 @@
 
     @Then("router {int} ends by itself")
     public void routerEnds(int number) throws InterruptedException {
-        sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        int code = sFleet.router(number).program().awaitExit(STOP_SECONDS);
+        assertThat("exit code of router " + number, code, is(0));
     }
 
     @When("the agent of {word} is told to stop")
@@ -74,7 +82,8 @@
 
     @Then("the agent of {word} ends by itself")
     public void agentEnds(String vm) throws InterruptedException {
-        sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        int code = sFleet.vm(vm).agent().awaitExit(STOP_SECONDS);
+        assertThat("exit code of the agent of " + vm, code, is(0));
     }
 
     @Then("{word} had no answer broken off")
@@ -89,6 +98,20 @@
         sFleet.list(sFleet.vm(vm), "leaving");
     }
 
+    @When("the list of VMs says that every agent is leaving")
+    public void leaveAll() {
+        sFleet.vms("").forEach(vm -> sFleet.list(vm, "leaving"));
+    }
+
+    @Then("router {int} gets not ready")
+    public void getsNotReady(int number) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(STOP_SECONDS);
+        while (Fleet.isReady(sFleet.router(number))) {
+            assertThat("time is left", System.nanoTime() < end, is(true));
+            Thread.sleep(OUTAGE_SETTLE_MILLIS);
+        }
+    }
+
     @When("{int} seconds pass")
     public void pass(int seconds) throws InterruptedException {
         TimeUnit.SECONDS.sleep(seconds);
--- a/src/test/java/org/fescueport/scenarios/LateOrder.java
+++ b/src/test/java/org/fescueport/scenarios/LateOrder.java
@@ -24,7 +24,7 @@
     /** Sends the order to an agent and returns its answer. */
     static OrderAnswer send(int port, String artifact, long token) {
         var answer = new CompletableFuture<Frame>();
-        var transport = FrameTransport.create(1, Optional::empty, Optional::empty);
+        var transport = FrameTransport.create(1, Optional::empty, Optional::empty, failure -> {});
         try {
             var address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
             var connection = transport.connect(address, new Answers(answer)).join();
--- a/src/test/java/org/fescueport/scenarios/PlacementSteps.java
+++ b/src/test/java/org/fescueport/scenarios/PlacementSteps.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.wire.generated.OrderAnswer;
 import org.fescueport.internal.wire.generated.OrderFate;
@@ -37,7 +38,10 @@
     public void start(int routers, int engines, String check, int loaded, String artifact)
             throws InterruptedException {
         var placement = new Fleet.Placement(check.equals("check"), loaded, artifact, LOAD_MILLIS);
-        FleetSteps.start(new Fleet.Size(routers, engines, 0, true, false), placement);
+        FleetSteps.start(
+                new Fleet.Size(routers, engines, 0, true, false),
+                Optional.empty(),
+                Optional.of(placement));
     }
 
     @After(order = 20_000)
