Let a node that nobody asks give away what it has read

Cause: while the log is down, nodes ask agents for records and nobody asks a router. The answer to a question did not tell how far the peer itself was (its "next" is at least what was asked for), so the asker could not know that the peer was behind. Ruled out: asking routers (they take no calls, and a full mesh of routers is more than the budget of control). Change: an answer tells the peer's own position; whoever asks and is ahead gives the peer what it lacks (config-offer), which spreads on from there. Before: shouldSpreadFromARouterThatNobodyAsksWhileTheLogIsDown failed at 8, 60 and 300 nodes ("an item was <0L>").

ConfigFollowerTest.shouldNotSayCurrentAfterARecordOfANewerRelease took 2 for a newer format, which is known since token keys rotate; it is 3 now, as strict as before.

--- a/src/main/java/org/fescueport/internal/agent/AgentCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCalls.java
@@ -59,6 +59,10 @@
         return switch (call.getMethod()) {
             case PeerCalls.PROBE -> CompletableFuture.completedFuture(ByteString.EMPTY);
             case PeerCalls.CONFIG_RECORDS -> configRecords(call);
+            case PeerCalls.CONFIG_OFFER -> {
+                mConfig.offerFromPeer(call.getPayload().toByteArray());
+                yield CompletableFuture.completedFuture(ByteString.EMPTY);
+            }
             case PeerCalls.MEAN ->
                     CompletableFuture.supplyAsync(() -> mGossip.answer(call.getPayload()), mLoop);
             case PeerCalls.CLAIM ->
--- a/src/main/java/org/fescueport/internal/fleet/ConfigSources.java
+++ b/src/main/java/org/fescueport/internal/fleet/ConfigSources.java
@@ -61,6 +61,21 @@
         return ask(replica.get(), offset);
     }
 
+    @Override
+    public void offer(Peer peer, byte[] records) {
+        mMembership
+                .find(peer.node())
+                .ifPresent(
+                        replica ->
+                                mConnections
+                                        .to(replica)
+                                        .thenAccept(
+                                                link ->
+                                                        link.call(
+                                                                PeerCalls.CONFIG_OFFER,
+                                                                ByteString.copyFrom(records))));
+    }
+
     private CompletableFuture<byte[]> ask(Replica replica, long offset) {
         var payload = ByteBuffer.allocate(Long.BYTES).putLong(offset).flip();
         return mConnections
--- a/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
@@ -332,11 +332,24 @@
                 .thenAccept(
                         records -> {
                             offerFromPeer(records);
+                            giveWhatItLacks(peer, records);
                             mPeers.onHeard(peer.domain(), askedAtMillis, records, position());
                             mSettledByPeers |= mPeers.heard(nowMillis());
                         });
     }
 
+    private void giveWhatItLacks(ConfigPeers.Peer peer, byte[] answer) {
+        try {
+            long theirs = ConfigRecords.parseFrom(answer).getPosition();
+            if (theirs < position()) {
+                count("fescue.config.peer.offered");
+                mPeers.peers().offer(peer, recordsFrom(theirs));
+            }
+        } catch (InvalidProtocolBufferException e) {
+            count("fescue.config.peer.refused");
+        }
+    }
+
     private void setLogDown(boolean down, String why) {
         if (mLogDown != down) {
             mLogDown = down;
--- a/src/main/java/org/fescueport/internal/log/config/ConfigPeers.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigPeers.java
@@ -20,6 +20,12 @@
      */
     CompletableFuture<byte[]> recordsFrom(Peer peer, long offset);
 
+    /**
+     * Gives a peer records that it lacks, for {@link ConfigFollower#offerFromPeer}. Some nodes ask
+     * and are never asked, so that what only they have read would not spread otherwise.
+     */
+    void offer(Peer peer, byte[] records);
+
     /** Returns no peers. */
     static ConfigPeers none() {
         return new ConfigPeers() {
@@ -33,6 +39,11 @@
                 return CompletableFuture.failedFuture(
                         new IllegalStateException("there is no peer to ask"));
             }
+
+            @Override
+            public void offer(Peer peer, byte[] records) {
+                // There is nobody to take them.
+            }
         };
     }
 }
--- a/src/main/java/org/fescueport/internal/log/config/RecentRecords.java
+++ b/src/main/java/org/fescueport/internal/log/config/RecentRecords.java
@@ -36,7 +36,8 @@
     /** Returns what a peer that is at {@code from} lacks, as far as one answer holds. */
     ConfigRecords.Builder answer(long from, ConfigFold fold) {
         var next = Math.max(from, fold.position());
-        var answer = ConfigRecords.newBuilder().setFrom(from).setNext(next);
+        var position = fold.position();
+        var answer = ConfigRecords.newBuilder().setFrom(from).setNext(next).setPosition(position);
         if (from >= fold.position()) {
             return answer;
         }
--- a/src/main/java/org/fescueport/internal/wire/PeerCalls.java
+++ b/src/main/java/org/fescueport/internal/wire/PeerCalls.java
@@ -32,5 +32,8 @@
     /** Asks what the agent's engine serves: empty, answered by a ReplicaReport. */
     public static final String REPLICA = "replica";
 
+    /** Gives records of the configuration that the agent lacks: ConfigRecords. */
+    public static final String CONFIG_OFFER = "config-offer";
+
     private PeerCalls() {}
 }
--- a/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
+++ b/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
@@ -50,6 +50,20 @@
         assertThat(versions(), everyItem(is(version)));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {8, 60, 300})
+    void shouldSpreadFromARouterThatNobodyAsksWhileTheLogIsDown(int count) {
+        mNodes.start(count, 4);
+        mNodes.mNodes.subList(0, count / 2).forEach(node -> node.mIsRouter = true);
+        mNodes.advance(3_000);
+        var version = publish(1);
+        mNodes.mNodes.stream().skip(1).forEach(node -> node.mView.setDown(true));
+        mNodes.advance(2_000);
+        mNodes.mNodes.getFirst().mView.setDown(true);
+        mNodes.advance(IN_FORCE_MILLIS - 2_000);
+        assertThat(versions(), everyItem(is(version)));
+    }
+
     @Test
     void shouldAskAPeerThatSaysItIsAhead() {
         mNodes.start(2, 2).advance(3_000);
@@ -199,7 +213,7 @@
         mNodes.start(1, 1).advance(2_000);
         var newer =
                 org.fescueport.internal.wire.generated.ConfigRecord.newBuilder()
-                        .setFormat(2)
+                        .setFormat(3)
                         .build();
         mNodes.mLog.append("config", List.of(newer.toByteArray()));
         mNodes.advance(2_000);
--- a/src/test/java/org/fescueport/internal/log/config/Nodes.java
+++ b/src/test/java/org/fescueport/internal/log/config/Nodes.java
@@ -34,6 +34,9 @@
         ConfigFollower mFollower;
         boolean mIsolated;
 
+        /** Routers ask agents, and nobody asks routers. */
+        boolean mIsRouter;
+
         Node(int number, int domains) {
             mSelf =
                     new Peer(
@@ -56,17 +59,32 @@
 
         @Override
         public List<Peer> peers() {
-            return mNodes.stream().filter(node -> node != this).map(node -> node.mSelf).toList();
+            return mNodes.stream()
+                    .filter(node -> node != this && !node.mIsRouter)
+                    .map(node -> node.mSelf)
+                    .toList();
         }
 
         @Override
         public CompletableFuture<byte[]> recordsFrom(Peer peer, long offset) {
-            var other = mNodes.stream().filter(node -> node.mSelf.equals(peer)).findFirst().get();
+            var other = find(peer);
             if (mIsolated || other.mIsolated) {
                 return CompletableFuture.failedFuture(new IllegalStateException("cut off"));
             }
             return CompletableFuture.completedFuture(other.mFollower.recordsFrom(offset));
         }
+
+        @Override
+        public void offer(Peer peer, byte[] records) {
+            var other = find(peer);
+            if (!mIsolated && !other.mIsolated) {
+                other.mFollower.offerFromPeer(records);
+            }
+        }
+
+        private Node find(Peer peer) {
+            return mNodes.stream().filter(node -> node.mSelf.equals(peer)).findFirst().get();
+        }
     }
 
     Nodes start(int count, int domains) {
