Listen for the drain once the writer is held back

Cause: HttpServerTest.shouldHoldBackWriterWhileCallerDoesNotRead set its listener before the first write. Ruled out: a drain that is told while a mebibyte waits; nothing is read at that point, and the check of it stays. Change: the listener is set after the loop that fills the buffer, and the test repeats 20 times. It is as strict: no drain may be told from the time the writer is held back until the caller reads. Conclusion: the check was wrong in its order, not the server.

--- a/src/test/java/org/fescueport/internal/http/HttpServerTest.java
+++ b/src/test/java/org/fescueport/internal/http/HttpServerTest.java
@@ -33,6 +33,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout.ThreadMode;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -172,7 +173,7 @@
         assertThat(aborted.await(5, TimeUnit.SECONDS), is(true));
     }
 
-    @Test
+    @RepeatedTest(20)
     void shouldHoldBackWriterWhileCallerDoesNotRead() throws Exception {
         CompletableFuture<ResponseStream> opened = new CompletableFuture<>();
         serve(exchange -> opened.complete(exchange.stream(200, Map.of())));
@@ -180,13 +181,13 @@
         try (Socket socket = connect()) {
             send(socket, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
             ResponseStream stream = opened.get();
-            CountDownLatch drained = new CountDownLatch(1);
-            stream.onDrained(drained::countDown);
             byte[] piece = new byte[10_000];
             int pieces = 0;
             while (stream.write(piece) < 1 << 20) {
                 pieces++;
             }
+            CountDownLatch drained = new CountDownLatch(1);
+            stream.onDrained(drained::countDown);
             assertThat(drained.getCount(), is(1L));
             long read = 0;
             while (read < pieces * 10_000L) {
