Let both session wrappers forward through one class

Cause: GatedSession wrote again the methods with which WatchedSession passes everything on to its session, and the refusal for want of room stood twice in ServerExchange. Ruled out: one class for both jobs; servers watch for the end of input, callers gate their reads. Change: ForwardingSession passes everything on; the two change read() only. refuseForRoom() serves both places. No behaviour changes. Conclusion: 128 tests of the HTTP classes and the layers, formatter and linter pass.

--- a/src/main/java/org/fescueport/internal/http/GatedSession.java
+++ b/src/main/java/org/fescueport/internal/http/GatedSession.java
@@ -1,15 +1,8 @@
 package org.fescueport.internal.http;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ByteChannel;
-import java.util.concurrent.locks.Lock;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.Command;
-import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.Timeout;
 
 /**
  * A session that reads nothing while its gate is shut.
@@ -18,7 +11,7 @@
  * long as the other end is quicker than we are. The gate ends such an event, so that a reader which
  * has stopped holds no more than its window.
  */
-final class GatedSession implements IOSession {
+final class GatedSession extends ForwardingSession {
     /** Whether a connection may read now. */
     static final class Gate {
         private volatile boolean mIsShut;
@@ -32,11 +25,10 @@
         }
     }
 
-    private final IOSession mSession;
     private final Gate mGate;
 
     private GatedSession(IOSession session, Gate gate) {
-        mSession = session;
+        super(session);
         mGate = gate;
     }
 
@@ -46,136 +38,6 @@
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        return mGate.mIsShut ? 0 : mSession.read(target);
-    }
-
-    @Override
-    public int write(ByteBuffer source) throws IOException {
-        return mSession.write(source);
-    }
-
-    @Override
-    public String getId() {
-        return mSession.getId();
-    }
-
-    @Override
-    public IOEventHandler getHandler() {
-        return mSession.getHandler();
-    }
-
-    @Override
-    public void upgrade(IOEventHandler handler) {
-        mSession.upgrade(handler);
-    }
-
-    @Override
-    public Lock getLock() {
-        return mSession.getLock();
-    }
-
-    @Override
-    public void enqueue(Command command, Command.Priority priority) {
-        mSession.enqueue(command, priority);
-    }
-
-    @Override
-    public boolean hasCommands() {
-        return mSession.hasCommands();
-    }
-
-    @Override
-    public Command poll() {
-        return mSession.poll();
-    }
-
-    @Override
-    public ByteChannel channel() {
-        return mSession.channel();
-    }
-
-    @Override
-    public SocketAddress getRemoteAddress() {
-        return mSession.getRemoteAddress();
-    }
-
-    @Override
-    public SocketAddress getLocalAddress() {
-        return mSession.getLocalAddress();
-    }
-
-    @Override
-    public int getEventMask() {
-        return mSession.getEventMask();
-    }
-
-    @Override
-    public void setEventMask(int mask) {
-        mSession.setEventMask(mask);
-    }
-
-    @Override
-    public void setEvent(int event) {
-        mSession.setEvent(event);
-    }
-
-    @Override
-    public void clearEvent(int event) {
-        mSession.clearEvent(event);
-    }
-
-    @Override
-    public boolean isOpen() {
-        return mSession.isOpen();
-    }
-
-    @Override
-    public void close() {
-        mSession.close();
-    }
-
-    @Override
-    public void close(CloseMode mode) {
-        mSession.close(mode);
-    }
-
-    @Override
-    public Status getStatus() {
-        return mSession.getStatus();
-    }
-
-    @Override
-    public Timeout getSocketTimeout() {
-        return mSession.getSocketTimeout();
-    }
-
-    @Override
-    public void setSocketTimeout(Timeout timeout) {
-        mSession.setSocketTimeout(timeout);
-    }
-
-    @Override
-    public long getLastReadTime() {
-        return mSession.getLastReadTime();
-    }
-
-    @Override
-    public long getLastWriteTime() {
-        return mSession.getLastWriteTime();
-    }
-
-    @Override
-    public long getLastEventTime() {
-        return mSession.getLastEventTime();
-    }
-
-    @Override
-    public void updateReadTime() {
-        mSession.updateReadTime();
-    }
-
-    @Override
-    public void updateWriteTime() {
-        mSession.updateWriteTime();
+        return mGate.mIsShut ? 0 : super.read(target);
     }
 }
--- a/src/main/java/org/fescueport/internal/http/ServerExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ServerExchange.java
@@ -101,7 +101,7 @@
             discard(data);
         } else {
             if (mBodyLength + more > mBody.length && !growBody(mBodyLength + more)) {
-                refuse(503, "overloaded", "Too many bodies are in hand; send it again later.");
+                refuseForRoom();
                 discard(data);
                 return;
             }
@@ -242,7 +242,7 @@
         long length = entity.getContentLength();
         int first = (int) Math.clamp(length, 0, FIRST_BODY_BYTES);
         if (!growBody(first == 0 ? FIRST_BODY_BYTES : first)) {
-            refuse(503, "overloaded", "Too many bodies are in hand; send it again later.");
+            refuseForRoom();
             return;
         }
         if (request.containsHeader("Expect")) {
@@ -282,6 +282,10 @@
         }
     }
 
+    private void refuseForRoom() {
+        refuse(503, "overloaded", "Too many bodies are in hand; send it again later.");
+    }
+
     private void refuseBody() {
         mServer.countBodyTooLarge();
         String most = "The body is longer than " + mServer.settings().maxBodyBytes() + " bytes.";
--- a/src/main/java/org/fescueport/internal/http/WatchedSession.java
+++ b/src/main/java/org/fescueport/internal/http/WatchedSession.java
@@ -1,167 +1,29 @@
 package org.fescueport.internal.http;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.channels.ByteChannel;
-import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.Command;
-import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.Timeout;
 
 /**
  * A session that tells when its other end has closed.
  *
  * <p>HttpCore itself takes this for a half-closed connection and goes on with a running answer.
  */
-final class WatchedSession implements IOSession {
-    private final IOSession mSession;
+final class WatchedSession extends ForwardingSession {
     private final Consumer<String> mOnEndOfInput;
 
     WatchedSession(IOSession session, Consumer<String> onEndOfInput) {
-        mSession = session;
+        super(session);
         mOnEndOfInput = onEndOfInput;
     }
 
     @Override
     public int read(ByteBuffer target) throws IOException {
-        int length = mSession.read(target);
+        int length = super.read(target);
         if (length < 0) {
-            mOnEndOfInput.accept(mSession.getId());
+            mOnEndOfInput.accept(getId());
         }
         return length;
     }
-
-    @Override
-    public int write(ByteBuffer source) throws IOException {
-        return mSession.write(source);
-    }
-
-    @Override
-    public boolean isOpen() {
-        return mSession.isOpen();
-    }
-
-    @Override
-    public String getId() {
-        return mSession.getId();
-    }
-
-    @Override
-    public IOEventHandler getHandler() {
-        return mSession.getHandler();
-    }
-
-    @Override
-    public void upgrade(IOEventHandler handler) {
-        mSession.upgrade(handler);
-    }
-
-    @Override
-    public Lock getLock() {
-        return mSession.getLock();
-    }
-
-    @Override
-    public void enqueue(Command command, Command.Priority priority) {
-        mSession.enqueue(command, priority);
-    }
-
-    @Override
-    public boolean hasCommands() {
-        return mSession.hasCommands();
-    }
-
-    @Override
-    public Command poll() {
-        return mSession.poll();
-    }
-
-    @Override
-    public ByteChannel channel() {
-        return mSession.channel();
-    }
-
-    @Override
-    public SocketAddress getRemoteAddress() {
-        return mSession.getRemoteAddress();
-    }
-
-    @Override
-    public SocketAddress getLocalAddress() {
-        return mSession.getLocalAddress();
-    }
-
-    @Override
-    public int getEventMask() {
-        return mSession.getEventMask();
-    }
-
-    @Override
-    public void setEventMask(int mask) {
-        mSession.setEventMask(mask);
-    }
-
-    @Override
-    public void setEvent(int operation) {
-        mSession.setEvent(operation);
-    }
-
-    @Override
-    public void clearEvent(int operation) {
-        mSession.clearEvent(operation);
-    }
-
-    @Override
-    public void close() {
-        mSession.close();
-    }
-
-    @Override
-    public void close(CloseMode mode) {
-        mSession.close(mode);
-    }
-
-    @Override
-    public Status getStatus() {
-        return mSession.getStatus();
-    }
-
-    @Override
-    public Timeout getSocketTimeout() {
-        return mSession.getSocketTimeout();
-    }
-
-    @Override
-    public void setSocketTimeout(Timeout timeout) {
-        mSession.setSocketTimeout(timeout);
-    }
-
-    @Override
-    public long getLastReadTime() {
-        return mSession.getLastReadTime();
-    }
-
-    @Override
-    public long getLastWriteTime() {
-        return mSession.getLastWriteTime();
-    }
-
-    @Override
-    public long getLastEventTime() {
-        return mSession.getLastEventTime();
-    }
-
-    @Override
-    public void updateReadTime() {
-        mSession.updateReadTime();
-    }
-
-    @Override
-    public void updateWriteTime() {
-        mSession.updateWriteTime();
-    }
 }
