Name the narrow interfaces to outside systems ports

Cause: the package org.fescueport.platform holds the product's own interfaces towards log, VM list, engines and services; a folder platform/ is about to hold the adapter to the users' platform, and two things of one name mislead. Ruled out: keeping the package and naming the folder otherwise; the folder's name is fixed. Change: org.fescueport.platform is now org.fescueport.port, its HTTP adapters internal.port. Before and after: compiles; no behaviour changed. Conclusion: the name platform is free for the adapter.

--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -34,10 +34,10 @@
 import org.fescueport.internal.log.lease.LeaseKeeper;
 import org.fescueport.internal.log.poison.PoisonGuard;
 import org.fescueport.internal.log.poison.PoisonSettings;
-import org.fescueport.internal.platform.HttpEngine;
-import org.fescueport.internal.platform.HttpLogService;
-import org.fescueport.internal.platform.HttpPlainService;
-import org.fescueport.internal.platform.HttpVmList;
+import org.fescueport.internal.port.HttpEngine;
+import org.fescueport.internal.port.HttpLogService;
+import org.fescueport.internal.port.HttpPlainService;
+import org.fescueport.internal.port.HttpVmList;
 import org.fescueport.internal.security.NodeTls;
 import org.fescueport.internal.security.TokenKeys;
 import org.fescueport.internal.settings.ProgramCommand;
@@ -47,7 +47,7 @@
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.FrameTransport;
 import org.fescueport.internal.wire.generated.Hello;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 
 /** A running agent: makes its parts, supervises them, and stops them in order. */
 final class AgentProcess implements ProgramCommand.Running, AdminNode {
--- a/src/main/java/org/fescueport/internal/agent/Backend.java
+++ b/src/main/java/org/fescueport/internal/agent/Backend.java
@@ -1,8 +1,8 @@
 package org.fescueport.internal.agent;
 
 import java.util.concurrent.CompletableFuture;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.PlainService;
+import org.fescueport.port.Engine;
+import org.fescueport.port.PlainService;
 
 /** The backend server beside which an agent runs. */
 sealed interface Backend {
--- a/src/main/java/org/fescueport/internal/agent/BackendCall.java
+++ b/src/main/java/org/fescueport/internal/agent/BackendCall.java
@@ -3,9 +3,9 @@
 import java.nio.charset.StandardCharsets;
 import org.fescueport.internal.decision.Outcome;
 import org.fescueport.internal.wire.generated.Submit;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.PlainService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.Engine;
+import org.fescueport.port.PlainService;
+import org.fescueport.port.PlatformException;
 
 /** Runs one attempt on the backend server. */
 final class BackendCall {
--- a/src/main/java/org/fescueport/internal/agent/CacheHandover.java
+++ b/src/main/java/org/fescueport/internal/agent/CacheHandover.java
@@ -15,7 +15,7 @@
 import org.fescueport.internal.fleet.AgentConnections;
 import org.fescueport.internal.fleet.Membership;
 import org.fescueport.internal.wire.PeerCalls;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 
 /**
  * Hands the KV caches of recent chats to the agents that rank next for them when this one leaves as
--- a/src/main/java/org/fescueport/internal/agent/CacheImport.java
+++ b/src/main/java/org/fescueport/internal/agent/CacheImport.java
@@ -13,7 +13,7 @@
 import org.fescueport.internal.fleet.Membership;
 import org.fescueport.internal.wire.PeerCalls;
 import org.fescueport.internal.wire.generated.Submit;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 
 /**
  * Brings a chat's KV cache from the agent that holds it, before the chat runs here, where that is
--- a/src/main/java/org/fescueport/internal/agent/OrderCalls.java
+++ b/src/main/java/org/fescueport/internal/agent/OrderCalls.java
@@ -20,9 +20,9 @@
 import org.fescueport.internal.wire.generated.OrderAnswer;
 import org.fescueport.internal.wire.generated.OrderCall;
 import org.fescueport.internal.wire.generated.OrderFate;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.Engine;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /**
  * Takes the orders to an agent's engine. An engine that serves is set aside first and finishes what
--- a/src/main/java/org/fescueport/internal/agent/PlacementDuty.java
+++ b/src/main/java/org/fescueport/internal/agent/PlacementDuty.java
@@ -28,7 +28,7 @@
 import org.fescueport.internal.wire.generated.OrderCall;
 import org.fescueport.internal.wire.generated.OrderFate;
 import org.fescueport.internal.wire.generated.Reply;
-import org.fescueport.platform.WeightStore;
+import org.fescueport.port.WeightStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/agent/PlacementParts.java
+++ b/src/main/java/org/fescueport/internal/agent/PlacementParts.java
@@ -13,10 +13,10 @@
 import org.fescueport.internal.http.HttpCaller;
 import org.fescueport.internal.log.config.ConfigFollower;
 import org.fescueport.internal.log.lease.LeaseKeeper;
-import org.fescueport.internal.platform.HttpWeightStore;
+import org.fescueport.internal.port.HttpWeightStore;
 import org.fescueport.internal.telemetry.Telemetry;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.Engine;
+import org.fescueport.port.LogService;
 
 /** Makes an agent's parts that place models: the duty under the lease, and the taking of orders. */
 record PlacementParts(
--- a/src/main/java/org/fescueport/internal/agent/PlatformFailures.java
+++ b/src/main/java/org/fescueport/internal/agent/PlatformFailures.java
@@ -1,7 +1,7 @@
 package org.fescueport.internal.agent;
 
 import java.util.concurrent.CompletionException;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.PlatformException;
 
 /** Finds the platform's error inside what a future failed with. */
 final class PlatformFailures {
--- a/src/main/java/org/fescueport/internal/agent/ReplicaStatus.java
+++ b/src/main/java/org/fescueport/internal/agent/ReplicaStatus.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.wire.generated.ReplicaActivity;
 import org.fescueport.internal.wire.generated.ReplicaReport;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/agent/Run.java
+++ b/src/main/java/org/fescueport/internal/agent/Run.java
@@ -15,7 +15,7 @@
 import org.fescueport.internal.wire.FrameConnection;
 import org.fescueport.internal.wire.generated.Frame;
 import org.fescueport.internal.wire.generated.Submit;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 
 /** One attempt at an agent, from its arrival until its answer is no longer kept. */
 final class Run {
--- a/src/main/java/org/fescueport/internal/ctl/LogCommand.java
+++ b/src/main/java/org/fescueport/internal/ctl/LogCommand.java
@@ -7,7 +7,7 @@
 import org.fescueport.internal.decision.config.ConfigFold;
 import org.fescueport.internal.http.HttpCaller;
 import org.fescueport.internal.log.config.ConfigPublisher;
-import org.fescueport.internal.platform.HttpLogService;
+import org.fescueport.internal.port.HttpLogService;
 import org.fescueport.internal.settings.ExitCode;
 import org.fescueport.internal.settings.SettingsReader;
 
--- a/src/main/java/org/fescueport/internal/fleet/Membership.java
+++ b/src/main/java/org/fescueport/internal/fleet/Membership.java
@@ -17,7 +17,7 @@
 import org.fescueport.internal.decision.placement.ReplicaSet;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.generated.Hello;
-import org.fescueport.platform.VmList;
+import org.fescueport.port.VmList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/load/ChatCall.java
+++ b/src/main/java/org/fescueport/internal/load/ChatCall.java
@@ -10,8 +10,8 @@
 import org.fescueport.internal.http.HttpCallException;
 import org.fescueport.internal.http.HttpCaller;
 import org.fescueport.internal.load.LoadRecorder.Ending;
-import org.fescueport.internal.platform.CompletionChunk;
-import org.fescueport.internal.platform.EventStreamParser;
+import org.fescueport.internal.port.CompletionChunk;
+import org.fescueport.internal.port.EventStreamParser;
 
 /** Reads the answer to one question of a chat, times it and checks it. */
 final class ChatCall implements HttpCaller.StreamListener {
--- a/src/main/java/org/fescueport/internal/log/StreamFolder.java
+++ b/src/main/java/org/fescueport/internal/log/StreamFolder.java
@@ -1,7 +1,7 @@
 package org.fescueport.internal.log;
 
 import java.util.Optional;
-import org.fescueport.platform.LogService.Entry;
+import org.fescueport.port.LogService.Entry;
 
 /**
  * The fold of a stream whose snapshots stand in the stream itself.
--- a/src/main/java/org/fescueport/internal/log/StreamTail.java
+++ b/src/main/java/org/fescueport/internal/log/StreamTail.java
@@ -1,7 +1,7 @@
 package org.fescueport.internal.log;
 
 import java.util.Optional;
-import org.fescueport.platform.LogService.Page;
+import org.fescueport.port.LogService.Page;
 
 /**
  * Follows a stream page by page, and starts over from a snapshot when records that it needs are no
--- a/src/main/java/org/fescueport/internal/log/claim/ClaimDecider.java
+++ b/src/main/java/org/fescueport/internal/log/claim/ClaimDecider.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.fescueport.internal.decision.claim.ClaimRecord;
 import org.fescueport.internal.decision.claim.ClaimVerdict;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 
 /**
  * Decides claims by the log: appends them in batches and reads them back.
--- a/src/main/java/org/fescueport/internal/log/claim/ClaimLog.java
+++ b/src/main/java/org/fescueport/internal/log/claim/ClaimLog.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
-import org.fescueport.platform.PlatformException.Effect;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
+import org.fescueport.port.PlatformException.Effect;
 
 /** The log as deciders use it: calls that never hang, with answers on the decider's thread. */
 final class ClaimLog {
--- a/src/main/java/org/fescueport/internal/log/claim/ClaimPartition.java
+++ b/src/main/java/org/fescueport/internal/log/claim/ClaimPartition.java
@@ -11,8 +11,8 @@
 import org.fescueport.internal.decision.claim.ClaimRecord.Claim;
 import org.fescueport.internal.decision.claim.ClaimRefusal;
 import org.fescueport.internal.decision.claim.ClaimVerdict;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /**
  * One claim stream at one deciding process; used by the decider's thread only.
--- a/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigFollower.java
@@ -18,8 +18,8 @@
 import org.fescueport.internal.decision.config.Verdict;
 import org.fescueport.internal.log.StreamTail;
 import org.fescueport.internal.wire.generated.ConfigRecords;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.LogService.Entry;
+import org.fescueport.port.LogService;
+import org.fescueport.port.LogService.Entry;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigPublisher.java
@@ -16,9 +16,9 @@
 import org.fescueport.internal.decision.config.DeclarationFile;
 import org.fescueport.internal.decision.config.FileState;
 import org.fescueport.internal.decision.config.Verdict;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.LogService.Entry;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.LogService.Entry;
+import org.fescueport.port.PlatformException;
 
 /**
  * Publishes changes by compare-and-set: appends them with nonces, reads them back, and tells what
--- a/src/main/java/org/fescueport/internal/log/config/ConfigTail.java
+++ b/src/main/java/org/fescueport/internal/log/config/ConfigTail.java
@@ -7,8 +7,8 @@
 import org.fescueport.internal.decision.config.Verdict;
 import org.fescueport.internal.log.StreamFolder;
 import org.fescueport.internal.log.StreamTail;
-import org.fescueport.platform.LogService.Entry;
-import org.fescueport.platform.LogService.Page;
+import org.fescueport.port.LogService.Entry;
+import org.fescueport.port.LogService.Page;
 
 /** Follows the configuration's stream. Not thread-safe. */
 final class ConfigTail implements StreamFolder<ConfigRecord.Snapshot> {
--- a/src/main/java/org/fescueport/internal/log/config/RecentRecords.java
+++ b/src/main/java/org/fescueport/internal/log/config/RecentRecords.java
@@ -5,7 +5,7 @@
 import org.fescueport.internal.decision.config.ConfigFold;
 import org.fescueport.internal.wire.generated.ConfigEntry;
 import org.fescueport.internal.wire.generated.ConfigRecords;
-import org.fescueport.platform.LogService.Entry;
+import org.fescueport.port.LogService.Entry;
 
 /** The records folded last, kept for peers within a bound of bytes. Not thread-safe. */
 final class RecentRecords {
--- a/src/main/java/org/fescueport/internal/log/config/SnapshotDuty.java
+++ b/src/main/java/org/fescueport/internal/log/config/SnapshotDuty.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.log.lease.LeaseKeeper;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/log/config/SnapshotWriter.java
+++ b/src/main/java/org/fescueport/internal/log/config/SnapshotWriter.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.config.ConfigRecord;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 
 /**
  * Writes snapshots well inside the log's retention. Call {@link #writeIfDue} every minute or so on
--- a/src/main/java/org/fescueport/internal/log/lease/FencedOrders.java
+++ b/src/main/java/org/fescueport/internal/log/lease/FencedOrders.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.order.OrderDecision;
 import org.fescueport.internal.decision.order.OrderGuard;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 
 /**
  * An agent's way to its engine's orders: one at a time, none with an older fencing token.
--- a/src/main/java/org/fescueport/internal/log/lease/LeaseKeeper.java
+++ b/src/main/java/org/fescueport/internal/log/lease/LeaseKeeper.java
@@ -18,7 +18,7 @@
 import org.fescueport.internal.decision.lease.LeaseTiming;
 import org.fescueport.internal.decision.lease.LeaseWatch;
 import org.fescueport.internal.log.StreamTail;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/org/fescueport/internal/log/lease/LeaseReader.java
+++ b/src/main/java/org/fescueport/internal/log/lease/LeaseReader.java
@@ -5,8 +5,8 @@
 import org.fescueport.internal.decision.lease.LeaseFold;
 import org.fescueport.internal.decision.lease.LeaseRecord;
 import org.fescueport.internal.decision.lease.LeaseState;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /**
  * Reads on demand which token is the newest of a lease: for agents before engines that ignore
--- a/src/main/java/org/fescueport/internal/log/lease/LeaseTail.java
+++ b/src/main/java/org/fescueport/internal/log/lease/LeaseTail.java
@@ -6,8 +6,8 @@
 import org.fescueport.internal.decision.lease.LeaseState;
 import org.fescueport.internal.log.StreamFolder;
 import org.fescueport.internal.log.StreamTail;
-import org.fescueport.platform.LogService.Entry;
-import org.fescueport.platform.LogService.Page;
+import org.fescueport.port.LogService.Entry;
+import org.fescueport.port.LogService.Page;
 
 /** Follows the leases' stream. Not thread-safe. */
 final class LeaseTail implements StreamFolder<LeaseRecord.Snapshot> {
--- a/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
+++ b/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
@@ -19,7 +19,7 @@
 import org.fescueport.internal.decision.poison.PoisonBook;
 import org.fescueport.internal.decision.poison.PoisonRecord;
 import org.fescueport.internal.decision.poison.PoisonRecord.Kind;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 
 /**
  * Protects backend servers from requests that kill them; the agent's side.
--- a/src/main/java/org/fescueport/internal/platform/CompletionChunk.java
+++ b/src/main/java/org/fescueport/internal/port/CompletionChunk.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/org/fescueport/internal/platform/EventStreamParser.java
+++ b/src/main/java/org/fescueport/internal/port/EventStreamParser.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
--- a/src/main/java/org/fescueport/internal/platform/GenerationReader.java
+++ b/src/main/java/org/fescueport/internal/port/GenerationReader.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -6,8 +6,8 @@
 import java.util.Arrays;
 import org.fescueport.internal.http.HttpCallException;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.Engine;
+import org.fescueport.port.PlatformException;
 
 /** Turns the HTTP answer of an engine into the events of {@link Engine.Listener}. */
 final class GenerationReader implements HttpCaller.StreamListener, Engine.Handle {
--- a/src/main/java/org/fescueport/internal/platform/HttpEngine.java
+++ b/src/main/java/org/fescueport/internal/port/HttpEngine.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 
 /** A model engine over HTTP, in the chat-completions form with server-sent events. */
 public final class HttpEngine implements Engine {
--- a/src/main/java/org/fescueport/internal/platform/HttpLogService.java
+++ b/src/main/java/org/fescueport/internal/port/HttpLogService.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -9,8 +9,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /** The platform's log over HTTP. */
 public final class HttpLogService implements LogService {
--- a/src/main/java/org/fescueport/internal/platform/HttpPlainService.java
+++ b/src/main/java/org/fescueport/internal/port/HttpPlainService.java
@@ -1,11 +1,11 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.PlainService;
+import org.fescueport.port.PlainService;
 
 /** A plain HTTP service: each operation is a POST to the path of its name. */
 public final class HttpPlainService implements PlainService {
--- a/src/main/java/org/fescueport/internal/platform/HttpVmList.java
+++ b/src/main/java/org/fescueport/internal/port/HttpVmList.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.PlatformException;
-import org.fescueport.platform.VmList;
+import org.fescueport.port.PlatformException;
+import org.fescueport.port.VmList;
 
 /** The platform's list of VMs over HTTP. */
 public final class HttpVmList implements VmList {
--- a/src/main/java/org/fescueport/internal/platform/HttpWeightStore.java
+++ b/src/main/java/org/fescueport/internal/port/HttpWeightStore.java
@@ -1,11 +1,11 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.WeightStore;
+import org.fescueport.port.WeightStore;
 
 /** The platform's store of weights over HTTP. */
 public final class HttpWeightStore implements WeightStore {
--- a/src/main/java/org/fescueport/internal/platform/PlatformHttp.java
+++ b/src/main/java/org/fescueport/internal/port/PlatformHttp.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -11,7 +11,7 @@
 import java.util.function.Function;
 import org.fescueport.internal.http.HttpCallException;
 import org.fescueport.internal.http.HttpCaller;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.PlatformException;
 
 /** Calls one HTTP server of the platform and turns failures into {@link PlatformException}. */
 final class PlatformHttp {
--- a/src/main/java/org/fescueport/platform/PlatformException.java
+++ b/src/main/java/org/fescueport/port/PlatformException.java
@@ -1,4 +1,4 @@
-package org.fescueport.platform;
+package org.fescueport.port;
 
 /**
  * A call to the platform or to a backend server that gave no result.
--- a/src/main/java/org/fescueport/platform/WeightStore.java
+++ b/src/main/java/org/fescueport/port/WeightStore.java
@@ -1,4 +1,4 @@
-package org.fescueport.platform;
+package org.fescueport.port;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/src/test/java/org/fescueport/LayersTest.java
+++ b/src/test/java/org/fescueport/LayersTest.java
@@ -26,7 +26,7 @@
                             "org.slf4j..",
                             "..internal.wire..",
                             "..internal.http..",
-                            "org.fescueport.platform..");
+                            "org.fescueport.port..");
 
     @ArchTest
     static final ArchRule SHOULD_POINT_ARROWS_ONE_WAY =
@@ -35,8 +35,8 @@
                     .withOptionalLayers(true)
                     .layer("wire")
                     .definedBy("..internal.wire..")
-                    .layer("platform")
-                    .definedBy("org.fescueport.platform..", "..internal.platform..")
+                    .layer("port")
+                    .definedBy("org.fescueport.port..", "..internal.port..")
                     .layer("log")
                     .definedBy("..internal.log..")
                     .layer("facade")
--- a/src/test/java/org/fescueport/internal/agent/CacheHandoverTest.java
+++ b/src/test/java/org/fescueport/internal/agent/CacheHandoverTest.java
@@ -21,8 +21,8 @@
 import org.fescueport.internal.fleet.Membership;
 import org.fescueport.internal.telemetry.Telemetry;
 import org.fescueport.internal.wire.generated.Submit;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.VmList;
+import org.fescueport.port.Engine;
+import org.fescueport.port.VmList;
 import org.jmock.lib.concurrent.DeterministicScheduler;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/org/fescueport/internal/log/claim/SteppedLog.java
+++ b/src/test/java/org/fescueport/internal/log/claim/SteppedLog.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /** A log in memory whose appends take effect late, twice or without an answer. */
 public final class SteppedLog implements LogService {
--- a/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
+++ b/src/test/java/org/fescueport/internal/log/config/ConfigFollowerTest.java
@@ -16,7 +16,7 @@
 import org.fescueport.internal.log.StreamTail;
 import org.fescueport.internal.log.config.ConfigFollower.Currency;
 import org.fescueport.internal.log.lease.LeaseKeeper;
-import org.fescueport.platform.LogService;
+import org.fescueport.port.LogService;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
--- a/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
+++ b/src/test/java/org/fescueport/internal/log/lease/FencedOrdersTest.java
@@ -20,7 +20,7 @@
 import org.fescueport.internal.decision.lease.LeaseHolder;
 import org.fescueport.internal.decision.lease.LeaseRecord;
 import org.fescueport.internal.decision.order.OrderGuard;
-import org.fescueport.platform.Engine;
+import org.fescueport.port.Engine;
 import org.fescueport.testing.FakeLogService;
 import org.jmock.lib.concurrent.DeterministicScheduler;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/org/fescueport/internal/platform/HttpEngineGenerationTest.java
+++ b/src/test/java/org/fescueport/internal/port/HttpEngineGenerationTest.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -17,8 +17,8 @@
 import org.fescueport.internal.http.HttpServer;
 import org.fescueport.internal.http.HttpServerSettings;
 import org.fescueport.internal.http.ResponseStream;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.Engine;
+import org.fescueport.port.PlatformException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/org/fescueport/internal/platform/HttpVmListTest.java
+++ b/src/test/java/org/fescueport/internal/port/HttpVmListTest.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
--- a/src/test/java/org/fescueport/internal/platform/PlatformAdaptersTest.java
+++ b/src/test/java/org/fescueport/internal/port/PlatformAdaptersTest.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.platform;
+package org.fescueport.internal.port;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -18,12 +18,12 @@
 import org.fescueport.internal.http.HttpExchange;
 import org.fescueport.internal.http.HttpServer;
 import org.fescueport.internal.http.HttpServerSettings;
-import org.fescueport.platform.Engine;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlainService;
-import org.fescueport.platform.PlatformException;
-import org.fescueport.platform.PlatformException.Effect;
-import org.fescueport.platform.VmList;
+import org.fescueport.port.Engine;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlainService;
+import org.fescueport.port.PlatformException;
+import org.fescueport.port.PlatformException.Effect;
+import org.fescueport.port.VmList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/org/fescueport/testing/FakeLogService.java
+++ b/src/test/java/org/fescueport/testing/FakeLogService.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.fescueport.platform.LogService;
-import org.fescueport.platform.PlatformException;
+import org.fescueport.port.LogService;
+import org.fescueport.port.PlatformException;
 
 /**
  * The log in memory, with faults on command. Offsets start at 0. Without a delay each call
