--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -0,0 +1,265 @@
+package org.fescueport.internal.direct;
+
+import io.micrometer.core.instrument.Clock;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fescueport.internal.direct.forward.Forwarder;
+import org.fescueport.internal.direct.forward.ForwardingContext;
+import org.fescueport.internal.direct.forward.ForwardingMetrics;
+import org.fescueport.internal.direct.forward.ReplicaLinks;
+import org.fescueport.internal.direct.forward.WireProtocol;
+import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.place.ReplicaChooser;
+import org.fescueport.internal.direct.place.ReplicaHealth;
+import org.fescueport.internal.direct.place.ReplicaLoads;
+import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.StateDecoder;
+import org.fescueport.internal.direct.state.StateReader;
+import org.fescueport.internal.direct.state.StateStore;
+
+/**
+ * A router that reaches replicas without an agent: one process, one event loop.
+ *
+ * <pre>{@code
+ * var router = DirectRouter.create(settings, parts);
+ * router.start();
+ * router.stop().thenRun(() -> exit());
+ * }</pre>
+ */
+public final class DirectRouter {
+    private static final int BACKLOG = 512;
+    private static final int MAX_ADMIN_BODY = 4_096;
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+    private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
+
+    /** A steady clock that stood still, or ticks that came late, for longer than this. */
+    private static final Duration LARGEST_GAP = Duration.ofMillis(1_200);
+
+    /** Until the balancer has surely seen that this node is not ready. */
+    private static final Duration LEAST_STOP_TIME = Duration.ofMillis(3_200);
+
+    /** Left of the time to stop for the process to end by itself. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
+
+    /** Nodes that share the retry allowance while it is not known how many there are. */
+    private static final int UNKNOWN_NODES = 8;
+
+    /**
+     * What a router works with.
+     *
+     * @param counters text of all meters of the registry
+     */
+    public record Parts(
+            EventLoopGroup loop,
+            Clock clock,
+            EventLog log,
+            StateStore store,
+            StateDecoder decoder,
+            WireProtocol protocol,
+            MeterRegistry registry,
+            Supplier<String> counters) {}
+
+    private final DirectRouterSettings mSettings;
+    private final Parts mParts;
+    private final FleetView mView;
+    private final StateReader mReader;
+    private final Forwarder mForwarder;
+    private final ReplicaLinks mLinks;
+    private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private long mStopSinceNanos;
+    private boolean mStopping;
+    private long mLastCheckNanos;
+    private long mWallMinusSteadyMillis;
+
+    private DirectRouter(DirectRouterSettings settings, Parts parts) {
+        mSettings = settings;
+        mParts = parts;
+        mView = FleetView.create(parts.decoder(), parts.log());
+        mReader =
+                StateReader.create(parts.store(), mView, parts.loop(), parts.clock(), parts.log());
+        mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
+        var loads = ReplicaLoads.create();
+        var chooser = ReplicaChooser.create(mView, loads);
+        mView.listen(chooser::onReplicasChanged);
+        var budgets =
+                RetryBudgets.create(
+                        settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
+        var context =
+                new ForwardingContext(
+                        parts.clock(),
+                        mView,
+                        parts.protocol(),
+                        mLinks,
+                        chooser,
+                        loads,
+                        ReplicaHealth.create(),
+                        budgets,
+                        ForwardingMetrics.create(parts.registry()),
+                        parts.log(),
+                        new SplittableRandom(settings.node().hashCode()));
+        mForwarder = Forwarder.create(context);
+    }
+
+    /** Returns a router that has not been started. */
+    public static DirectRouter create(DirectRouterSettings settings, Parts parts) {
+        return new DirectRouter(settings, parts);
+    }
+
+    /**
+     * Listens and begins to read the shared state; returns once all addresses are bound.
+     *
+     * @throws java.io.IOException when an address cannot be bound; the message names it
+     */
+    public void start() throws java.io.IOException {
+        bind(mSettings.callers(), mForwarder.initializer());
+        bind(mSettings.admin(), adminInitializer());
+        if (mSettings.metrics().isPresent()) {
+            bind(mSettings.metrics().get(), adminInitializer());
+        }
+        mParts.loop().execute(this::begin);
+        mParts.log()
+                .change("started")
+                .with("callers", mSettings.callers())
+                .with("admin", mSettings.admin())
+                .write();
+    }
+
+    /** Begins a graceful shutdown; the future completes when nothing is left to do. */
+    public CompletableFuture<Void> stop() {
+        mParts.loop().execute(this::beginStop);
+        return mStopped;
+    }
+
+    /** Returns whether this node wants new connections. */
+    public boolean isReady() {
+        return !mStopping && mView.isComplete();
+    }
+
+    private void begin() {
+        mReader.start();
+        mLastCheckNanos = mParts.clock().monotonicTime();
+        mWallMinusSteadyMillis = wallMinusSteadyMillis();
+        every(CHECK_INTERVAL, this::check);
+        every(SWEEP_INTERVAL, this::sweep);
+    }
+
+    private void every(Duration interval, Runnable task) {
+        long nanos = interval.toNanos();
+        mParts.loop()
+                .scheduleWithFixedDelay(() -> guarded(task), nanos, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    /** A fault in one round must not end the rounds. */
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            mParts.log().change("fault").with("where", "timer").with("cause", e).write();
+        }
+    }
+
+    private void check() {
+        mForwarder.check();
+    }
+
+    private void sweep() {
+        noticeGap();
+        mForwarder.sweep();
+        if (mStopping) {
+            endIfDone();
+        }
+    }
+
+    /** After a freeze or a suspension what is believed may be old: it is read anew at once. */
+    private void noticeGap() {
+        long now = mParts.clock().monotonicTime();
+        long offset = wallMinusSteadyMillis();
+        boolean late = now - mLastCheckNanos > LARGEST_GAP.toNanos();
+        boolean moved = Math.abs(offset - mWallMinusSteadyMillis) > LARGEST_GAP.toMillis();
+        mLastCheckNanos = now;
+        mWallMinusSteadyMillis = offset;
+        if (late || moved) {
+            mParts.log().change("clock-gap").with("late", late).with("moved", moved).write();
+            mReader.refresh();
+        }
+    }
+
+    private long wallMinusSteadyMillis() {
+        return mParts.clock().wallTime() - mParts.clock().monotonicTime() / 1_000_000;
+    }
+
+    private void beginStop() {
+        if (mStopping) {
+            return;
+        }
+        mStopping = true;
+        mStopSinceNanos = mParts.clock().monotonicTime();
+        mParts.log().change("stopping").with("connections", mForwarder.connections()).write();
+        mForwarder.beginStop();
+    }
+
+    private void endIfDone() {
+        Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopSinceNanos);
+        boolean done = waited.compareTo(LEAST_STOP_TIME) > 0 && mForwarder.isIdle();
+        boolean late = waited.compareTo(mSettings.stopTime().minus(STOP_MARGIN)) > 0;
+        if (done || late) {
+            mReader.stop();
+            mLinks.closeIdle();
+            mParts.log()
+                    .change("stopped")
+                    .with("connections", mForwarder.connections())
+                    .with("ms", waited.toMillis())
+                    .write();
+            mStopped.complete(null);
+        }
+    }
+
+    private ChannelInitializer<Channel> adminInitializer() {
+        var handler = new AdminHandler(mSettings, this::isReady, mParts.counters());
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new HttpServerCodec());
+                channel.pipeline().addLast(new HttpObjectAggregator(MAX_ADMIN_BODY));
+                channel.pipeline().addLast(handler);
+            }
+        };
+    }
+
+    private void bind(InetSocketAddress address, ChannelInitializer<Channel> initializer)
+            throws java.io.IOException {
+        var bound =
+                new ServerBootstrap()
+                        .group(mParts.loop())
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer)
+                        .bind(address)
+                        .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new java.io.IOException(
+                    "Cannot listen on "
+                            + address
+                            + ": "
+                            + bound.cause().getMessage()
+                            + ". End the process that holds the address, or set another one.",
+                    bound.cause());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -0,0 +1,31 @@
+package org.fescueport.internal.direct;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * What a router that reaches replicas directly is told at its start.
+ *
+ * @param node name of this process
+ * @param callers where callers are served
+ * @param admin where health is asked for
+ * @param metrics where counters are read; absent for the admin address
+ * @param readyPath on which the health check asks
+ * @param metricsPath on which counters are served
+ * @param retryShare retries for each request that the whole fleet may send
+ * @param retryAllowance retries in a window that the fleet may send beyond the share
+ * @param stopTime from the signal to stop until the process is ended by force
+ * @param logLinesPerSecond most lines a second, of decisions and of changes each
+ */
+public record DirectRouterSettings(
+        String node,
+        InetSocketAddress callers,
+        InetSocketAddress admin,
+        Optional<InetSocketAddress> metrics,
+        String readyPath,
+        String metricsPath,
+        double retryShare,
+        double retryAllowance,
+        Duration stopTime,
+        int logLinesPerSecond) {}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/config/Route.java
@@ -0,0 +1,58 @@
+package org.fescueport.internal.direct.config;
+
+import java.time.Duration;
+import java.util.List;
+import org.fescueport.internal.decision.PoolId;
+
+/**
+ * Where the requests under one path of a host go, and how.
+ *
+ * @param pathPrefix begins and ends with a slash
+ * @param targets pools that serve the route, by weight; never empty
+ * @param timeout longest time for which a caller is kept waiting
+ * @param objective time within which an answer is worth most
+ * @param priority 0 is the most urgent
+ * @param maxAttempts most replicas that one request may be sent to
+ * @param open whether no API key is needed
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RequestKind kind,
+        List<Target> targets,
+        Duration timeout,
+        Duration objective,
+        int priority,
+        int maxAttempts,
+        boolean open) {
+    /** A pool with its share of a route's requests. */
+    public record Target(PoolId pool, int weight) {}
+
+    public Route {
+        targets = List.copyOf(targets);
+        if (targets.isEmpty()) {
+            throw new IllegalArgumentException("route " + name + " names no pool");
+        }
+    }
+
+    /**
+     * Returns the pool for a request.
+     *
+     * @param key equal keys get the same pool while the weights stay
+     */
+    public PoolId poolFor(long key) {
+        if (targets.size() == 1) {
+            return targets.getFirst().pool();
+        }
+        int all = targets.stream().mapToInt(Target::weight).sum();
+        long left = all == 0 ? 0 : Math.floorMod(key >>> 7, (long) all);
+        for (var target : targets) {
+            left -= target.weight();
+            if (left < 0) {
+                return target.pool();
+            }
+        }
+        return targets.getFirst().pool();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -0,0 +1,142 @@
+package org.fescueport.internal.direct.forward;
+
+import io.netty.buffer.ByteBuf;
+import org.fescueport.internal.direct.state.ReplicaEntry;
+
+/**
+ * One sending of a request to one replica.
+ *
+ * <p>It keeps the account of the replica's load and tells its {@link Exchange} what came, until it
+ * has ended or was given up.
+ */
+final class Attempt implements AnswerListener {
+    private final Exchange mExchange;
+    private final ForwardingContext mContext;
+    private final ReplicaEntry mReplica;
+    private final int mNumber;
+    private final long mBegunNanos;
+    private ReplicaConnection mConnection;
+    private boolean mSent;
+    private boolean mOver;
+    private AnswerHead mHead;
+
+    Attempt(Exchange exchange, ForwardingContext context, ReplicaEntry replica, int number) {
+        mExchange = exchange;
+        mContext = context;
+        mReplica = replica;
+        mNumber = number;
+        mBegunNanos = context.nowNanos();
+        context.loads().onSent(replica.id());
+    }
+
+    ReplicaEntry replica() {
+        return mReplica;
+    }
+
+    int number() {
+        return mNumber;
+    }
+
+    long begunNanos() {
+        return mBegunNanos;
+    }
+
+    /** Returns whether the request went out, so that the replica may have run it. */
+    boolean isSent() {
+        return mSent;
+    }
+
+    boolean isOver() {
+        return mOver;
+    }
+
+    /** Returns the head of the answer, or null while there is none. */
+    AnswerHead head() {
+        return mHead;
+    }
+
+    /** Returns whether the request went out on a connection that had carried one before. */
+    boolean isOnReusedConnection() {
+        return mConnection != null && mConnection.isReused();
+    }
+
+    /** Stops the work at the replica; nothing more is told. */
+    void giveUp() {
+        if (end() && mConnection != null) {
+            mConnection.abandon();
+        }
+    }
+
+    void setReading(boolean reading) {
+        if (mConnection != null && !mOver) {
+            mConnection.setReading(reading);
+        }
+    }
+
+    @Override
+    public boolean isWanted() {
+        return !mOver;
+    }
+
+    @Override
+    public void onSending(ReplicaConnection connection) {
+        mConnection = connection;
+        mSent = true;
+    }
+
+    @Override
+    public void onNotSent(String reason) {
+        if (end()) {
+            mContext.chooser().onFailure(mReplica, mContext.nowNanos());
+            mExchange.onNotSent(this, reason);
+        }
+    }
+
+    @Override
+    public void onHead(AnswerHead head) {
+        mHead = head;
+        long now = mContext.nowNanos();
+        mContext.health().onHeard(mReplica.id(), now);
+        head.load()
+                .ifPresent(
+                        load -> {
+                            int held = load.running() + load.waiting();
+                            mContext.loads().onTold(mReplica.id(), held, now);
+                        });
+        mExchange.onHead(this, head);
+    }
+
+    @Override
+    public void onContent(ByteBuf content) {
+        mContext.health().onHeard(mReplica.id(), mContext.nowNanos());
+        mExchange.onContent(this, content);
+    }
+
+    @Override
+    public void onPause() {
+        mExchange.onPause(this);
+    }
+
+    @Override
+    public void onEnd(boolean byConnection) {
+        if (end()) {
+            mExchange.onEnd(this, byConnection);
+        }
+    }
+
+    @Override
+    public void onLost(String reason) {
+        if (end()) {
+            mExchange.onLost(this, reason);
+        }
+    }
+
+    private boolean end() {
+        if (mOver) {
+            return false;
+        }
+        mOver = true;
+        mContext.loads().onEnded(mReplica.id());
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -0,0 +1,307 @@
+package org.fescueport.internal.direct.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+
+/**
+ * One connection of a caller: reads one request at a time whole, and writes its answer.
+ *
+ * <p>While a request is answered the connection is still read, so that its end is seen at once;
+ * what comes early is held, and reading stops until it can be taken.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter implements CallerSide {
+    private static final HttpResponse CONTINUE =
+            new io.netty.handler.codec.http.DefaultFullHttpResponse(
+                    io.netty.handler.codec.http.HttpVersion.HTTP_1_1,
+                    io.netty.handler.codec.http.HttpResponseStatus.CONTINUE,
+                    Unpooled.EMPTY_BUFFER);
+
+    private final ForwardingContext mContext;
+    private final CallerConnections mConnections;
+    private final Deque<Object> mEarly = new ArrayDeque<>();
+    private ChannelHandlerContext mChannel;
+    private CallerRequest mRequest;
+    private CompositeByteBuf mBody;
+    private Exchange mExchange;
+    private boolean mAnswering;
+    private boolean mClosesAfterAnswer;
+    private boolean mDiscardsBody;
+    private long mSinceNanos;
+
+    CallerConnection(ForwardingContext context, CallerConnections connections) {
+        mContext = context;
+        mConnections = connections;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mChannel = context;
+        mSinceNanos = mContext.nowNanos();
+        mConnections.onOpened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mConnections.onClosed(this);
+        releaseAll();
+        if (mExchange != null) {
+            mExchange.onCallerLeft();
+            mExchange = null;
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        mContext.log().decision("caller-connection-broke").with("reason", cause).write();
+        context.close();
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (mExchange != null) {
+            mExchange.onWritable(context.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mAnswering) {
+            mEarly.add(message);
+            context.channel().config().setAutoRead(false);
+            return;
+        }
+        read(message);
+    }
+
+    /** Looks after the times of a request that is answered. */
+    void check(long nowNanos) {
+        if (mExchange != null) {
+            mExchange.check(nowNanos);
+        }
+    }
+
+    /** Closes a connection that has been idle, or has sent its request slowly, for too long. */
+    void sweep(long nowNanos, boolean stopping) {
+        if (mAnswering) {
+            return;
+        }
+        var limits = mConnections.limits();
+        long waited = nowNanos - mSinceNanos;
+        if (mRequest == null) {
+            if (stopping || waited > limits.idleTime().toNanos()) {
+                mChannel.close();
+            }
+        } else if (waited > limits.idleTime().toNanos()) {
+            refuse(Refusal.Reason.TOO_SLOW, "the body did not come in time");
+        }
+    }
+
+    private void read(Object message) {
+        if (message instanceof HttpRequest request) {
+            onRequest(request);
+        }
+        if (message instanceof HttpContent content) {
+            onContent(content);
+        } else if (!(message instanceof HttpRequest)) {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void onRequest(HttpRequest request) {
+        mSinceNanos = mContext.nowNanos();
+        mClosesAfterAnswer = !HttpUtil.isKeepAlive(request);
+        mDiscardsBody = false;
+        if (request.decoderResult().isFailure()) {
+            boolean large = request.decoderResult().cause() instanceof TooLongFrameException;
+            refuse(
+                    large ? Refusal.Reason.HEADERS_TOO_LARGE : Refusal.Reason.BAD_REQUEST,
+                    "the request cannot be read: " + request.decoderResult().cause().getMessage());
+            return;
+        }
+        try {
+            mRequest = mContext.protocol().readRequest(request);
+            mBody = mChannel.alloc().compositeBuffer(1_024);
+        } catch (WireProtocol.BadRequestException e) {
+            refuse(Refusal.Reason.BAD_REQUEST, e.getMessage());
+            return;
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            mChannel.writeAndFlush(CONTINUE);
+        }
+    }
+
+    private void onContent(HttpContent content) {
+        if (mDiscardsBody || mRequest == null) {
+            content.release();
+            return;
+        }
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            refuse(Refusal.Reason.BAD_REQUEST, "the body cannot be read");
+            return;
+        }
+        if (mBody.readableBytes() + content.content().readableBytes()
+                > mConnections.limits().maxBodyBytes()) {
+            content.release();
+            refuse(Refusal.Reason.BODY_TOO_LARGE, "the body is larger than the limit");
+            return;
+        }
+        if (content.content().isReadable()) {
+            mBody.addComponent(true, content.content());
+        } else {
+            content.release();
+        }
+        if (content instanceof LastHttpContent) {
+            onWholeRequest();
+        }
+    }
+
+    private void onWholeRequest() {
+        CallerRequest request = mRequest;
+        ByteBuf body = mBody;
+        mRequest = null;
+        mBody = null;
+        mAnswering = true;
+        switch (Gate.of(mContext.view()).judge(request)) {
+            case Verdict.Refused refused -> {
+                body.release();
+                logRefused(request, refused.refusal());
+                answer(mContext.protocol().writeRefusal(refused.refusal()));
+            }
+            case Verdict.Admitted admitted -> {
+                var exchange = Exchange.begin(mContext, this, request, body, admitted);
+                if (!exchange.isOver()) {
+                    mExchange = exchange;
+                }
+            }
+        }
+    }
+
+    @Override
+    public void sendHead(HttpResponse head) {
+        markClosing(head);
+        mChannel.write(head);
+    }
+
+    @Override
+    public void sendContent(ByteBuf content) {
+        mChannel.write(new DefaultHttpContent(content));
+    }
+
+    @Override
+    public void flush() {
+        mChannel.flush();
+    }
+
+    @Override
+    public void finish() {
+        var written = mChannel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+        onAnswered(written);
+    }
+
+    @Override
+    public void answer(FullHttpResponse response) {
+        markClosing(response);
+        onAnswered(mChannel.writeAndFlush(response));
+    }
+
+    @Override
+    public void abort() {
+        mExchange = null;
+        mChannel.close();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return mChannel.channel().isWritable();
+    }
+
+    private void markClosing(HttpResponse head) {
+        if (mConnections.isStopping()) {
+            mClosesAfterAnswer = true;
+        }
+        if (mClosesAfterAnswer) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+    }
+
+    private void onAnswered(io.netty.channel.ChannelFuture written) {
+        mExchange = null;
+        mSinceNanos = mContext.nowNanos();
+        if (mClosesAfterAnswer) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            return;
+        }
+        mChannel.executor().execute(this::takeEarly);
+    }
+
+    /** Goes on with what came while the last request was answered. */
+    private void takeEarly() {
+        mAnswering = false;
+        while (!mAnswering && !mEarly.isEmpty()) {
+            read(mEarly.poll());
+        }
+        if (mEarly.isEmpty()) {
+            mChannel.channel().config().setAutoRead(true);
+        }
+    }
+
+    /** Refuses a request of which the end is not known; nothing more is read. */
+    private void refuse(Refusal.Reason reason, String message) {
+        Optional<String> id = Optional.ofNullable(mRequest).map(CallerRequest::id);
+        var refusal = Refusal.of(reason, id, message);
+        mDiscardsBody = true;
+        mClosesAfterAnswer = true;
+        mAnswering = true;
+        releaseAll();
+        mContext.log()
+                .decision("refused")
+                .with("request", id.orElse(""))
+                .with("reason", reason)
+                .with("message", message)
+                .write();
+        answer(mContext.protocol().writeRefusal(refusal));
+    }
+
+    private void logRefused(CallerRequest request, Refusal refusal) {
+        long version = mContext.view().configuration().map(c -> c.version()).orElse(-1L);
+        mContext.log()
+                .decision("refused")
+                .with("request", request.id())
+                .with("reason", refusal.reason())
+                .with("message", refusal.message())
+                .with("host", request.host())
+                .with("path", request.path())
+                .with("version", version)
+                .write();
+    }
+
+    private void releaseAll() {
+        mRequest = null;
+        if (mBody != null) {
+            mBody.release();
+            mBody = null;
+        }
+        for (Object early = mEarly.poll(); early != null; early = mEarly.poll()) {
+            ReferenceCountUtil.release(early);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerRequest.java
@@ -0,0 +1,34 @@
+package org.fescueport.internal.direct.forward;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.fescueport.internal.direct.config.ApiKey;
+
+/**
+ * A caller's request without its body.
+ *
+ * @param id names the request; replicas echo it
+ * @param target path and query, as sent
+ * @param headers that are passed on as they are
+ * @param key absent when the caller sent none that can be read
+ * @param patienceMillis how long the caller waits, from the request's arrival
+ * @param resumeAfter the last event that the caller holds of an earlier answer
+ */
+public record CallerRequest(
+        String id,
+        HttpMethod method,
+        String host,
+        String target,
+        HttpHeaders headers,
+        Optional<ApiKey> key,
+        OptionalLong patienceMillis,
+        Optional<String> resumeAfter,
+        Prompt prompt) {
+    /** Returns the path without the query. */
+    public String path() {
+        int query = target.indexOf('?');
+        return query < 0 ? target : target.substring(0, query);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/Dispatch.java
@@ -0,0 +1,19 @@
+package org.fescueport.internal.direct.forward;
+
+import java.util.Optional;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.direct.state.ReplicaEntry;
+
+/**
+ * One sending of a request to one replica.
+ *
+ * @param leftMillis time after which nobody waits for the answer any more
+ * @param priority 0 is the most urgent
+ * @param resumeAfter the last event that the caller holds
+ */
+public record Dispatch(
+        ReplicaEntry replica,
+        Optional<TeamId> team,
+        long leftMillis,
+        int priority,
+        Optional<String> resumeAfter) {}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -0,0 +1,62 @@
+package org.fescueport.internal.direct.forward;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/** Serves callers' connections; the whole of the forwarding. */
+public final class Forwarder {
+    private final ForwardingContext mContext;
+    private final CallerConnections mConnections;
+
+    private Forwarder(ForwardingContext context) {
+        mContext = context;
+        mConnections = new CallerConnections(context);
+    }
+
+    /** Returns a forwarder without a connection. */
+    public static Forwarder create(ForwardingContext context) {
+        return new Forwarder(context);
+    }
+
+    /** Returns what prepares a caller's new connection. */
+    public ChannelInitializer<Channel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                int maxHeader = mConnections.limits().maxHeaderBytes();
+                channel.pipeline().addLast(new StrictRequestDecoder(maxHeader));
+                channel.pipeline().addLast(new HttpResponseEncoder());
+                channel.pipeline().addLast(new CallerConnection(mContext, mConnections));
+            }
+        };
+    }
+
+    /** Looks after the times of all requests; to be called every few tens of milliseconds. */
+    public void check() {
+        mConnections.check(mContext.nowNanos());
+    }
+
+    /** Closes what has been idle for too long; to be called a few times a second. */
+    public void sweep() {
+        mConnections.sweep(mContext.nowNanos());
+        mContext.links().sweep();
+        mContext.view().expire(mContext.nowNanos());
+    }
+
+    /** From now on each connection ends behind the answer under way. */
+    public void beginStop() {
+        mConnections.beginStop();
+        sweep();
+    }
+
+    /** Returns whether no caller is connected. */
+    public boolean isIdle() {
+        return mConnections.isEmpty();
+    }
+
+    /** Returns how many callers are connected. */
+    public int connections() {
+        return mConnections.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -0,0 +1,29 @@
+package org.fescueport.internal.direct.forward;
+
+import io.micrometer.core.instrument.Clock;
+import java.util.random.RandomGenerator;
+import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.place.ReplicaChooser;
+import org.fescueport.internal.direct.place.ReplicaHealth;
+import org.fescueport.internal.direct.place.ReplicaLoads;
+import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.state.FleetView;
+
+/** What the forwarding of requests works with; one for each process. */
+public record ForwardingContext(
+        Clock clock,
+        FleetView view,
+        WireProtocol protocol,
+        ReplicaLinks links,
+        ReplicaChooser chooser,
+        ReplicaLoads loads,
+        ReplicaHealth health,
+        RetryBudgets budgets,
+        ForwardingMetrics metrics,
+        EventLog log,
+        RandomGenerator random) {
+    /** Returns the steady time. */
+    public long nowNanos() {
+        return clock.monotonicTime();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -0,0 +1,79 @@
+package org.fescueport.internal.direct.forward;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and latencies of forwarded requests. */
+public final class ForwardingMetrics {
+    /** How a request ended. */
+    public enum End {
+        /** A replica's answer was delivered whole. */
+        ANSWERED,
+        /** It was refused and has not run. */
+        REFUSED,
+        /** It failed after it was sent. */
+        FAILED,
+        /** Its time was over. */
+        TIME_OVER,
+        /** The caller left before the end. */
+        CALLER_LEFT,
+        /** The answer was cut after it had begun. */
+        CUT
+    }
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(10),
+        Duration.ofMillis(30),
+        Duration.ofMillis(100),
+        Duration.ofMillis(300),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(3),
+        Duration.ofSeconds(10)
+    };
+
+    private final Map<End, Counter> mEnds = new EnumMap<>(End.class);
+    private final Timer mFirstByte;
+    private final Counter mSends;
+    private final Counter mRetries;
+
+    private ForwardingMetrics(MeterRegistry registry) {
+        for (var end : End.values()) {
+            mEnds.put(
+                    end,
+                    Counter.builder("fescue.requests")
+                            .tag("end", end.name().toLowerCase(java.util.Locale.ROOT))
+                            .register(registry));
+        }
+        mFirstByte =
+                Timer.builder("fescue.first.byte")
+                        .serviceLevelObjectives(BUCKETS)
+                        .register(registry);
+        mSends = registry.counter("fescue.sends");
+        mRetries = registry.counter("fescue.retries");
+    }
+
+    /** Returns metrics kept in this registry. */
+    public static ForwardingMetrics create(MeterRegistry registry) {
+        return new ForwardingMetrics(registry);
+    }
+
+    void onEnd(End end) {
+        mEnds.get(end).increment();
+    }
+
+    void onFirstByte(long nanos) {
+        mFirstByte.record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    void onSend(boolean retry) {
+        mSends.increment();
+        if (retry) {
+            mRetries.increment();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/Gate.java
@@ -0,0 +1,54 @@
+package org.fescueport.internal.direct.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.Route;
+import org.fescueport.internal.direct.config.Team;
+import org.fescueport.internal.direct.state.FleetView;
+
+/** Judges requests by the configuration in force: route first, then the caller's key. */
+final class Gate {
+    /** A node that has just started knows its configuration after about this time. */
+    private static final Duration START_TIME = Duration.ofMillis(400);
+
+    private final FleetView mView;
+
+    private Gate(FleetView view) {
+        mView = view;
+    }
+
+    /** Returns a gate that judges by the configuration of the view. */
+    static Gate of(FleetView view) {
+        return new Gate(view);
+    }
+
+    Verdict judge(CallerRequest request) {
+        Optional<FleetConfiguration> configuration = mView.configuration();
+        if (configuration.isEmpty()) {
+            return new Verdict.Refused(
+                    Refusal.notRun(request.id(), "no configuration is known yet", START_TIME));
+        }
+        var route = configuration.get().routes().find(request.host(), request.path());
+        if (route.isEmpty()) {
+            return refused(request, Refusal.Reason.NO_ROUTE, "no route leads to this path");
+        }
+        return judgeKey(request, configuration.get(), route.get());
+    }
+
+    private static Verdict judgeKey(
+            CallerRequest request, FleetConfiguration configuration, Route route) {
+        if (configuration.teams().isEmpty()) {
+            return new Verdict.Admitted(configuration, route, Optional.empty());
+        }
+        Optional<Team> team = request.key().flatMap(configuration::teamOf);
+        if (team.isEmpty() && !route.open()) {
+            return refused(request, Refusal.Reason.UNKNOWN_KEY, "the API key is not known");
+        }
+        return new Verdict.Admitted(configuration, route, team);
+    }
+
+    private static Verdict refused(CallerRequest request, Refusal.Reason reason, String message) {
+        return new Verdict.Refused(Refusal.of(reason, Optional.of(request.id()), message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -0,0 +1,79 @@
+package org.fescueport.internal.direct.forward;
+
+import io.micrometer.core.instrument.Clock;
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.random.RandomGenerator;
+import org.fescueport.internal.direct.config.RequestKind;
+import org.fescueport.internal.direct.config.Route;
+
+/** How much time a request has had and has left. */
+final class RequestClock {
+    /** Less than this is too little for a replica to do anything with. */
+    private static final Duration LEAST_SENDING = Duration.ofMillis(40);
+
+    /** Part of the objective after which a repeatable request without an answer goes elsewhere. */
+    private static final double ANSWER_PART = 0.6;
+
+    /** Engines that work are heard far more often; a long prompt alone takes half of this. */
+    private static final Duration STREAM_SILENCE = Duration.ofMillis(900);
+
+    /** Callers come back after at most a third of the time that they have left. */
+    private static final double RETURN_PART = 0.3;
+
+    private static final Duration SHORTEST_RETURN = Duration.ofMillis(100);
+    private static final Duration LONGEST_RETURN = Duration.ofMillis(1_500);
+
+    private final Clock mClock;
+    private final long mStartNanos;
+    private final long mEndNanos;
+    private final Duration mObjective;
+
+    private RequestClock(Clock clock, long startNanos, long endNanos, Duration objective) {
+        mClock = clock;
+        mStartNanos = startNanos;
+        mEndNanos = endNanos;
+        mObjective = objective;
+    }
+
+    /** Starts the clock of a request that has just arrived whole. */
+    static RequestClock start(Clock clock, Route route, OptionalLong patienceMillis) {
+        long start = clock.monotonicTime();
+        long limit = route.timeout().toMillis();
+        long time = Math.min(limit, Math.max(0, patienceMillis.orElse(limit)));
+        long end = start + Duration.ofMillis(time).toNanos();
+        return new RequestClock(clock, start, end, route.objective());
+    }
+
+    boolean isOver(long nowNanos) {
+        return nowNanos - mEndNanos >= 0;
+    }
+
+    long elapsedNanos() {
+        return mClock.monotonicTime() - mStartNanos;
+    }
+
+    long leftMillis() {
+        return Math.max(1, (mEndNanos - mClock.monotonicTime()) / 1_000_000);
+    }
+
+    boolean isWorthSending() {
+        return mEndNanos - mClock.monotonicTime() > LEAST_SENDING.toNanos();
+    }
+
+    /** Returns how long a replica may be silent before the request goes to another. */
+    Duration silenceLimit(RequestKind kind, boolean begun) {
+        if (kind.isStream()) {
+            return STREAM_SILENCE;
+        }
+        return Duration.ofNanos((long) (ANSWER_PART * mObjective.toNanos()));
+    }
+
+    /** Returns when to come back, spread so that callers do not return all at once. */
+    Duration retryAfter(RandomGenerator random) {
+        double left = Math.max(0, mEndNanos - mClock.monotonicTime());
+        double longest = Math.min(RETURN_PART * left, LONGEST_RETURN.toNanos());
+        double part = longest * (0.4 + 0.6 * random.nextDouble());
+        return Duration.ofNanos((long) Math.max(part, SHORTEST_RETURN.toNanos()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/Verdict.java
@@ -0,0 +1,20 @@
+package org.fescueport.internal.direct.forward;
+
+import java.util.Optional;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.Route;
+import org.fescueport.internal.direct.config.Team;
+
+/** Whether the configuration in force allows a request. */
+sealed interface Verdict {
+    /**
+     * It does.
+     *
+     * @param team whose key the request carries; absent on open routes
+     */
+    record Admitted(FleetConfiguration configuration, Route route, Optional<Team> team)
+            implements Verdict {}
+
+    /** It does not, or none is known yet. */
+    record Refused(Refusal refusal) implements Verdict {}
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -0,0 +1,134 @@
+package org.fescueport.internal.direct.place;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.ejection.EjectionSettings;
+import org.fescueport.internal.decision.ejection.OutlierEjection;
+import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaFilter;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.ReplicaEntry;
+
+/**
+ * Picks the replica for a request.
+ *
+ * <p>Requests that share a prompt prefix go to the first replica in the order of their key that is
+ * not loaded far above the mean, so that all nodes choose alike and a hot prefix spreads over as
+ * few replicas as its load needs. Other requests go where the least is held. Replicas that keep
+ * failing are passed over while others are left.
+ */
+public final class ReplicaChooser {
+    private static final EjectionSettings EJECTION =
+            new EjectionSettings(
+                    2,
+                    3,
+                    0.4,
+                    Duration.ofMillis(1_200),
+                    Duration.ofSeconds(8),
+                    Duration.ofSeconds(2));
+
+    /** Part of the mean by which a replica may be loaded above it before a key spills over. */
+    private static final double SPILL_FACTOR = 1.3;
+
+    /** Requests that a replica may hold whatever the mean is. */
+    private static final int SPILL_FLOOR = 3;
+
+    private final FleetView mView;
+    private final ReplicaLoads mLoads;
+    private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
+
+    private ReplicaChooser(FleetView view, ReplicaLoads loads) {
+        mView = view;
+        mLoads = loads;
+    }
+
+    /** Returns a chooser among the replicas of the view. */
+    public static ReplicaChooser create(FleetView view, ReplicaLoads loads) {
+        return new ReplicaChooser(view, loads);
+    }
+
+    /**
+     * Returns a replica of the pool, or nothing when none takes new work.
+     *
+     * @param tried replicas that the request must not go to again
+     */
+    public Optional<ReplicaEntry> choose(
+            PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
+        ReplicaSet set = mView.pool(pool);
+        ReplicaFilter fresh = replica -> !tried.contains(replica.node());
+        ReplicaFilter sound = ejection(set).filter(affinity.key(), nowNanos).and(fresh);
+        Optional<Replica> chosen = pick(set, affinity, sound, nowNanos);
+        if (chosen.isEmpty()) {
+            chosen = pick(set, affinity, fresh, nowNanos);
+        }
+        return chosen.flatMap(replica -> mView.replica(replica.node()));
+    }
+
+    /** Notes that a replica has answered. */
+    public void onSuccess(ReplicaEntry replica, long nowNanos) {
+        ejection(mView.pool(replica.pool())).onSuccess(replica.id(), nowNanos);
+    }
+
+    /** Notes that a replica could not be reached, fell silent, or answered with an error. */
+    public void onFailure(ReplicaEntry replica, long nowNanos) {
+        ejection(mView.pool(replica.pool())).onFailure(replica.id(), nowNanos);
+    }
+
+    /** Forgets what is known of replicas that are gone. */
+    public void onReplicasChanged() {
+        Set<NodeId> present = new HashSet<>();
+        for (var pool : mView.pools()) {
+            mView.pool(pool).replicas().forEach(replica -> present.add(replica.node()));
+        }
+        mLoads.retain(present);
+        mEjections.keySet().retainAll(mView.pools());
+    }
+
+    private Optional<Replica> pick(
+            ReplicaSet set, Affinity affinity, ReplicaFilter filter, long nowNanos) {
+        double limit = affinity.cacheable() ? spillLimit(set, nowNanos) : 0;
+        Replica least = null;
+        int leastHeld = Integer.MAX_VALUE;
+        Ranking ranking = Ranking.of(set, affinity);
+        for (int index = ranking.next(); index >= 0; index = ranking.next()) {
+            Replica replica = set.replica(index);
+            if (!filter.allows(replica)) {
+                continue;
+            }
+            int held = mLoads.held(replica.node(), nowNanos);
+            if (held < limit) {
+                return Optional.of(replica);
+            }
+            if (held < leastHeld) {
+                least = replica;
+                leastHeld = held;
+            }
+        }
+        return Optional.ofNullable(least);
+    }
+
+    private double spillLimit(ReplicaSet set, long nowNanos) {
+        long all = 0;
+        for (var replica : set.replicas()) {
+            all += mLoads.held(replica.node(), nowNanos);
+        }
+        return Math.max(SPILL_FLOOR, SPILL_FACTOR * all / Math.max(1, set.size()));
+    }
+
+    private OutlierEjection ejection(ReplicaSet set) {
+        var ejection =
+                mEjections.computeIfAbsent(
+                        set.pool(), pool -> OutlierEjection.create(EJECTION, set));
+        ejection.onReplicas(set);
+        return ejection;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
@@ -0,0 +1,75 @@
+package org.fescueport.internal.direct.place;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.fescueport.internal.decision.NodeId;
+
+/**
+ * How many requests each replica holds, as far as this node can tell.
+ *
+ * <p>What this node has sent is known at once; what others have sent is what the replica last told
+ * beyond that, and is believed for a short time. Used by the event loop alone.
+ */
+public final class ReplicaLoads {
+    /** A replica's word on the load of others is old after this. */
+    private static final Duration REPORT_AGE = Duration.ofSeconds(3);
+
+    private static final class Load {
+        private int mOwn;
+        private int mOthers;
+        private long mToldAtNanos;
+    }
+
+    private final Map<NodeId, Load> mLoads = new HashMap<>();
+
+    private ReplicaLoads() {}
+
+    /** Returns loads of which nothing is known. */
+    public static ReplicaLoads create() {
+        return new ReplicaLoads();
+    }
+
+    /** Notes a request that was sent. */
+    public void onSent(NodeId replica) {
+        load(replica).mOwn++;
+    }
+
+    /** Notes the end of a request that was sent. */
+    public void onEnded(NodeId replica) {
+        Load load = load(replica);
+        load.mOwn = Math.max(0, load.mOwn - 1);
+    }
+
+    /** Takes in how many requests the replica says that it holds. */
+    public void onTold(NodeId replica, int held, long nowNanos) {
+        Load load = load(replica);
+        load.mOthers = Math.max(0, held - load.mOwn);
+        load.mToldAtNanos = nowNanos;
+    }
+
+    /** Returns how many requests the replica holds. */
+    public int held(NodeId replica, long nowNanos) {
+        Load load = mLoads.get(replica);
+        if (load == null) {
+            return 0;
+        }
+        boolean old = nowNanos - load.mToldAtNanos > REPORT_AGE.toNanos();
+        return load.mOwn + (old ? 0 : load.mOthers);
+    }
+
+    /** Returns how many requests of this node the replica holds. */
+    public int own(NodeId replica) {
+        Load load = mLoads.get(replica);
+        return load == null ? 0 : load.mOwn;
+    }
+
+    /** Forgets replicas that hold nothing of this node and are not named. */
+    public void retain(java.util.Set<NodeId> replicas) {
+        mLoads.entrySet().removeIf(e -> e.getValue().mOwn == 0 && !replicas.contains(e.getKey()));
+    }
+
+    private Load load(NodeId replica) {
+        return mLoads.computeIfAbsent(replica, id -> new Load());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -0,0 +1,267 @@
+package org.fescueport.internal.direct.state;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.log.EventLog;
+
+/**
+ * What this node believes of the configuration and of the replicas.
+ *
+ * <p>Versions and offsets only go forward, whichever way a record came. A replica whose entry
+ * lapsed around an outage of the store is kept until its heartbeat has had time to come back. Used
+ * by the event loop alone.
+ */
+public final class FleetView {
+    /** Time after the store's return within which lapsed entries of live replicas are back. */
+    private static final Duration LAPSE_GRACE = Duration.ofMillis(2_300);
+
+    /** Told when the believed replicas have changed. */
+    @FunctionalInterface
+    public interface ReplicaListener {
+        /** Called after the change. */
+        void onReplicasChanged();
+    }
+
+    private record Known(ReplicaEntry entry, long offset) {}
+
+    private final StateDecoder mDecoder;
+    private final EventLog mLog;
+    private final Map<NodeId, Known> mReplicas = new HashMap<>();
+    private final Map<NodeId, Long> mLapsedUntil = new HashMap<>();
+    private final Map<NodeId, Long> mRemovedAt = new HashMap<>();
+    private Map<PoolId, ReplicaSet> mPools = Map.of();
+    private Optional<FleetConfiguration> mConfiguration = Optional.empty();
+    private boolean mReplicasKnown;
+    private long mNextConfiguration;
+    private long mNextReplica;
+    private Optional<Long> mLapseGraceEndNanos = Optional.empty();
+    private ReplicaListener mListener = () -> {};
+
+    private FleetView(StateDecoder decoder, EventLog log) {
+        mDecoder = decoder;
+        mLog = log;
+    }
+
+    /** Returns a view that believes nothing yet. */
+    public static FleetView create(StateDecoder decoder, EventLog log) {
+        return new FleetView(decoder, log);
+    }
+
+    /** Sets who is told of changed replicas. */
+    public void listen(ReplicaListener listener) {
+        mListener = listener;
+    }
+
+    /** Returns the configuration in force, once one is known. */
+    public Optional<FleetConfiguration> configuration() {
+        return mConfiguration;
+    }
+
+    /** Returns whether both a configuration and the list of replicas have been read. */
+    public boolean isComplete() {
+        return mConfiguration.isPresent() && mReplicasKnown;
+    }
+
+    /** Returns the replicas of a pool that take new work. */
+    public ReplicaSet pool(PoolId pool) {
+        ReplicaSet set = mPools.get(pool);
+        return set == null ? ReplicaSet.of(pool, List.of()) : set;
+    }
+
+    /** Returns the pools that have a replica which takes new work. */
+    public Set<PoolId> pools() {
+        return mPools.keySet();
+    }
+
+    /** Returns the entry of a replica, also of one that is leaving. */
+    public Optional<ReplicaEntry> replica(NodeId id) {
+        return Optional.ofNullable(mReplicas.get(id)).map(Known::entry);
+    }
+
+    /** Returns the offset of the next record to read of a topic. */
+    public long nextOffset(StateTopic topic) {
+        return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mNextReplica;
+    }
+
+    /** Notes that the store has just answered again after it had not. */
+    public void onStoreRegained(long nowNanos) {
+        mLapseGraceEndNanos = Optional.of(nowNanos + LAPSE_GRACE.toNanos());
+    }
+
+    /** Takes records that follow what has been read of a topic. */
+    public void apply(StateTopic topic, StateStore.Page page, long nowNanos) {
+        boolean changed = false;
+        for (var record : page.records()) {
+            changed |= apply(topic, record, nowNanos);
+        }
+        advance(topic, page.end());
+        if (changed) {
+            publish();
+        }
+    }
+
+    /** Takes the newest records of all keys of a topic. */
+    public void replace(StateTopic topic, StateStore.Page page, long nowNanos) {
+        apply(topic, page, nowNanos);
+        if (topic == StateTopic.REPLICAS) {
+            mReplicasKnown = true;
+            removeMissing(page, nowNanos);
+        }
+    }
+
+    /** Drops the lapsed entries whose time is over. */
+    public void expire(long nowNanos) {
+        boolean changed = false;
+        for (var entry : List.copyOf(mLapsedUntil.entrySet())) {
+            if (nowNanos - entry.getValue() >= 0) {
+                mLapsedUntil.remove(entry.getKey());
+                changed |= forget(entry.getKey(), "lapsed");
+            }
+        }
+        if (changed) {
+            publish();
+        }
+    }
+
+    private boolean apply(StateTopic topic, StateRecord record, long nowNanos) {
+        return switch (topic) {
+            case CONFIGURATION -> {
+                applyConfiguration(record);
+                yield false;
+            }
+            case REPLICAS -> applyReplica(record, nowNanos);
+            case NODES -> false;
+        };
+    }
+
+    private void applyConfiguration(StateRecord record) {
+        if (record.value().isEmpty() || !mDecoder.isConfiguration(record.key())) {
+            return;
+        }
+        try {
+            var configuration = mDecoder.configuration(record.value().get());
+            long current = mConfiguration.map(FleetConfiguration::version).orElse(-1L);
+            if (configuration.version() <= current) {
+                return;
+            }
+            mConfiguration = Optional.of(configuration);
+            mLog.change("configuration-in-force")
+                    .with("version", configuration.version())
+                    .with("offset", record.offset())
+                    .write();
+        } catch (StateDecoder.UnusableRecordException e) {
+            mLog.change("configuration-unusable")
+                    .with("offset", record.offset())
+                    .with("reason", e.getMessage())
+                    .write();
+        }
+    }
+
+    private boolean applyReplica(StateRecord record, long nowNanos) {
+        NodeId id = NodeId.of(record.key());
+        Known known = mReplicas.get(id);
+        long newest = known == null ? mRemovedAt.getOrDefault(id, -1L) : known.offset();
+        if (record.offset() <= newest) {
+            return false;
+        }
+        if (record.value().isEmpty()) {
+            mRemovedAt.put(id, record.offset());
+            return known != null && remove(id, known, nowNanos);
+        }
+        ReplicaEntry entry;
+        try {
+            entry = mDecoder.replica(record.key(), record.value().get());
+        } catch (StateDecoder.UnusableRecordException e) {
+            mLog.change("replica-unusable")
+                    .with("replica", record.key())
+                    .with("reason", e.getMessage())
+                    .write();
+            mRemovedAt.put(id, record.offset());
+            return known != null && forget(id, "unusable");
+        }
+        mLapsedUntil.remove(id);
+        mReplicas.put(id, new Known(entry, record.offset()));
+        if (known != null && known.entry().equals(entry)) {
+            return false;
+        }
+        mLog.change(entry.leaving() ? "replica-leaving" : "replica-ready")
+                .with("replica", id)
+                .with("pool", entry.pool())
+                .with("address", entry.address())
+                .with("offset", record.offset())
+                .write();
+        return true;
+    }
+
+    private boolean remove(NodeId id, Known known, long nowNanos) {
+        boolean mayBeLapse = mLapseGraceEndNanos.filter(end -> nowNanos - end < 0).isPresent();
+        if (mayBeLapse && !known.entry().leaving()) {
+            mLapsedUntil.putIfAbsent(id, mLapseGraceEndNanos.get());
+            return false;
+        }
+        return forget(id, "removed");
+    }
+
+    private boolean forget(NodeId id, String reason) {
+        mLapsedUntil.remove(id);
+        if (mReplicas.remove(id) == null) {
+            return false;
+        }
+        mLog.change("replica-gone").with("replica", id).with("reason", reason).write();
+        return true;
+    }
+
+    private void removeMissing(StateStore.Page page, long nowNanos) {
+        Set<String> present = new HashSet<>();
+        page.records().forEach(record -> present.add(record.key()));
+        boolean changed = false;
+        for (var id : List.copyOf(mReplicas.keySet())) {
+            Known known = mReplicas.get(id);
+            if (!present.contains(id.name()) && known.offset() < page.end()) {
+                changed |= remove(id, known, nowNanos);
+            }
+        }
+        if (changed) {
+            publish();
+        }
+    }
+
+    private void advance(StateTopic topic, long end) {
+        if (topic == StateTopic.CONFIGURATION) {
+            mNextConfiguration = Math.max(mNextConfiguration, end);
+        } else if (topic == StateTopic.REPLICAS) {
+            mNextReplica = Math.max(mNextReplica, end);
+        }
+    }
+
+    private void publish() {
+        Map<PoolId, List<Replica>> ready = new HashMap<>();
+        for (var known : mReplicas.values()) {
+            ReplicaEntry entry = known.entry();
+            if (!entry.leaving()) {
+                ready.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
+                        .add(replicaOf(entry));
+            }
+        }
+        Map<PoolId, ReplicaSet> pools = new HashMap<>();
+        ready.forEach((pool, replicas) -> pools.put(pool, ReplicaSet.of(pool, replicas)));
+        mPools = Map.copyOf(pools);
+        mListener.onReplicasChanged();
+    }
+
+    private static Replica replicaOf(ReplicaEntry entry) {
+        String address = entry.address().toString();
+        return new Replica(entry.id(), entry.domain(), address, 1, entry.startedAtMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
@@ -0,0 +1,22 @@
+package org.fescueport.internal.direct.state;
+
+import java.net.InetSocketAddress;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+
+/**
+ * What a replica has said of itself.
+ *
+ * @param slots requests that it works on at once
+ * @param leaving whether it takes no new work
+ * @param startedAtMillis tells two lives under one id apart; 0 when it does not say
+ */
+public record ReplicaEntry(
+        NodeId id,
+        PoolId pool,
+        InetSocketAddress address,
+        FailureDomain domain,
+        int slots,
+        boolean leaving,
+        long startedAtMillis) {}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
@@ -0,0 +1,29 @@
+package org.fescueport.internal.direct.state;
+
+import org.fescueport.internal.direct.config.FleetConfiguration;
+
+/** Turns the store's records into what they say. */
+public interface StateDecoder {
+    /** Thrown for a record that cannot be used; the message says what is wrong with it. */
+    final class UnusableRecordException extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        private UnusableRecordException(String message) {
+            super(message);
+        }
+
+        /** Returns the exception with this message. */
+        public static UnusableRecordException of(String message) {
+            return new UnusableRecordException(message);
+        }
+    }
+
+    /** Returns whether the record of this key is the configuration in force. */
+    boolean isConfiguration(String key);
+
+    /** Reads a configuration. */
+    FleetConfiguration configuration(byte[] value) throws UnusableRecordException;
+
+    /** Reads what a replica says of itself. */
+    ReplicaEntry replica(String key, byte[] value) throws UnusableRecordException;
+}
