--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -37,9 +37,9 @@
                     Duration.ofSeconds(2));
 
     /** Part of the mean by which a replica may be loaded above it before a key spills over. */
-    private static final double SPILL_FACTOR = 1.3;
+    private static final double SPILL_FACTOR = 1.6;
 
-    /** Requests that a replica may hold whatever the mean is. */
+    /** Requests that a replica may hold beyond that, whatever the mean is. */
     private static final int SPILL_FLOOR = 3;
 
     private final FleetView mView;
@@ -121,7 +121,7 @@
         for (var replica : set.replicas()) {
             all += mLoads.held(replica.node(), nowNanos);
         }
-        return Math.max(SPILL_FLOOR, SPILL_FACTOR * all / Math.max(1, set.size()));
+        return SPILL_FLOOR + SPILL_FACTOR * all / Math.max(1, set.size());
     }
 
     private OutlierEjection ejection(ReplicaSet set) {
