Let one node read the store for its peers

Ruled out: a lease for the reader (two readers cost calls, never correctness); membership by heartbeats in the store (one record each is enough, as nodes are ranked by its place). Change: internal.direct.peer, protobuf over TCP on the control address; a node relies on the first one before it that tells it reads, and reads itself 1.25 s after the last such word; news are passed on over all connections.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -22,14 +23,18 @@
 import org.fescueport.internal.direct.forward.ReplicaLinks;
 import org.fescueport.internal.direct.forward.WireProtocol;
 import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.peer.PeerGroup;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaHealth;
 import org.fescueport.internal.direct.place.ReplicaLoads;
 import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.state.Announcer;
 import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.internal.direct.state.StateReader;
 import org.fescueport.internal.direct.state.StateStore;
+import org.fescueport.internal.wire.generated.PeerStrike;
 
 /**
  * A router that reaches replicas without an agent: one process, one event loop.
@@ -77,6 +82,7 @@
     private final Parts mParts;
     private final FleetView mView;
     private final StateReader mReader;
+    private final PeerGroup mPeers;
     private final Forwarder mForwarder;
     private final ReplicaLinks mLinks;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
@@ -89,8 +95,15 @@
         mSettings = settings;
         mParts = parts;
         mView = FleetView.create(parts.decoder(), parts.log());
+        mPeers = PeerGroup.create(settings.node(), mView, parts.loop(), parts.clock(), parts.log());
         mReader =
-                StateReader.create(parts.store(), mView, parts.loop(), parts.clock(), parts.log());
+                StateReader.create(
+                        parts.store(),
+                        mView,
+                        new Reading(),
+                        parts.loop(),
+                        parts.clock(),
+                        parts.log());
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
         var loads = ReplicaLoads.create();
         var chooser = ReplicaChooser.create(mView, loads);
@@ -98,6 +111,7 @@
         var budgets =
                 RetryBudgets.create(
                         settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
+        mPeers.listen(new FromPeers(budgets));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -127,6 +141,7 @@
     public void start() throws java.io.IOException {
         bind(mSettings.callers(), mForwarder.initializer());
         bind(mSettings.admin(), adminInitializer());
+        bind(mSettings.peers(), mPeers.initializer());
         if (mSettings.metrics().isPresent()) {
             bind(mSettings.metrics().get(), adminInitializer());
         }
@@ -150,7 +165,17 @@
     }
 
     private void begin() {
+        mPeers.onSeeds(
+                mSettings.seeds().stream().filter(s -> !s.equals(mSettings.peers())).toList());
         mReader.start();
+        Announcer.announce(
+                mParts.store(),
+                mParts.decoder(),
+                mParts.loop(),
+                mParts.log(),
+                mSettings.node(),
+                mSettings.peers(),
+                mPeers::onMembers);
         mLastCheckNanos = mParts.clock().monotonicTime();
         mWallMinusSteadyMillis = wallMinusSteadyMillis();
         every(CHECK_INTERVAL, this::check);
@@ -178,6 +203,8 @@
 
     private void sweep() {
         noticeGap();
+        mPeers.tick(mReader.isStoreReachable());
+        mReader.setActive(!mPeers.isServed());
         mForwarder.sweep();
         if (mStopping) {
             endIfDone();
@@ -218,6 +245,7 @@
         boolean late = waited.compareTo(mSettings.stopTime().minus(STOP_MARGIN)) > 0;
         if (done || late) {
             mReader.stop();
+            mPeers.stop();
             mLinks.closeIdle();
             mParts.log()
                     .change("stopped")
@@ -228,6 +256,49 @@
         }
     }
 
+    /** Takes records in and passes on what is new. */
+    private void take(RecordBatch batch, Optional<PeerGroup.PeerOrigin> origin) {
+        var news = mView.take(batch, mParts.clock().monotonicTime());
+        mPeers.spread(batch.topic(), news, origin);
+    }
+
+    /** What this node reads from the store itself. */
+    private final class Reading implements StateReader.Listener {
+        @Override
+        public void onBatch(RecordBatch batch) {
+            take(batch, Optional.empty());
+        }
+
+        @Override
+        public void onRound(boolean answered) {
+            mPeers.pulse(answered);
+        }
+    }
+
+    /** What comes from other nodes. */
+    private final class FromPeers implements PeerGroup.Listener {
+        private final RetryBudgets mBudgets;
+
+        FromPeers(RetryBudgets budgets) {
+            mBudgets = budgets;
+        }
+
+        @Override
+        public void onBatch(RecordBatch batch, PeerGroup.PeerOrigin origin) {
+            take(batch, Optional.of(origin));
+        }
+
+        @Override
+        public void onStrike(PeerStrike strike) {
+            mParts.log().change("strike").with("replica", strike.getReplica()).write();
+        }
+
+        @Override
+        public void onNodes(int nodes) {
+            mBudgets.onNodes(nodes);
+        }
+    }
+
     private ChannelInitializer<Channel> adminInitializer() {
         var handler = new AdminHandler(mSettings, this::isReady, mParts.counters());
         return new ChannelInitializer<>() {
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -10,6 +11,8 @@
  * @param node name of this process
  * @param callers where callers are served
  * @param admin where health is asked for
+ * @param peers where other nodes connect
+ * @param seeds addresses of a few nodes, which may be gone
  * @param metrics where counters are read; absent for the admin address
  * @param readyPath on which the health check asks
  * @param metricsPath on which counters are served
@@ -22,10 +25,16 @@
         String node,
         InetSocketAddress callers,
         InetSocketAddress admin,
+        InetSocketAddress peers,
+        List<InetSocketAddress> seeds,
         Optional<InetSocketAddress> metrics,
         String readyPath,
         String metricsPath,
         double retryShare,
         double retryAllowance,
         Duration stopTime,
-        int logLinesPerSecond) {}
+        int logLinesPerSecond) {
+    public DirectRouterSettings {
+        seeds = List.copyOf(seeds);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
@@ -0,0 +1,92 @@
+package org.fescueport.internal.direct.peer;
+
+import io.micrometer.core.instrument.Clock;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fescueport.internal.direct.state.NodeEntry;
+
+/** The nodes that this one may connect to, in the order in which it prefers them. */
+final class Candidates {
+    private static final Duration FIRST_PAUSE = Duration.ofMillis(800);
+    private static final int MAX_DOUBLINGS = 4;
+
+    /** A node that may be reached at this address. */
+    record Candidate(InetSocketAddress address) {}
+
+    private static final class Tries {
+        private int mFailures;
+        private long mNotBeforeNanos;
+    }
+
+    private final Clock mClock;
+    private final Map<Candidate, Tries> mTries = new HashMap<>();
+    private List<Candidate> mMembers = List.of();
+    private List<Candidate> mSeeds = List.of();
+
+    Candidates(Clock clock) {
+        mClock = clock;
+    }
+
+    void onSeeds(List<InetSocketAddress> seeds) {
+        mSeeds = seeds.stream().map(Candidate::new).toList();
+    }
+
+    void onMembers(List<NodeEntry> before) {
+        List<NodeEntry> sorted = new ArrayList<>(before);
+        sorted.sort(Comparator.comparingLong(NodeEntry::rank));
+        mMembers = sorted.stream().map(entry -> new Candidate(entry.address())).distinct().toList();
+    }
+
+    int size() {
+        return mMembers.size();
+    }
+
+    /**
+     * Returns the next one to try, better than the one that is connected; nothing when all of them
+     * were tried a short while ago.
+     *
+     * @param seeds whether any node will do, as the store does not answer
+     */
+    Optional<Candidate> next(Optional<Candidate> connected, boolean seeds) {
+        for (var member : mMembers) {
+            if (connected.filter(member::equals).isPresent()) {
+                return Optional.empty();
+            }
+            if (isDue(member)) {
+                return Optional.of(member);
+            }
+        }
+        if (!seeds) {
+            return Optional.empty();
+        }
+        return mSeeds.stream().filter(this::isDue).findFirst();
+    }
+
+    void onFailed(Candidate candidate) {
+        pause(candidate);
+    }
+
+    /** One that does not stay connected is not tried again at once either. */
+    void onConnected(Candidate candidate) {
+        pause(candidate);
+    }
+
+    private void pause(Candidate candidate) {
+        Tries tries = mTries.computeIfAbsent(candidate, key -> new Tries());
+        int doublings = Math.min(tries.mFailures, MAX_DOUBLINGS);
+        tries.mFailures++;
+        tries.mNotBeforeNanos =
+                mClock.monotonicTime() + FIRST_PAUSE.multipliedBy(1L << doublings).toNanos();
+    }
+
+    private boolean isDue(Candidate candidate) {
+        Tries tries = mTries.get(candidate);
+        return tries == null || mClock.monotonicTime() - tries.mNotBeforeNanos >= 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -0,0 +1,107 @@
+package org.fescueport.internal.direct.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.wire.generated.PeerHello;
+import org.fescueport.internal.wire.generated.PeerMessage;
+
+/** A connection to another node, opened by either side. */
+final class PeerConnection extends SimpleChannelInboundHandler<PeerMessage> {
+    private final PeerGroup mGroup;
+    private final boolean mOutbound;
+    private final Map<StateTopic, Long> mKnownEnds = new EnumMap<>(StateTopic.class);
+    private ChannelHandlerContext mContext;
+    private Optional<PeerHello> mHello = Optional.empty();
+    private boolean mReading;
+    private long mPulseAtNanos;
+    private long mOpenedNanos;
+
+    PeerConnection(PeerGroup group, boolean outbound) {
+        mGroup = group;
+        mOutbound = outbound;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        mContext = context;
+        mOpenedNanos = mGroup.nowNanos();
+        mGroup.onOpened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mGroup.onClosed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        mGroup.onBroken(this, cause);
+        context.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerMessage message) {
+        mGroup.onMessage(this, message);
+    }
+
+    boolean isOutbound() {
+        return mOutbound;
+    }
+
+    /** Returns what the other side has told of itself. */
+    Optional<PeerHello> hello() {
+        return mHello;
+    }
+
+    String name() {
+        return mHello.map(PeerHello::getNode).orElse("a peer without a name");
+    }
+
+    void onHello(PeerHello hello) {
+        mHello = Optional.of(hello);
+        mKnownEnds.put(StateTopic.CONFIGURATION, hello.getNextConfiguration());
+        mKnownEnds.put(StateTopic.REPLICAS, hello.getNextReplica());
+    }
+
+    void onPulse(boolean reading, long nowNanos) {
+        mReading = reading;
+        mPulseAtNanos = nowNanos;
+    }
+
+    /** Returns whether the other side has told within this time that it reads the store. */
+    boolean isReading(long nowNanos, long maxAgeNanos) {
+        return mReading && nowNanos - mPulseAtNanos <= maxAgeNanos;
+    }
+
+    /** Returns how long the connection has been open and the other side silent, at the least. */
+    long silentNanos(long nowNanos) {
+        long since = mPulseAtNanos == 0 ? mOpenedNanos : mPulseAtNanos;
+        return nowNanos - since;
+    }
+
+    /** Returns the offset up to which the other side knows a topic. */
+    long knownEnd(StateTopic topic) {
+        return mKnownEnds.getOrDefault(topic, 0L);
+    }
+
+    void onKnown(StateTopic topic, long end) {
+        mKnownEnds.merge(topic, end, Math::max);
+    }
+
+    void send(PeerMessage message) {
+        mContext.writeAndFlush(message);
+    }
+
+    /** Returns whether what was sent is taken by the other side. */
+    boolean isWritable() {
+        return mContext.channel().isWritable();
+    }
+
+    void close() {
+        mContext.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -0,0 +1,366 @@
+package org.fescueport.internal.direct.peer;
+
+import io.micrometer.core.instrument.Clock;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
+import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.NodeEntry;
+import org.fescueport.internal.direct.state.RecordBatch;
+import org.fescueport.internal.direct.state.StateRecord;
+import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.wire.generated.PeerHello;
+import org.fescueport.internal.wire.generated.PeerMessage;
+import org.fescueport.internal.wire.generated.PeerPulse;
+import org.fescueport.internal.wire.generated.PeerStrike;
+
+/**
+ * The nodes of the fleet as this one sees them: one of them reads the store for the others.
+ *
+ * <p>Nodes are ranked by the order of their records in the store, so that each knows all that came
+ * before it. Each connects to the first one there that answers, and leaves the reading to it while
+ * it tells at a steady pace that it reads. Whoever reads itself passes news on to all that it is
+ * connected with. Two that read at once cost calls and nothing else. Used by the event loop alone.
+ */
+public final class PeerGroup {
+    /** A little more than the pace of readings; inside what a leaving replica allows. */
+    private static final Duration PULSE_AGE = Duration.ofMillis(1_250);
+
+    /** A connection that has told nothing for so long may have gone silent for good. */
+    private static final Duration SILENCE = Duration.ofMillis(2_500);
+
+    private static final Duration CONNECT_TIME = Duration.ofMillis(500);
+    private static final int HIGH_WATER_BYTES = 4 * 1_024 * 1_024;
+
+    /** Told what comes from peers. */
+    public interface Listener {
+        /** Records have come that follow what is known. */
+        void onBatch(RecordBatch batch, PeerOrigin origin);
+
+        /** A request was lost with a replica at another node. */
+        void onStrike(PeerStrike strike);
+
+        /** So many nodes are counted now. */
+        void onNodes(int nodes);
+    }
+
+    /** Marks where a batch came from, so that it is not sent back. */
+    public static final class PeerOrigin {
+        private final PeerConnection mConnection;
+
+        private PeerOrigin(PeerConnection connection) {
+            mConnection = connection;
+        }
+    }
+
+    private final String mNode;
+    private final FleetView mView;
+    private final Clock mClock;
+    private final EventLog mLog;
+    private final Bootstrap mBootstrap;
+    private final Candidates mCandidates;
+    private final Set<PeerConnection> mOpen = new LinkedHashSet<>();
+    private Listener mListener;
+    private Optional<PeerConnection> mHub = Optional.empty();
+    private Optional<Candidates.Candidate> mHubCandidate = Optional.empty();
+    private long mRank;
+    private boolean mConnecting;
+    private boolean mStopped;
+
+    private PeerGroup(String node, FleetView view, EventLoopGroup loop, Clock clock, EventLog log) {
+        mNode = node;
+        mView = view;
+        mClock = clock;
+        mLog = log;
+        mCandidates = new Candidates(clock);
+        mBootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) CONNECT_TIME.toMillis());
+    }
+
+    /** Returns a group that knows no other node. */
+    public static PeerGroup create(
+            String node, FleetView view, EventLoopGroup loop, Clock clock, EventLog log) {
+        return new PeerGroup(node, view, loop, clock, log);
+    }
+
+    /** Sets who is told what comes from peers. */
+    public void listen(Listener listener) {
+        mListener = listener;
+    }
+
+    /** Returns what prepares a connection that another node has opened. */
+    public ChannelInitializer<Channel> initializer() {
+        return initializer(false);
+    }
+
+    /** Names nodes that may know more while the store cannot be asked. */
+    public void onSeeds(List<java.net.InetSocketAddress> seeds) {
+        mCandidates.onSeeds(seeds);
+    }
+
+    /**
+     * Takes in this node's place and the nodes before it.
+     *
+     * @param rank of this node
+     * @param entries of all nodes, also of those that are gone
+     */
+    public void onMembers(long rank, List<NodeEntry> entries) {
+        mRank = rank;
+        mCandidates.onMembers(
+                entries.stream().filter(e -> e.rank() < rank && !e.node().equals(mNode)).toList());
+        mLog.change("ranked").with("rank", rank).with("before", mCandidates.size()).write();
+        mOpen.forEach(this::sendHello);
+    }
+
+    /** Returns whether a peer reads the store for this node. */
+    public boolean isServed() {
+        long now = nowNanos();
+        return mHub.filter(hub -> precedes(hub) && hub.isReading(now, PULSE_AGE.toNanos()))
+                .isPresent();
+    }
+
+    /**
+     * Looks after the connection to the first node before this one that answers.
+     *
+     * @param storeAnswers whether this node can do without its peers
+     */
+    public void tick(boolean storeAnswers) {
+        if (mStopped) {
+            return;
+        }
+        long now = nowNanos();
+        if (mHub.isPresent() && isUseless(mHub.get(), storeAnswers, now)) {
+            mHub.get().close();
+        }
+        if (!mConnecting) {
+            boolean seeds = !storeAnswers && mHub.isEmpty();
+            mCandidates.next(mHubCandidate, seeds).ifPresent(this::connect);
+        }
+    }
+
+    /** Tells the nodes that rely on this one how its reading goes. */
+    public void pulse(boolean reading) {
+        int nodes = nodes();
+        var pulse = PeerPulse.newBuilder().setReading(reading).setNodes(nodes);
+        var message = PeerMessage.newBuilder().setPulse(pulse).build();
+        for (var peer : mOpen) {
+            if (!peer.isOutbound()) {
+                peer.send(message);
+            }
+        }
+        mListener.onNodes(nodes);
+    }
+
+    /** Passes news on to all connected nodes but the one that they came from. */
+    public void spread(StateTopic topic, List<StateRecord> news, Optional<PeerOrigin> origin) {
+        long end = mView.nextOffset(topic);
+        for (var peer : mOpen) {
+            boolean back = origin.filter(o -> o.mConnection == peer).isPresent();
+            if (back) {
+                peer.onKnown(topic, end);
+            } else if (!news.isEmpty() && peer.hello().isPresent()) {
+                sendNews(peer, topic, news, end);
+            }
+        }
+    }
+
+    /** Tells all connected nodes that a request was lost with a replica. */
+    public void spread(PeerStrike strike) {
+        var message = PeerMessage.newBuilder().setStrike(strike).build();
+        mOpen.forEach(peer -> peer.send(message));
+    }
+
+    /** Ends all connections; none is opened any more. */
+    public void stop() {
+        mStopped = true;
+        List.copyOf(mOpen).forEach(PeerConnection::close);
+    }
+
+    long nowNanos() {
+        return mClock.monotonicTime();
+    }
+
+    void onOpened(PeerConnection peer) {
+        mOpen.add(peer);
+        sendHello(peer);
+    }
+
+    void onClosed(PeerConnection peer) {
+        mOpen.remove(peer);
+        if (mHub.filter(hub -> hub == peer).isPresent()) {
+            mLog.change("peer-lost").with("peer", peer.name()).write();
+            mHub = Optional.empty();
+            mHubCandidate = Optional.empty();
+        }
+    }
+
+    void onBroken(PeerConnection peer, Throwable cause) {
+        mLog.change("peer-connection-broke").with("peer", peer.name()).with("cause", cause).write();
+    }
+
+    void onMessage(PeerConnection peer, PeerMessage message) {
+        switch (message.getBodyCase()) {
+            case HELLO -> onHello(peer, message.getHello());
+            case RECORDS -> onRecords(peer, PeerRecordsCodec.decode(message.getRecords()), message);
+            case PULSE -> onPulse(peer, message.getPulse());
+            case STRIKE -> onStrike(peer, message);
+            case BODY_NOT_SET ->
+                    mLog.change("peer-message-unknown").with("peer", peer.name()).write();
+            default -> throw new IllegalStateException("message " + message.getBodyCase());
+        }
+    }
+
+    private void onHello(PeerConnection peer, PeerHello hello) {
+        peer.onHello(hello);
+        for (var topic : List.of(StateTopic.CONFIGURATION, StateTopic.REPLICAS)) {
+            if (peer.knownEnd(topic) < mView.nextOffset(topic)) {
+                sendWhole(peer, topic);
+            }
+        }
+    }
+
+    private void onRecords(PeerConnection peer, RecordBatch batch, PeerMessage message) {
+        long grace = message.getRecords().getLapseGraceMs();
+        mView.onLapseGrace(Duration.ofMillis(grace), nowNanos());
+        if (!mView.follows(batch)) {
+            sendHello(peer);
+            return;
+        }
+        peer.onKnown(batch.topic(), batch.end());
+        mListener.onBatch(batch, new PeerOrigin(peer));
+    }
+
+    private void onPulse(PeerConnection peer, PeerPulse pulse) {
+        peer.onPulse(pulse.getReading(), nowNanos());
+        if (mHub.filter(hub -> hub == peer).isPresent()) {
+            mListener.onNodes(pulse.getNodes());
+        }
+    }
+
+    /** Strikes go on to those who are not connected with the node that told it. */
+    private void onStrike(PeerConnection from, PeerMessage message) {
+        mListener.onStrike(message.getStrike());
+        if (!from.isOutbound()) {
+            mOpen.stream()
+                    .filter(peer -> peer != from && !peer.isOutbound())
+                    .forEach(peer -> peer.send(message));
+        }
+    }
+
+    private boolean isUseless(PeerConnection hub, boolean storeAnswers, long nowNanos) {
+        boolean silent = hub.silentNanos(nowNanos) > SILENCE.toNanos();
+        boolean wrongOrder = hub.hello().isPresent() && !precedes(hub);
+        return silent || (storeAnswers && wrongOrder);
+    }
+
+    /** Two nodes never rely on each other, as only one of them comes before the other. */
+    private boolean precedes(PeerConnection peer) {
+        long rank = peer.hello().map(PeerHello::getRank).orElse(0L);
+        return rank != 0 && (mRank == 0 || rank < mRank);
+    }
+
+    private void connect(Candidates.Candidate candidate) {
+        mConnecting = true;
+        var handler = new PeerConnection(this, true);
+        mBootstrap
+                .clone()
+                .handler(initializer(handler))
+                .connect(candidate.address())
+                .addListener(
+                        done -> {
+                            mConnecting = false;
+                            if (done.isSuccess()) {
+                                onConnected(candidate, handler);
+                            } else {
+                                mCandidates.onFailed(candidate);
+                            }
+                        });
+    }
+
+    private void onConnected(Candidates.Candidate candidate, PeerConnection handler) {
+        mCandidates.onConnected(candidate);
+        mHub.ifPresent(PeerConnection::close);
+        mHub = Optional.of(handler);
+        mHubCandidate = Optional.of(candidate);
+        mLog.change("peer-connected").with("address", candidate.address()).write();
+    }
+
+    private void sendHello(PeerConnection peer) {
+        var hello =
+                PeerHello.newBuilder()
+                        .setNode(mNode)
+                        .setRank(mRank)
+                        .setNextConfiguration(mView.nextOffset(StateTopic.CONFIGURATION))
+                        .setNextReplica(mView.nextOffset(StateTopic.REPLICAS));
+        peer.send(PeerMessage.newBuilder().setHello(hello).build());
+    }
+
+    private void sendNews(PeerConnection peer, StateTopic topic, List<StateRecord> news, long end) {
+        if (!peer.isWritable()) {
+            // It lacks what is not sent now, notices the gap at the next news, and asks.
+            return;
+        }
+        var batch = new RecordBatch(topic, peer.knownEnd(topic), end, false, news);
+        peer.send(PeerRecordsCodec.encode(batch, mView.lapseGrace(nowNanos())));
+        peer.onKnown(topic, end);
+    }
+
+    private void sendWhole(PeerConnection peer, StateTopic topic) {
+        RecordBatch batch = mView.snapshot(topic);
+        peer.send(PeerRecordsCodec.encode(batch, mView.lapseGrace(nowNanos())));
+        peer.onKnown(topic, batch.end());
+    }
+
+    private int nodes() {
+        return 1 + (int) mOpen.stream().filter(peer -> !peer.isOutbound()).count();
+    }
+
+    private ChannelInitializer<Channel> initializer(boolean outbound) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                prepare(channel, new PeerConnection(PeerGroup.this, outbound));
+            }
+        };
+    }
+
+    private static ChannelInitializer<Channel> initializer(PeerConnection handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                prepare(channel, handler);
+            }
+        };
+    }
+
+    private static void prepare(Channel channel, PeerConnection handler) {
+        channel.config()
+                .setWriteBufferWaterMark(
+                        new WriteBufferWaterMark(HIGH_WATER_BYTES / 2, HIGH_WATER_BYTES));
+        channel.pipeline().addLast(new ProtobufVarint32FrameDecoder());
+        channel.pipeline().addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()));
+        channel.pipeline().addLast(new ProtobufVarint32LengthFieldPrepender());
+        channel.pipeline().addLast(new ProtobufEncoder());
+        channel.pipeline().addLast(handler);
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -33,7 +33,11 @@
         void onReplicasChanged();
     }
 
-    private record Known(ReplicaEntry entry, long offset) {}
+    private record Known(ReplicaEntry entry, StateRecord record) {
+        long offset() {
+            return record.offset();
+        }
+    }
 
     private final StateDecoder mDecoder;
     private final EventLog mLog;
@@ -42,6 +46,7 @@
     private final Map<NodeId, Long> mRemovedAt = new HashMap<>();
     private Map<PoolId, ReplicaSet> mPools = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
+    private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private boolean mReplicasKnown;
     private long mNextConfiguration;
     private long mNextReplica;
@@ -99,25 +104,50 @@
         mLapseGraceEndNanos = Optional.of(nowNanos + LAPSE_GRACE.toNanos());
     }
 
-    /** Takes records that follow what has been read of a topic. */
-    public void apply(StateTopic topic, StateStore.Page page, long nowNanos) {
+    /** Returns how long removed entries may still come back; 0 when the store is steady. */
+    public Duration lapseGrace(long nowNanos) {
+        long left = mLapseGraceEndNanos.map(end -> end - nowNanos).orElse(0L);
+        return Duration.ofNanos(Math.max(0, left));
+    }
+
+    /** Notes that a peer counts on removed entries to come back within this time. */
+    public void onLapseGrace(Duration left, long nowNanos) {
+        if (left.compareTo(lapseGrace(nowNanos)) > 0) {
+            mLapseGraceEndNanos = Optional.of(nowNanos + left.toNanos());
+        }
+    }
+
+    /** Returns whether this batch can be taken, so that no record before it is missed. */
+    public boolean follows(RecordBatch batch) {
+        return batch.whole() || batch.from() <= nextOffset(batch.topic());
+    }
+
+    /** Takes records in; returns those that changed something, from whichever source they came. */
+    public List<StateRecord> take(RecordBatch batch, long nowNanos) {
+        List<StateRecord> news = new ArrayList<>();
         boolean changed = false;
-        for (var record : page.records()) {
-            changed |= apply(topic, record, nowNanos);
+        for (var record : batch.records()) {
+            changed |= apply(batch.topic(), record, nowNanos, news);
         }
-        advance(topic, page.end());
+        boolean replicas = batch.topic() == StateTopic.REPLICAS;
+        if (replicas && batch.whole() && batch.end() >= mNextReplica) {
+            mReplicasKnown = true;
+            changed |= removeMissing(batch, nowNanos, news);
+        }
+        advance(batch.topic(), batch.end());
         if (changed) {
             publish();
         }
+        return news;
     }
 
-    /** Takes the newest records of all keys of a topic. */
-    public void replace(StateTopic topic, StateStore.Page page, long nowNanos) {
-        apply(topic, page, nowNanos);
-        if (topic == StateTopic.REPLICAS) {
-            mReplicasKnown = true;
-            removeMissing(page, nowNanos);
-        }
+    /** Returns the newest record of every key that is known. */
+    public RecordBatch snapshot(StateTopic topic) {
+        List<StateRecord> records =
+                topic == StateTopic.CONFIGURATION
+                        ? mConfigurationRecord.stream().toList()
+                        : mReplicas.values().stream().map(Known::record).toList();
+        return new RecordBatch(topic, 0, nextOffset(topic), true, records);
     }
 
     /** Drops the lapsed entries whose time is over. */
@@ -134,41 +164,48 @@
         }
     }
 
-    private boolean apply(StateTopic topic, StateRecord record, long nowNanos) {
+    private boolean apply(
+            StateTopic topic, StateRecord record, long nowNanos, List<StateRecord> news) {
         return switch (topic) {
             case CONFIGURATION -> {
-                applyConfiguration(record);
+                if (applyConfiguration(record)) {
+                    news.add(record);
+                }
                 yield false;
             }
-            case REPLICAS -> applyReplica(record, nowNanos);
+            case REPLICAS -> applyReplica(record, nowNanos, news);
             case NODES -> false;
         };
     }
 
-    private void applyConfiguration(StateRecord record) {
+    private boolean applyConfiguration(StateRecord record) {
         if (record.value().isEmpty() || !mDecoder.isConfiguration(record.key())) {
-            return;
+            return false;
         }
         try {
             var configuration = mDecoder.configuration(record.value().get());
             long current = mConfiguration.map(FleetConfiguration::version).orElse(-1L);
             if (configuration.version() <= current) {
-                return;
+                return false;
             }
             mConfiguration = Optional.of(configuration);
+            mConfigurationRecord = Optional.of(record);
             mLog.change("configuration-in-force")
                     .with("version", configuration.version())
                     .with("offset", record.offset())
                     .write();
+            return true;
         } catch (StateDecoder.UnusableRecordException e) {
             mLog.change("configuration-unusable")
                     .with("offset", record.offset())
                     .with("reason", e.getMessage())
                     .write();
+            return false;
         }
     }
 
-    private boolean applyReplica(StateRecord record, long nowNanos) {
+    /** Returns whether the replicas that take work may have changed. */
+    private boolean applyReplica(StateRecord record, long nowNanos, List<StateRecord> news) {
         NodeId id = NodeId.of(record.key());
         Known known = mReplicas.get(id);
         long newest = known == null ? mRemovedAt.getOrDefault(id, -1L) : known.offset();
@@ -177,31 +214,48 @@
         }
         if (record.value().isEmpty()) {
             mRemovedAt.put(id, record.offset());
+            if (known != null) {
+                news.add(record);
+            }
             return known != null && remove(id, known, nowNanos);
         }
-        ReplicaEntry entry;
+        Optional<ReplicaEntry> entry = decode(record);
+        if (entry.isEmpty()) {
+            mRemovedAt.put(id, record.offset());
+            if (known != null) {
+                news.add(StateRecord.removed(record.offset(), record.key()));
+            }
+            return known != null && forget(id, "unusable");
+        }
+        boolean lapsed = mLapsedUntil.remove(id) != null;
+        mReplicas.put(id, new Known(entry.get(), record));
+        if (known != null && known.entry().equals(entry.get()) && !lapsed) {
+            return false;
+        }
+        news.add(record);
+        logReplica(entry.get(), record);
+        return true;
+    }
+
+    private Optional<ReplicaEntry> decode(StateRecord record) {
         try {
-            entry = mDecoder.replica(record.key(), record.value().get());
+            return Optional.of(mDecoder.replica(record.key(), record.value().orElseThrow()));
         } catch (StateDecoder.UnusableRecordException e) {
             mLog.change("replica-unusable")
                     .with("replica", record.key())
                     .with("reason", e.getMessage())
                     .write();
-            mRemovedAt.put(id, record.offset());
-            return known != null && forget(id, "unusable");
-        }
-        mLapsedUntil.remove(id);
-        mReplicas.put(id, new Known(entry, record.offset()));
-        if (known != null && known.entry().equals(entry)) {
-            return false;
+            return Optional.empty();
         }
+    }
+
+    private void logReplica(ReplicaEntry entry, StateRecord record) {
         mLog.change(entry.leaving() ? "replica-leaving" : "replica-ready")
-                .with("replica", id)
+                .with("replica", entry.id())
                 .with("pool", entry.pool())
                 .with("address", entry.address())
                 .with("offset", record.offset())
                 .write();
-        return true;
     }
 
     private boolean remove(NodeId id, Known known, long nowNanos) {
@@ -222,19 +276,21 @@
         return true;
     }
 
-    private void removeMissing(StateStore.Page page, long nowNanos) {
+    private boolean removeMissing(RecordBatch batch, long nowNanos, List<StateRecord> news) {
         Set<String> present = new HashSet<>();
-        page.records().forEach(record -> present.add(record.key()));
+        batch.records().forEach(record -> present.add(record.key()));
         boolean changed = false;
         for (var id : List.copyOf(mReplicas.keySet())) {
             Known known = mReplicas.get(id);
-            if (!present.contains(id.name()) && known.offset() < page.end()) {
+            if (!present.contains(id.name()) && known.offset() < batch.end()) {
+                // The removal stood somewhere before the end of the batch.
+                long offset = batch.end() - 1;
+                mRemovedAt.put(id, offset);
+                news.add(StateRecord.removed(offset, id.name()));
                 changed |= remove(id, known, nowNanos);
             }
         }
-        if (changed) {
-            publish();
-        }
+        return changed;
     }
 
     private void advance(StateTopic topic, long end) {
--- a/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.direct.state;
 
+import java.net.InetSocketAddress;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 
 /** Turns the store's records into what they say. */
@@ -24,6 +25,9 @@
     /** Reads a configuration. */
     FleetConfiguration configuration(byte[] value) throws UnusableRecordException;
 
+    /** Reads where a node is reached. */
+    InetSocketAddress node(byte[] value) throws UnusableRecordException;
+
     /** Reads what a replica says of itself. */
     ReplicaEntry replica(String key, byte[] value) throws UnusableRecordException;
 }
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -26,24 +26,37 @@
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration LONGEST_RETRY = Duration.ofMillis(600);
 
+    /** Takes what was read, and how the reading goes. */
+    public interface Listener {
+        /** Called with the records of each reading. */
+        void onBatch(RecordBatch batch);
+
+        /** Called after each reading of the replicas, which come at a steady pace. */
+        void onRound(boolean answered);
+    }
+
     private final StateStore mStore;
     private final FleetView mView;
+    private final Listener mListener;
     private final ScheduledExecutorService mLoop;
     private final Clock mClock;
     private final EventLog mLog;
     private final Tail mConfigurations = new Tail(StateTopic.CONFIGURATION);
     private final Tail mReplicas = new Tail(StateTopic.REPLICAS);
+    private boolean mActive;
     private boolean mReachable = true;
     private boolean mStopped;
 
     private StateReader(
             StateStore store,
             FleetView view,
+            Listener listener,
             ScheduledExecutorService loop,
             Clock clock,
             EventLog log) {
         mStore = store;
         mView = view;
+        mListener = listener;
         mLoop = loop;
         mClock = clock;
         mLog = log;
@@ -53,16 +66,37 @@
     public static StateReader create(
             StateStore store,
             FleetView view,
+            Listener listener,
             ScheduledExecutorService loop,
             Clock clock,
             EventLog log) {
-        return new StateReader(store, view, loop, clock, log);
+        return new StateReader(store, view, listener, loop, clock, log);
     }
 
     /** Begins to read. */
     public void start() {
-        mConfigurations.readNewest();
-        mReplicas.readNewest();
+        mActive = true;
+        refresh();
+    }
+
+    /** Begins to read, or leaves it to a peer. */
+    public void setActive(boolean active) {
+        if (mActive == active || mStopped) {
+            return;
+        }
+        mActive = active;
+        mLog.change(active ? "reading-store" : "relying-on-peer").write();
+        if (active) {
+            refresh();
+        } else {
+            mConfigurations.mTurn++;
+            mReplicas.mTurn++;
+        }
+    }
+
+    /** Returns whether this node reads the store itself, and was answered the last time. */
+    public boolean isReading() {
+        return mActive && mReachable && mReplicas.mRounds > 0;
     }
 
     /** Reads no more. */
@@ -72,6 +106,9 @@
 
     /** Reads both topics now; for when what is believed may have become old unnoticed. */
     public void refresh() {
+        if (!mActive) {
+            return;
+        }
         mConfigurations.restart();
         mReplicas.restart();
     }
@@ -106,6 +143,7 @@
         private final StateTopic mTopic;
         private int mFailures;
         private long mTurn;
+        private long mRounds;
 
         Tail(StateTopic topic) {
             mTopic = topic;
@@ -130,7 +168,7 @@
                             (page, failure) -> {
                                 if (failure == null) {
                                     onAnswered();
-                                    mView.replace(mTopic, page, mClock.monotonicTime());
+                                    mListener.onBatch(RecordBatch.whole(mTopic, page));
                                 }
                                 follow(turn, failure, this::readNewest);
                             });
@@ -138,13 +176,14 @@
 
         private void readOn() {
             long turn = mTurn;
+            long from = mView.nextOffset(mTopic);
             Duration wait = mTopic == StateTopic.CONFIGURATION ? CONFIGURATION_WAIT : Duration.ZERO;
-            mStore.read(mTopic, mView.nextOffset(mTopic), wait)
+            mStore.read(mTopic, from, wait)
                     .whenComplete(
                             (page, failure) -> {
                                 if (failure == null) {
                                     onAnswered();
-                                    mView.apply(mTopic, page, mClock.monotonicTime());
+                                    mListener.onBatch(RecordBatch.following(mTopic, from, page));
                                 }
                                 follow(turn, failure, this::readOn);
                             });
@@ -154,6 +193,10 @@
             if (mStopped || turn != mTurn) {
                 return;
             }
+            if (mTopic == StateTopic.REPLICAS) {
+                mRounds++;
+                mListener.onRound(failure == null);
+            }
             if (failure == null) {
                 mFailures = 0;
                 boolean paced = mTopic == StateTopic.REPLICAS;
--- a/src/main/java/org/fescueport/internal/direct/state/StateStore.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateStore.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.direct.state;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,6 @@
      */
     CompletableFuture<Page> read(StateTopic topic, long from, Duration patience);
 
-    /** Sets a key of the topic that belongs to the fleet's own nodes. */
-    CompletableFuture<Void> announce(String key, byte[] value);
+    /** Tells where a node is reached; returns the offset of the record. */
+    CompletableFuture<Long> announce(String node, InetSocketAddress address);
 }
