Refuse late requests while stopping; remember requests that replicas die of; tests with stand-ins

Cause 3 (shown by a new test that failed): a connection on which reading was stopped for a slow caller went back to the idle ones and stayed deaf. Change: each sending begins with reading on. Ruled out for 3: a lost body (the replica had read it whole).

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
@@ -24,6 +26,8 @@
 import org.fescueport.internal.direct.forward.WireProtocol;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.peer.PeerGroup;
+import org.fescueport.internal.direct.peer.StrikeCodec;
+import org.fescueport.internal.direct.place.CrashWatch;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaHealth;
 import org.fescueport.internal.direct.place.ReplicaLoads;
@@ -111,7 +115,9 @@
         var budgets =
                 RetryBudgets.create(
                         settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
-        mPeers.listen(new FromPeers(budgets));
+        var crashes = CrashWatch.create();
+        crashes.listen(this::spreadStrike);
+        mPeers.listen(new FromPeers(budgets, crashes));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -122,6 +128,7 @@
                         loads,
                         ReplicaHealth.create(),
                         budgets,
+                        crashes,
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
                         new SplittableRandom(settings.node().hashCode()));
@@ -236,13 +243,14 @@
         mStopping = true;
         mStopSinceNanos = mParts.clock().monotonicTime();
         mParts.log().change("stopping").with("connections", mForwarder.connections()).write();
-        mForwarder.beginStop();
+        long late = mStopSinceNanos + LEAST_STOP_TIME.toNanos();
+        mForwarder.beginStop(late, mStopSinceNanos + longestStopTime().toNanos());
     }
 
     private void endIfDone() {
         Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopSinceNanos);
         boolean done = waited.compareTo(LEAST_STOP_TIME) > 0 && mForwarder.isIdle();
-        boolean late = waited.compareTo(mSettings.stopTime().minus(STOP_MARGIN)) > 0;
+        boolean late = waited.compareTo(longestStopTime()) > 0;
         if (done || late) {
             mReader.stop();
             mPeers.stop();
@@ -262,6 +270,15 @@
         mPeers.spread(batch.topic(), news, origin);
     }
 
+    private void spreadStrike(Fingerprint request, AgentIncarnation replica) {
+        mParts.log()
+                .change("replica-died-of-request")
+                .with("replica", replica)
+                .with("team", request.team())
+                .write();
+        mPeers.spread(StrikeCodec.encode(request, replica));
+    }
+
     /** What this node reads from the store itself. */
     private final class Reading implements StateReader.Listener {
         @Override
@@ -278,9 +295,11 @@
     /** What comes from other nodes. */
     private final class FromPeers implements PeerGroup.Listener {
         private final RetryBudgets mBudgets;
+        private final CrashWatch mCrashes;
 
-        FromPeers(RetryBudgets budgets) {
+        FromPeers(RetryBudgets budgets, CrashWatch crashes) {
             mBudgets = budgets;
+            mCrashes = crashes;
         }
 
         @Override
@@ -290,7 +309,10 @@
 
         @Override
         public void onStrike(PeerStrike strike) {
-            mParts.log().change("strike").with("replica", strike.getReplica()).write();
+            mCrashes.onStrike(
+                    StrikeCodec.request(strike),
+                    StrikeCodec.replica(strike),
+                    mParts.clock().monotonicTime());
         }
 
         @Override
@@ -299,6 +321,10 @@
         }
     }
 
+    private Duration longestStopTime() {
+        return mSettings.stopTime().minus(STOP_MARGIN);
+    }
+
     private ChannelInitializer<Channel> adminInitializer() {
         var handler = new AdminHandler(mSettings, this::isReady, mParts.counters());
         return new ChannelInitializer<>() {
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -88,6 +88,7 @@
     public void onNotSent(String reason) {
         if (end()) {
             mContext.chooser().onFailure(mReplica, mContext.nowNanos());
+            mContext.crashes().onUnreachable(mReplica, mContext.nowNanos());
             mExchange.onNotSent(this, reason);
         }
     }
@@ -97,6 +98,7 @@
         mHead = head;
         long now = mContext.nowNanos();
         mContext.health().onHeard(mReplica.id(), now);
+        mContext.crashes().onAnswered(mReplica, mBegunNanos);
         head.load()
                 .ifPresent(
                         load -> {
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -34,6 +35,9 @@
                     io.netty.handler.codec.http.HttpResponseStatus.CONTINUE,
                     Unpooled.EMPTY_BUFFER);
 
+    /** Another node takes the caller at once. */
+    private static final Duration ELSEWHERE_TIME = Duration.ofMillis(50);
+
     private final ForwardingContext mContext;
     private final CallerConnections mConnections;
     private final Deque<Object> mEarly = new ArrayDeque<>();
@@ -186,6 +190,13 @@
                 logRefused(request, refused.refusal());
                 answer(mContext.protocol().writeRefusal(refused.refusal()));
             }
+            case Verdict.Admitted admitted
+                    when mConnections.isTooLateFor(admitted.route(), mContext.nowNanos()) -> {
+                body.release();
+                var refusal = Refusal.notRun(request.id(), "this node is stopping", ELSEWHERE_TIME);
+                logRefused(request, refusal);
+                answer(mContext.protocol().writeRefusal(refusal));
+            }
             case Verdict.Admitted admitted -> {
                 var exchange = Exchange.begin(mContext, this, request, body, admitted);
                 if (!exchange.isOver()) {
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -5,12 +5,15 @@
 import java.util.Set;
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.Route;
 
 /** All connections of callers to this node. */
 final class CallerConnections {
     private final ForwardingContext mContext;
     private final Set<CallerConnection> mOpen = new HashSet<>();
     private boolean mStopping;
+    private long mLateNanos;
+    private long mEndNanos;
 
     CallerConnections(ForwardingContext context) {
         mContext = context;
@@ -32,9 +35,22 @@
         mOpen.remove(connection);
     }
 
-    /** From now on connections end behind the answer under way. */
-    void beginStop() {
+    /**
+     * From now on connections end behind the answer under way.
+     *
+     * @param lateNanos from when on callers should have been sent elsewhere
+     * @param endNanos when the process ends
+     */
+    void beginStop(long lateNanos, long endNanos) {
         mStopping = true;
+        mLateNanos = lateNanos;
+        mEndNanos = endNanos;
+    }
+
+    /** Returns whether a request that comes now may be cut by the end of the process. */
+    boolean isTooLateFor(Route route, long nowNanos) {
+        long left = mEndNanos - nowNanos;
+        return mStopping && nowNanos - mLateNanos >= 0 && left < route.timeout().toNanos();
     }
 
     boolean isStopping() {
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -1,14 +1,19 @@
 package org.fescueport.internal.direct.forward;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
@@ -27,6 +32,9 @@
     /** Connections that are tried for one sending before the request is refused. */
     private static final int MAX_UNSENT = 4;
 
+    /** Stands for callers on open routes. */
+    private static final TeamId NO_TEAM = TeamId.of("");
+
     private final ForwardingContext mContext;
     private final CallerSide mCaller;
     private final CallerRequest mRequest;
@@ -74,7 +82,11 @@
             Verdict.Admitted admitted) {
         var exchange = new Exchange(context, caller, request, body, admitted);
         context.budgets().onRequest(exchange.mPool);
-        exchange.sendToNext("first");
+        if (exchange.isPoison()) {
+            exchange.refuse("replicas have died of this request");
+        } else {
+            exchange.sendToNext("first");
+        }
         return exchange;
     }
 
@@ -180,7 +192,7 @@
             onNotRun(attempt, head);
             return;
         }
-        if (head.status() >= 500) {
+        if (head.status() >= 500 || head.promisesNotRun()) {
             onFailedAnswer(attempt, head);
             return;
         }
@@ -205,7 +217,9 @@
     void onLost(Attempt attempt, String reason) {
         mAttempt = null;
         mMayHaveRun = true;
-        mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
+        long now = mContext.nowNanos();
+        mContext.chooser().onFailure(attempt.replica(), now);
+        mContext.crashes().onLost(fingerprint(), attempt.replica(), now);
         log("lost", attempt, reason);
         if (mayRepeat() && takeRetry()) {
             resend("lost");
@@ -300,6 +314,20 @@
                 .isSilent(attempt.replica().id(), attempt.begunNanos(), patience, nowNanos);
     }
 
+    private boolean isPoison() {
+        var crashes = mContext.crashes();
+        return crashes.isAnyHeld() && crashes.isPoison(fingerprint(), mContext.nowNanos());
+    }
+
+    /** Names the request however often and wherever its caller sends it. */
+    private Fingerprint fingerprint() {
+        byte[] start = (mRequest.method() + " " + mRequest.target() + "\n").getBytes(UTF_8);
+        byte[] content = Arrays.copyOf(start, start.length + mBody.readableBytes());
+        mBody.getBytes(mBody.readerIndex(), content, start.length, mBody.readableBytes());
+        TeamId team = mTeam.map(Team::id).orElse(NO_TEAM);
+        return Fingerprint.of(team, ContentHash.of(content));
+    }
+
     private boolean mayRepeat() {
         return mRoute.kind().isRepeatable() && mSends < mRoute.maxAttempts() && hasTimeLeft();
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -42,11 +42,15 @@
         mConnections.sweep(mContext.nowNanos());
         mContext.links().sweep();
         mContext.view().expire(mContext.nowNanos());
+        mContext.crashes().sweep(mContext.nowNanos());
     }
 
-    /** From now on each connection ends behind the answer under way. */
-    public void beginStop() {
-        mConnections.beginStop();
+    /**
+     * From now on each connection ends behind the answer under way, and a request is refused that
+     * may not be answered before the end.
+     */
+    public void beginStop(long lateNanos, long endNanos) {
+        mConnections.beginStop(lateNanos, endNanos);
         sweep();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.place.CrashWatch;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaHealth;
 import org.fescueport.internal.direct.place.ReplicaLoads;
@@ -19,6 +20,7 @@
         ReplicaLoads loads,
         ReplicaHealth health,
         RetryBudgets budgets,
+        CrashWatch crashes,
         ForwardingMetrics metrics,
         EventLog log,
         RandomGenerator random) {
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -69,6 +69,8 @@
         mRequestWritten = false;
         mReused = mUsed;
         mUsed = true;
+        // A former caller may have taken its answer slowly.
+        setReading(true);
         listener.onSending(this);
         mChannel.writeAndFlush(message)
                 .addListener(
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
@@ -0,0 +1,35 @@
+package org.fescueport.internal.direct.peer;
+
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.decision.claim.ContentHash;
+import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.wire.generated.PeerStrike;
+
+/** Writes for peers what a replica has died of, and reads it. */
+public final class StrikeCodec {
+    private StrikeCodec() {}
+
+    /** Writes a strike. */
+    public static PeerStrike encode(Fingerprint request, AgentIncarnation replica) {
+        return PeerStrike.newBuilder()
+                .setTeam(request.team().name())
+                .setRequestHigh(request.content().high())
+                .setRequestLow(request.content().low())
+                .setReplica(replica.node().name())
+                .setReplicaLife(replica.number())
+                .build();
+    }
+
+    /** Reads which request it was. */
+    public static Fingerprint request(PeerStrike strike) {
+        var content = ContentHash.of(strike.getRequestHigh(), strike.getRequestLow());
+        return Fingerprint.of(TeamId.of(strike.getTeam()), content);
+    }
+
+    /** Reads which life of which replica it cost. */
+    public static AgentIncarnation replica(PeerStrike strike) {
+        return AgentIncarnation.of(NodeId.of(strike.getReplica()), strike.getReplicaLife());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashWatch.java
@@ -0,0 +1,119 @@
+package org.fescueport.internal.direct.place;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.decision.poison.Admission;
+import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.decision.poison.PoisonBook;
+import org.fescueport.internal.direct.state.ReplicaEntry;
+
+/**
+ * Finds requests that replicas die of.
+ *
+ * <p>A lost answer alone is no sign, as connections are lost for many reasons. It becomes one when
+ * the replica cannot be reached shortly afterwards or has begun another life, and is forgotten when
+ * the replica answers anything that came later. Used by the event loop alone.
+ */
+public final class CrashWatch {
+    /** A crashed replica is down for seconds; what is found later has another reason. */
+    private static final Duration SUSPICION_TIME = Duration.ofSeconds(3);
+
+    private static final PoisonBook.Limits LIMITS = new PoisonBook.Limits(512, 60_000, 10_000);
+    private static final int MAX_SUSPICIONS = 256;
+
+    /** Told of each request that was found to have cost a replica. */
+    @FunctionalInterface
+    public interface Listener {
+        /** Called once for each request and life of a replica. */
+        void onStrike(Fingerprint request, AgentIncarnation replica);
+    }
+
+    private record Suspicion(Fingerprint request, ReplicaEntry replica, long atNanos) {}
+
+    private final PoisonBook mBook = PoisonBook.create(LIMITS);
+    private final List<Suspicion> mSuspicions = new ArrayList<>();
+    private Listener mListener = (request, replica) -> {};
+
+    private CrashWatch() {}
+
+    /** Returns a watch that suspects nothing. */
+    public static CrashWatch create() {
+        return new CrashWatch();
+    }
+
+    /** Sets who is told of strikes that this node has found. */
+    public void listen(Listener listener) {
+        mListener = listener;
+    }
+
+    /** Returns whether any request is held against, so that fingerprints need to be computed. */
+    public boolean isAnyHeld() {
+        return mBook.size() > 0;
+    }
+
+    /** Returns whether replicas have died of this request so often that it is refused. */
+    public boolean isPoison(Fingerprint request, long nowNanos) {
+        var nobody = AgentIncarnation.of(NodeId.of(""), 0);
+        return mBook.admit(request, nobody, millis(nowNanos)) instanceof Admission.Poison;
+    }
+
+    /** Notes that the answer to a request was lost with its connection. */
+    public void onLost(Fingerprint request, ReplicaEntry replica, long nowNanos) {
+        if (mSuspicions.size() < MAX_SUSPICIONS) {
+            mSuspicions.add(new Suspicion(request, replica, nowNanos));
+        }
+    }
+
+    /** Notes that a replica works on something that it was sent at this time. */
+    public void onAnswered(ReplicaEntry replica, long sentAtNanos) {
+        mSuspicions.removeIf(
+                suspicion ->
+                        suspicion.replica().id().equals(replica.id())
+                                && sentAtNanos - suspicion.atNanos() > 0);
+    }
+
+    /** Notes that a replica could not be reached. */
+    public void onUnreachable(ReplicaEntry replica, long nowNanos) {
+        Iterator<Suspicion> each = mSuspicions.iterator();
+        while (each.hasNext()) {
+            Suspicion suspicion = each.next();
+            if (isOld(suspicion, nowNanos)) {
+                each.remove();
+            } else if (suspicion.replica().id().equals(replica.id())) {
+                each.remove();
+                strike(suspicion, nowNanos);
+            }
+        }
+    }
+
+    /** Takes in what another node has found; returns whether it is new. */
+    public boolean onStrike(Fingerprint request, AgentIncarnation replica, long nowNanos) {
+        return mBook.strike(request, replica, millis(nowNanos));
+    }
+
+    /** Forgets what is old. */
+    public void sweep(long nowNanos) {
+        mSuspicions.removeIf(suspicion -> isOld(suspicion, nowNanos));
+        mBook.sweep(millis(nowNanos));
+    }
+
+    private void strike(Suspicion suspicion, long nowNanos) {
+        ReplicaEntry replica = suspicion.replica();
+        var life = AgentIncarnation.of(replica.id(), replica.startedAtMillis());
+        if (onStrike(suspicion.request(), life, nowNanos)) {
+            mListener.onStrike(suspicion.request(), life);
+        }
+    }
+
+    private static boolean isOld(Suspicion suspicion, long nowNanos) {
+        return nowNanos - suspicion.atNanos() > SUSPICION_TIME.toNanos();
+    }
+
+    private static long millis(long nanos) {
+        return nanos / 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -0,0 +1,116 @@
+package org.fescueport.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A caller's connection; requests and answers are plain text. */
+final class RawCaller implements AutoCloseable {
+    private static final int TIMEOUT_MS = 10_000;
+
+    /** An answer; names of headers in lower case. */
+    record Answer(int status, Map<String, String> headers, String body, boolean complete) {
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+    }
+
+    private final Socket mSocket = new Socket();
+
+    static RawCaller connect(InetSocketAddress address) throws IOException {
+        var caller = new RawCaller();
+        caller.mSocket.connect(address, TIMEOUT_MS);
+        caller.mSocket.setSoTimeout(TIMEOUT_MS);
+        return caller;
+    }
+
+    /** Sends one request over a connection of its own and returns the answer. */
+    static Answer ask(InetSocketAddress address, String request) throws IOException {
+        try (var caller = connect(address)) {
+            caller.send(request);
+            return caller.receive();
+        }
+    }
+
+    void send(String text) throws IOException {
+        mSocket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Reads one answer; it is incomplete when the connection ends too early. */
+    Answer receive() throws IOException {
+        InputStream input = mSocket.getInputStream();
+        String start = readLine(input);
+        if (start == null) {
+            return new Answer(0, Map.of(), "", false);
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = readLine(input);
+                line != null && !line.isEmpty();
+                line = readLine(input)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).strip());
+        }
+        int status = Integer.parseInt(start.split(" ")[1]);
+        if ("chunked".equals(headers.get("transfer-encoding"))) {
+            return receiveChunks(status, headers);
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = input.readNBytes(length);
+        return new Answer(status, headers, text(body), body.length == length);
+    }
+
+    /** Returns whether the other side has closed the connection and sent nothing more. */
+    boolean isAtEnd() throws IOException {
+        try {
+            return mSocket.getInputStream().read() < 0;
+        } catch (java.net.SocketException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+    }
+
+    private Answer receiveChunks(int status, Map<String, String> headers) throws IOException {
+        InputStream input = mSocket.getInputStream();
+        var body = new ByteArrayOutputStream();
+        try {
+            for (String size = readLine(input); size != null; size = readLine(input)) {
+                int length = Integer.parseInt(size, 16);
+                body.writeBytes(input.readNBytes(length));
+                readLine(input);
+                if (length == 0) {
+                    return new Answer(status, headers, text(body.toByteArray()), true);
+                }
+            }
+        } catch (java.net.SocketException e) {
+            // A reset ends the answer too early.
+        }
+        return new Answer(status, headers, text(body.toByteArray()), false);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private static String readLine(InputStream input) throws IOException {
+        var line = new ByteArrayOutputStream();
+        for (int c = input.read(); c != '\n'; c = input.read()) {
+            if (c < 0) {
+                return null;
+            }
+            line.write(c);
+        }
+        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -0,0 +1,202 @@
+package org.fescueport.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.fescueport.platform.RawServer.Request;
+import org.fescueport.platform.RawServer.Wire;
+
+/** A small stand-in of the platform's store: keyed topics with offsets, waits and a history. */
+final class StoreStandIn implements AutoCloseable {
+    /** How it answers. */
+    enum Mode {
+        GOOD,
+        BUSY,
+        MANY,
+        SILENT,
+        RESET,
+        GARBAGE,
+        /** Appends are done and not answered. */
+        LOST
+    }
+
+    private record Entry(String key, byte[] value) {}
+
+    private static final class Topic {
+        private final List<Entry> mEntries = new ArrayList<>();
+        private int mFirst;
+    }
+
+    private final RawServer mServer;
+    private final Map<String, Topic> mTopics = new HashMap<>();
+    private final List<String> mCalls = new ArrayList<>();
+    private Mode mMode = Mode.GOOD;
+
+    private StoreStandIn() throws IOException {
+        mServer = RawServer.start(this::answer);
+    }
+
+    static StoreStandIn start() throws IOException {
+        return new StoreStandIn();
+    }
+
+    InetSocketAddress address() {
+        return mServer.address();
+    }
+
+    synchronized void mode(Mode mode) {
+        mMode = mode;
+        notifyAll();
+    }
+
+    /** Returns the calls so far, as path and query. */
+    synchronized List<String> calls() {
+        return List.copyOf(mCalls);
+    }
+
+    synchronized long put(String topic, String key, String value) {
+        return append(topic, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    synchronized long append(String topic, String key, byte[] value) {
+        Topic records = topic(topic);
+        records.mEntries.add(new Entry(key, value));
+        notifyAll();
+        return records.mEntries.size() - 1;
+    }
+
+    /** Removes a key. */
+    synchronized void remove(String topic, String key) {
+        append(topic, key, new byte[0]);
+    }
+
+    /** Drops the history; the newest record of each key stays. */
+    synchronized void compact(String topic) {
+        topic(topic).mFirst = topic(topic).mEntries.size();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+    }
+
+    private Topic topic(String name) {
+        return mTopics.computeIfAbsent(name, n -> new Topic());
+    }
+
+    private void answer(Request request, Wire wire) throws Exception {
+        Mode mode;
+        synchronized (this) {
+            mCalls.add(request.target());
+            mode = mMode;
+        }
+        switch (mode) {
+            case BUSY -> wire.answer(503, "", new byte[0]);
+            case MANY -> wire.answer(429, "", new byte[0]);
+            case SILENT -> wire.awaitClose();
+            case RESET -> wire.reset();
+            case GARBAGE -> wire.answer(200, "", "nonsense".getBytes(StandardCharsets.UTF_8));
+            case LOST -> {
+                if (request.method().equals("POST")) {
+                    appendAll(request);
+                    wire.awaitClose();
+                } else {
+                    answerWell(request, wire);
+                }
+            }
+            case GOOD -> answerWell(request, wire);
+            default -> throw new IllegalStateException("mode " + mode);
+        }
+    }
+
+    private void answerWell(Request request, Wire wire) throws Exception {
+        String path = request.target().substring(0, request.target().indexOf('?'));
+        switch (path) {
+            case "/api/log-append" -> {
+                long offset = appendAll(request);
+                String json = "{\"offset\":" + offset + ",\"end\":" + (offset + 1) + "}";
+                wire.answer(200, "", json.getBytes(StandardCharsets.UTF_8));
+            }
+            case "/api/log-newest" -> wire.answer(200, "", newest(request.parameter("topic")));
+            case "/api/log-read" -> read(request, wire);
+            default -> wire.answer(404, "", new byte[0]);
+        }
+    }
+
+    private synchronized long appendAll(Request request) {
+        ByteBuffer body = ByteBuffer.wrap(request.body());
+        long first = -1;
+        while (body.hasRemaining()) {
+            int length = body.getInt();
+            byte[] key = new byte[Byte.toUnsignedInt(body.get())];
+            body.get(key);
+            byte[] value = new byte[length - 1 - key.length];
+            body.get(value);
+            String name = new String(key, StandardCharsets.UTF_8);
+            long offset = append(request.parameter("topic"), name, value);
+            first = first < 0 ? offset : first;
+        }
+        return first;
+    }
+
+    private synchronized byte[] newest(String name) {
+        List<Entry> entries = topic(name).mEntries;
+        Map<String, Integer> last = new LinkedHashMap<>();
+        for (int i = 0; i < entries.size(); i++) {
+            last.put(entries.get(i).key(), i);
+        }
+        List<String> items = new ArrayList<>();
+        last.forEach(
+                (key, offset) -> {
+                    byte[] value = entries.get(offset).value();
+                    if (value.length > 0) {
+                        String encoded = Base64.getEncoder().encodeToString(value);
+                        items.add(
+                                "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}"
+                                        .formatted(key, encoded, offset));
+                    }
+                });
+        String json =
+                "{\"items\":[%s],\"has_more\":false,\"end\":%d}"
+                        .formatted(String.join(",", items), entries.size());
+        return json.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void read(Request request, Wire wire) throws Exception {
+        String wait = request.parameter("wait_ms");
+        int from = Integer.parseInt(request.parameter("from"));
+        byte[] page;
+        synchronized (this) {
+            Topic topic = topic(request.parameter("topic"));
+            if (from < topic.mFirst) {
+                wire.answer(410, "", ("{\"first\":" + topic.mFirst + "}").getBytes());
+                return;
+            }
+            long end = System.nanoTime() + (wait == null ? 0 : Long.parseLong(wait)) * 1_000_000;
+            while (topic.mEntries.size() <= from && end - System.nanoTime() > 1_000_000) {
+                wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
+            }
+            page = page(topic, from);
+        }
+        wire.answer(200, "", page);
+    }
+
+    private static byte[] page(Topic topic, int from) {
+        var page = new ByteArrayOutputStream();
+        ByteBuffer head = ByteBuffer.allocate(16).putLong(topic.mEntries.size());
+        page.writeBytes(head.putLong(topic.mFirst).array());
+        for (int i = from; i < topic.mEntries.size(); i++) {
+            Entry entry = topic.mEntries.get(i);
+            page.writeBytes(LogStore.keyedRecord(entry.key(), entry.value()));
+        }
+        return page.toByteArray();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -0,0 +1,125 @@
+package org.fescueport.platform;
+
+import io.micrometer.core.instrument.Clock;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.direct.DirectRouter;
+import org.fescueport.internal.direct.DirectRouterSettings;
+import org.fescueport.internal.direct.MetersText;
+import org.fescueport.internal.direct.log.EventLog;
+
+/** A router in this process that speaks with stand-ins on loopback. */
+final class TestRouter implements AutoCloseable {
+    private static final Duration STOP_TIME = Duration.ofSeconds(8);
+
+    private final DirectRouter mRouter;
+    private final DirectRouterSettings mSettings;
+    private final MultiThreadIoEventLoopGroup mLoop;
+    private final EventLog mLog;
+    private final ByteArrayOutputStream mLines;
+
+    private TestRouter(
+            DirectRouter router,
+            DirectRouterSettings settings,
+            MultiThreadIoEventLoopGroup loop,
+            EventLog log,
+            ByteArrayOutputStream lines) {
+        mRouter = router;
+        mSettings = settings;
+        mLoop = loop;
+        mLog = log;
+        mLines = lines;
+    }
+
+    /** Starts a router; it may not be ready yet. */
+    static TestRouter start(String node, InetSocketAddress store, InetSocketAddress... seeds)
+            throws IOException {
+        var settings =
+                new DirectRouterSettings(
+                        node,
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        List.of(seeds),
+                        Optional.empty(),
+                        "/api/readyz",
+                        "/metrics",
+                        0.2,
+                        56,
+                        STOP_TIME,
+                        1_000);
+        var lines = new ByteArrayOutputStream();
+        var loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        var log = EventLog.start(lines, Clock.SYSTEM, node, settings.logLinesPerSecond());
+        var registry = new SimpleMeterRegistry();
+        var parts =
+                new DirectRouter.Parts(
+                        loop,
+                        Clock.SYSTEM,
+                        log,
+                        LogStore.at(store, loop),
+                        new RecordDecoder(),
+                        new HeaderProtocol(),
+                        registry,
+                        () -> MetersText.of(registry));
+        var router = DirectRouter.create(settings, parts);
+        router.start();
+        return new TestRouter(router, settings, loop, log, lines);
+    }
+
+    /** Waits until the router wants callers. */
+    TestRouter awaitReady() {
+        Await.until("the router is ready", mRouter::isReady);
+        return this;
+    }
+
+    boolean isReady() {
+        return mRouter.isReady();
+    }
+
+    InetSocketAddress callers() {
+        return mSettings.callers();
+    }
+
+    InetSocketAddress admin() {
+        return mSettings.admin();
+    }
+
+    InetSocketAddress peers() {
+        return mSettings.peers();
+    }
+
+    String lines() {
+        return mLines.toString(StandardCharsets.UTF_8);
+    }
+
+    CompletableFuture<Void> stop() {
+        return mRouter.stop();
+    }
+
+    /** Ends at once, as when the process is killed. */
+    @Override
+    public void close() {
+        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        mLog.close();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (var socket = new ServerSocket(0, 1, loopback)) {
+            return new InetSocketAddress(loopback, socket.getLocalPort());
+        }
+    }
+}
