--- /dev/null
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -0,0 +1,205 @@
+package org.fescueport.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
+import org.fescueport.internal.direct.state.StateStore.Page;
+import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.direct.state.StoreException;
+import org.fescueport.platform.StoreStandIn.Mode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LogStoreTest {
+    private MultiThreadIoEventLoopGroup mLoop;
+    private StoreStandIn mStandIn;
+    private LogStore mStore;
+
+    @BeforeEach
+    void start() throws Exception {
+        mLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        mStandIn = StoreStandIn.start();
+        mStore = LogStore.at(mStandIn.address(), mLoop);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        mStandIn.close();
+        mLoop.shutdownGracefully();
+    }
+
+    /** Calls are made on the event loop. */
+    private <T> T await(Supplier<CompletableFuture<T>> call) throws Exception {
+        return CompletableFuture.supplyAsync(call, mLoop).thenCompose(f -> f).get();
+    }
+
+    private StoreException failure(Supplier<CompletableFuture<Page>> call) {
+        var thrown = assertThrows(ExecutionException.class, () -> await(call));
+        return (StoreException) thrown.getCause();
+    }
+
+    private Page read(long from) throws Exception {
+        return await(() -> mStore.read(StateTopic.REPLICAS, from, Duration.ZERO));
+    }
+
+    @Test
+    void shouldReadTheNewestRecordOfEachKey() throws Exception {
+        mStandIn.put("keyed.servers", "a", "1");
+        mStandIn.put("keyed.servers", "b", "2");
+        mStandIn.put("keyed.servers", "a", "3");
+        mStandIn.remove("keyed.servers", "b");
+        var page = await(() -> mStore.newest(StateTopic.REPLICAS));
+        assertThat(page.end(), is(4L));
+        assertThat(page.records().size(), is(1));
+        assertThat(page.records().getFirst().offset(), is(2L));
+        assertThat(new String(page.records().getFirst().value().orElseThrow()), is("3"));
+    }
+
+    @Test
+    void shouldReadRecordsFromAnOffsetOn() throws Exception {
+        mStandIn.put("keyed.servers", "a", "1");
+        mStandIn.put("keyed.servers", "a", "2");
+        mStandIn.remove("keyed.servers", "a");
+        var page = read(1);
+        assertThat(page.end(), is(3L));
+        assertThat(page.records().size(), is(2));
+        assertThat(page.records().getLast().value().isEmpty(), is(true));
+    }
+
+    @Test
+    void shouldWaitForARecord() throws Exception {
+        var call =
+                CompletableFuture.supplyAsync(
+                                () ->
+                                        mStore.read(
+                                                StateTopic.CONFIGURATION, 0, Duration.ofSeconds(5)),
+                                mLoop)
+                        .thenCompose(f -> f);
+        Await.pause(100);
+        mStandIn.put("keyed.op", "config", "{}");
+        assertThat(call.get().records().size(), is(1));
+    }
+
+    @Test
+    void shouldTellThatTheHistoryIsGone() {
+        mStandIn.put("keyed.servers", "a", "1");
+        mStandIn.compact("keyed.servers");
+        var failure = failure(() -> mStore.read(StateTopic.REPLICAS, 0, Duration.ZERO));
+        assertThat(failure.reason(), is(StoreException.Cause.HISTORY_GONE));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "BUSY, TURNED_AWAY",
+        "MANY, TURNED_AWAY",
+        "RESET, UNANSWERED",
+        "SILENT, UNANSWERED",
+        "GARBAGE, UNREADABLE"
+    })
+    void shouldTellWhatIsKnownOfACallThatFailed(Mode mode, StoreException.Cause cause)
+            throws Exception {
+        mStandIn.mode(mode);
+        long begun = System.nanoTime();
+        var newest = failure(() -> mStore.newest(StateTopic.REPLICAS));
+        assertThat(newest.reason(), is(cause));
+        assertThat((System.nanoTime() - begun) / 1_000_000, lessThan(1_500L));
+        mStandIn.mode(Mode.GOOD);
+        assertThat(read(0).end(), is(0L));
+    }
+
+    @Test
+    void shouldTellThatNobodyListens() throws Exception {
+        var gone = new InetSocketAddress(mStandIn.address().getAddress(), 1);
+        var store = LogStore.at(gone, mLoop);
+        var failure = failure(() -> store.newest(StateTopic.REPLICAS));
+        assertThat(failure.reason(), is(StoreException.Cause.TURNED_AWAY));
+    }
+
+    @Test
+    void shouldAnnounceANode() throws Exception {
+        var address = Addresses.parse("10.0.0.7:8229");
+        long first = await(() -> mStore.announce("edge-1", address));
+        long second = await(() -> mStore.announce("edge-2", address));
+        assertThat(second, is(first + 1));
+        var page = await(() -> mStore.newest(StateTopic.NODES));
+        assertThat(page.records().size(), is(2));
+    }
+
+    @Test
+    void shouldNotKnowWhetherAnAnnouncementWasDoneWhoseAnswerIsLost() throws Exception {
+        mStandIn.mode(Mode.LOST);
+        var address = Addresses.parse("10.0.0.7:8229");
+        var thrown =
+                assertThrows(
+                        ExecutionException.class, () -> await(() -> mStore.announce("e", address)));
+        var failure = (StoreException) thrown.getCause();
+        assertThat(failure.reason(), is(StoreException.Cause.UNANSWERED));
+    }
+
+    @Test
+    void shouldKeepTheOffsetsBehindARecordThatCannotBeRead() throws Exception {
+        ByteBuffer page = ByteBuffer.allocate(200).putLong(9).putLong(0);
+        page.putInt(0);
+        page.putInt(2).put((byte) 40).put((byte) 'x');
+        page.put(LogStore.keyedRecord("k", "v".getBytes(StandardCharsets.UTF_8)));
+        byte[] bytes = new byte[page.position()];
+        page.flip().get(bytes);
+        var read = LogStore.readPage(bytes, 5);
+        assertThat(read.end(), is(8L));
+        assertThat(read.records().size(), is(1));
+        assertThat(read.records().getFirst().offset(), is(7L));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5, 15})
+    void shouldRefuseAPageWithoutItsHead(int length) {
+        assertThrows(Json.UnreadableException.class, () -> LogStore.readPage(new byte[length], 0));
+    }
+
+    @Test
+    void shouldRefuseAPageWhoseRecordIsCutOff() {
+        byte[] bytes = ByteBuffer.allocate(24).putLong(1).putLong(0).putInt(100).array();
+        assertThrows(Json.UnreadableException.class, () -> LogStore.readPage(bytes, 0));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{}",
+                "{\"items\":{},\"end\":1}",
+                "{\"items\":[],\"end\":\"x\"}",
+                "{\"items\":[7],\"end\":1}",
+                "{\"items\":[{\"key\":\"a\",\"value\":\"%%\",\"offset\":1}],\"end\":1}",
+                "{\"items\":[{\"value\":\"\",\"offset\":1}],\"end\":1}"
+            })
+    void shouldRefuseNewestRecordsThatCannotBeRead(String text) {
+        assertThrows(
+                Json.UnreadableException.class,
+                () -> LogStore.readNewest(Json.parse(text.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    @Test
+    void shouldUseOneConnectionForCallsThatFollowEachOther() throws Exception {
+        for (int i = 0; i < 5; i++) {
+            read(0);
+        }
+        assertThat(mStandIn.calls().size(), greaterThanOrEqualTo(5));
+        assertThat(mStandIn.connections(), is(1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
@@ -0,0 +1,60 @@
+package org.fescueport.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlatformSettingsTest {
+    private static final String SETTINGS =
+            """
+            {"node_name":"edge-1","role":"router","zone":"north","unknown":{"a":[1]},
+             "listen":{"frontend":"10.0.0.1:8227","ready":"10.0.0.1:8220",
+              "control":"10.0.0.1:8229"},
+             "seeds":["10.0.0.1:8229","10.0.0.2:8229"],"data_dir":null,
+             "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"budget_slack":56},
+             "platform":{"address":"10.200.1.7:8223","form":"log"}}""";
+
+    @TempDir Path mFolder;
+
+    @Test
+    void shouldReadWhatItNeedsAndPassOverTheRest() throws Exception {
+        Path file = Files.writeString(mFolder.resolve("boot"), SETTINGS);
+        var settings = PlatformSettings.read(file);
+        assertThat(settings.node(), is("edge-1"));
+        assertThat(settings.control().getPort(), is(8_229));
+        assertThat(settings.seeds().size(), is(2));
+        assertThat(settings.grace().toSeconds(), is(8L));
+        assertThat(settings.retryRatio(), is(0.2));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"node_name\":\"edge-1\", | '' | node_name",
+                "\"node_name\":\"edge-1\" | \"node_name\":1 | node_name",
+                "\"grace_s\":8 | \"grace_s\":\"long\" | grace_s",
+                "10.200.1.7:8223 | store:8223 | store:8223",
+                "\"listen\": | \"listens\": | listen",
+                "\"seeds\":[ | \"seeds\":[5, | text",
+                "{\"node_name\" | \"node_name\" | JSON"
+            })
+    void shouldSayWhichFieldOfWhichFileIsWrong(String part, String wrong, String named)
+            throws IOException {
+        Path file = Files.writeString(mFolder.resolve("boot"), SETTINGS.replace(part, wrong));
+        var thrown =
+                assertThrows(Json.UnreadableException.class, () -> PlatformSettings.read(file));
+        assertThat(
+                thrown.getMessage(), allOf(containsString(named), containsString(file.toString())));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/RecordDecoderTest.java
@@ -0,0 +1,157 @@
+package org.fescueport.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.direct.config.ApiKey;
+import org.fescueport.internal.direct.config.RequestKind;
+import org.fescueport.internal.direct.state.StateDecoder.UnusableRecordException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RecordDecoderTest {
+    private static final String REPLICA =
+            """
+            {"service":"llm","address":"10.0.0.9:8080","zone":"north","version":"v1","slots":64,\
+            "state":"ready","cold_remaining_ms":0,"seq":4,"born":1700000000000}""";
+
+    private final RecordDecoder mDecoder = new RecordDecoder();
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void shouldReadWhatAReplicaSaysOfItself() throws Exception {
+        var entry = mDecoder.replica("i-1", bytes(REPLICA));
+        assertThat(entry.id().name(), is("i-1"));
+        assertThat(entry.pool(), is(PoolId.of("llm")));
+        assertThat(entry.address().getPort(), is(8080));
+        assertThat(entry.leaving(), is(false));
+        assertThat(entry.slots(), is(64));
+        assertThat(entry.startedAtMillis(), is(1_700_000_000_000L));
+    }
+
+    @Test
+    void shouldReadThatAReplicaIsLeaving() throws Exception {
+        String leaving = REPLICA.replace("\"ready\"", "\"draining\"");
+        assertThat(mDecoder.replica("i-1", bytes(leaving)).leaving(), is(true));
+    }
+
+    @Test
+    void shouldReadAnEntryThatDoesNotSayWhenItWasBorn() throws Exception {
+        String old = REPLICA.replace(",\"born\":1700000000000", "");
+        assertThat(mDecoder.replica("i-1", bytes(old)).startedAtMillis(), is(0L));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"service\":\"llm\", | '' | service",
+                "\"service\":\"llm\" | \"service\":7 | service",
+                "10.0.0.9:8080 | somewhere:8080 | somewhere",
+                "10.0.0.9:8080 | 10.0.0.9 | 10.0.0.9",
+                "10.0.0.9:8080 | 10.0.0.9:99999 | 99999",
+                "\"state\":\"ready\" | \"state\":\"asleep\" | asleep",
+                "\"state\":\"ready\" | \"state\":null | state",
+                "\"slots\":64 | \"slots\":\"many\" | slots",
+                "\"slots\":64 | \"slots\":6.5 | slots",
+                "\"zone\":\"north\" | \"zone\":[] | zone",
+                "\"seq\":4,\"born\":1700000000000} | \"seq\":4,\"born\":{}} | born"
+            })
+    void shouldNameTheFieldOfAReplicaThatCannotBeUsed(String part, String wrong, String named) {
+        var thrown =
+                assertThrows(
+                        UnusableRecordException.class,
+                        () -> mDecoder.replica("i-1", bytes(REPLICA.replace(part, wrong))));
+        assertThat(thrown.getMessage(), containsString(named));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "7", "{\"service\":", "\u0000\u0001", "{}{}"})
+    void shouldRefuseBytesThatAreNoObject(String text) {
+        assertThrows(UnusableRecordException.class, () -> mDecoder.replica("i-1", bytes(text)));
+        assertThrows(UnusableRecordException.class, () -> mDecoder.configuration(bytes(text)));
+        assertThrows(UnusableRecordException.class, () -> mDecoder.node(bytes(text)));
+    }
+
+    @Test
+    void shouldRefuseWhatIsNestedWithoutEnd() {
+        String deep = "{\"a\":".repeat(200) + "1" + "}".repeat(200);
+        assertThrows(UnusableRecordException.class, () -> mDecoder.configuration(bytes(deep)));
+    }
+
+    @Test
+    void shouldReadAConfiguration() throws Exception {
+        var read = mDecoder.configuration(bytes(Installation.configuration(7)));
+        assertThat(read.version(), is(7L));
+        var route = read.routes().find("h.example", "/stream/a/b").orElseThrow();
+        assertThat(route.kind(), is(RequestKind.STREAM_RESUMABLE));
+        assertThat(route.maxAttempts(), is(2));
+        assertThat(route.timeout().toMillis(), is(3_000L));
+        assertThat(read.teamOf(ApiKey.of("key-1")).orElseThrow().id().name(), is("dam-operators"));
+        assertThat(read.maxConnections().get(PoolId.of("llm")), is(50));
+        assertThat(read.limits().maxBodyBytes(), is(100_000));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "safe, REPEATABLE",
+        "unsafe, ONCE",
+        "once, STREAM_ONCE",
+        "stream, STREAM_RESUMABLE"
+    })
+    void shouldTellFromTheKindWhatMayBeRepeated(String path, RequestKind kind) throws Exception {
+        var read = mDecoder.configuration(bytes(Installation.configuration(7)));
+        var route = read.routes().find("h.example", "/" + path + "/x").orElseThrow();
+        assertThat(route.kind(), is(kind));
+    }
+
+    @Test
+    void shouldReadARouteThatIsSplitBetweenServices() throws Exception {
+        String split =
+                Installation.configuration(7)
+                        .replaceFirst(
+                                "\"service\":\"api\"",
+                                "\"backends\":[{\"service\":\"api\",\"weight\":90},"
+                                        + "{\"service\":\"llm\",\"weight\":10}]");
+        var route = mDecoder.configuration(bytes(split)).routes().find("h.example", "/safe/x");
+        assertThat(route.orElseThrow().targets().size(), is(2));
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"version\":7 | \"version\":\"seven\" | version",
+                "\"version\":7, | '' | version",
+                "\"route_type\":\"safe\" | \"route_type\":\"keen\" | keen",
+                "\"timeout_ms\":1500 | \"timeout_ms\":true | timeout_ms",
+                "\"service\":\"api\" | \"service\":[] | service",
+                "\"max_conns\":50 | \"max_conns\":\"x\" | max_conns",
+                "\"api_keys\":[\"key-1\"] | \"api_keys\":\"key-1\" | api_keys",
+                "\"api_keys\":[\"key-1\"] | \"api_keys\":[7] | list",
+                "\"max_body_bytes\":100000, | '' | max_body_bytes"
+            })
+    void shouldNameTheFieldOfAConfigurationThatCannotBeUsed(
+            String part, String wrong, String named) {
+        String text = Installation.configuration(7).replace(part, wrong);
+        var thrown =
+                assertThrows(
+                        UnusableRecordException.class, () -> mDecoder.configuration(bytes(text)));
+        assertThat(thrown.getMessage(), containsString(named));
+    }
+
+    @Test
+    void shouldReadTheNodeRecordThatItWrites() throws Exception {
+        var address = Addresses.parse("10.0.0.7:8229");
+        assertThat(mDecoder.node(RecordDecoder.nodeRecord(address)), is(address));
+    }
+}
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -52,6 +52,10 @@
         return mServer.address();
     }
 
+    int connections() {
+        return mServer.connections();
+    }
+
     synchronized void mode(Mode mode) {
         mMode = mode;
         notifyAll();
