--- a/src/main/java/org/fescueport/internal/direct/forward/Dispatch.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Dispatch.java
@@ -9,6 +9,7 @@
  *
  * @param leftMillis time after which nobody waits for the answer any more
  * @param priority 0 is the most urgent
+ * @param cacheHolder another replica that may hold what is shared of the prompt
  * @param resumeAfter the last event that the caller holds
  */
 public record Dispatch(
@@ -16,4 +17,5 @@
         Optional<TeamId> team,
         long leftMillis,
         int priority,
+        Optional<ReplicaEntry> cacheHolder,
         Optional<String> resumeAfter) {}
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -256,7 +256,7 @@
             onNoReplica();
             return;
         }
-        var replica = chosen.get();
+        var replica = chosen.get().replica();
         mTried.add(replica.id());
         mSends++;
         mAttempt = new Attempt(this, mContext, replica, mSends);
@@ -268,6 +268,7 @@
                         mTeam.map(Team::id),
                         mTime.leftMillis(),
                         priority(),
+                        chosen.get().cacheHolder(),
                         mRelay.lastEventId().or(mRequest::resumeAfter));
         var message = mContext.protocol().writeRequest(mRequest, mBody, dispatch);
         boolean once = !mRoute.kind().isRepeatable();
@@ -400,6 +401,7 @@
                 .with("replica", attempt.replica().id())
                 .with("send", attempt.number())
                 .with("reason", reason)
+                .with("prefix", mRequest.prompt().sharedPart())
                 .with("held", mContext.loads().held(attempt.replica().id(), now))
                 .with("left_ms", mTime.leftMillis())
                 .write();
--- a/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
@@ -21,4 +21,9 @@
     public Prompt {
         parts = List.copyOf(parts);
     }
+
+    /** Returns the id of the last part that other requests share; empty when there is none. */
+    public String sharedPart() {
+        return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
+    }
 }
--- a/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
@@ -77,6 +77,11 @@
         pause(candidate);
     }
 
+    /** A node that has started anew comes after this one. */
+    void onLaterLife(Candidate candidate) {
+        mMembers = mMembers.stream().filter(member -> !member.equals(candidate)).toList();
+    }
+
     private void pause(Candidate candidate) {
         Tries tries = mTries.computeIfAbsent(candidate, key -> new Tries());
         int doublings = Math.min(tries.mFailures, MAX_DOUBLINGS);
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -67,6 +67,9 @@
         }
     }
 
+    /** A connection to a node that has not yet told its rank. */
+    private record Trial(PeerConnection peer, Candidates.Candidate candidate, long sinceNanos) {}
+
     private final String mNode;
     private final FleetView mView;
     private final Clock mClock;
@@ -77,6 +80,7 @@
     private Listener mListener;
     private Optional<PeerConnection> mHub = Optional.empty();
     private Optional<Candidates.Candidate> mHubCandidate = Optional.empty();
+    private Optional<Trial> mTrial = Optional.empty();
     private long mRank;
     private boolean mConnecting;
     private boolean mStopped;
@@ -152,7 +156,9 @@
         if (mHub.isPresent() && isUseless(mHub.get(), storeAnswers, now)) {
             mHub.get().close();
         }
-        if (!mConnecting) {
+        mTrial.filter(trial -> now - trial.sinceNanos() > CONNECT_TIME.toNanos())
+                .ifPresent(trial -> endTrial(trial, storeAnswers));
+        if (!mConnecting && mTrial.isEmpty()) {
             boolean seeds = !storeAnswers && mHub.isEmpty();
             mCandidates.next(mHubCandidate, seeds).ifPresent(this::connect);
         }
@@ -207,6 +213,7 @@
 
     void onClosed(PeerConnection peer) {
         mOpen.remove(peer);
+        mTrial = mTrial.filter(trial -> trial.peer() != peer);
         if (mHub.filter(hub -> hub == peer).isPresent()) {
             mLog.change("peer-lost").with("peer", peer.name()).write();
             mHub = Optional.empty();
@@ -232,6 +239,7 @@
 
     private void onHello(PeerConnection peer, PeerHello hello) {
         peer.onHello(hello);
+        mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
         for (var topic : List.of(StateTopic.CONFIGURATION, StateTopic.REPLICAS)) {
             if (peer.knownEnd(topic) < mView.nextOffset(topic)) {
                 sendWhole(peer, topic);
@@ -299,10 +307,37 @@
 
     private void onConnected(Candidates.Candidate candidate, PeerConnection handler) {
         mCandidates.onConnected(candidate);
-        mHub.ifPresent(PeerConnection::close);
-        mHub = Optional.of(handler);
-        mHubCandidate = Optional.of(candidate);
-        mLog.change("peer-connected").with("address", candidate.address()).write();
+        mTrial = Optional.of(new Trial(handler, candidate, nowNanos()));
+    }
+
+    /**
+     * Relies on a node from now on if it comes before this one. A node that has started anew since
+     * its record was read comes later, and is not tried again.
+     */
+    private void judge(Trial trial) {
+        if (precedes(trial.peer())) {
+            promote(trial);
+        } else if (mRank != 0 && trial.peer().hello().map(PeerHello::getRank).orElse(0L) != 0) {
+            mCandidates.onLaterLife(trial.candidate());
+        }
+    }
+
+    private void promote(Trial trial) {
+        mTrial = Optional.empty();
+        Optional<PeerConnection> former = mHub;
+        mHub = Optional.of(trial.peer());
+        mHubCandidate = Optional.of(trial.candidate());
+        former.ifPresent(PeerConnection::close);
+        mLog.change("peer-connected").with("address", trial.candidate().address()).write();
+    }
+
+    /** Keeps a node that does not come before this one only while nothing better is known. */
+    private void endTrial(Trial trial, boolean storeAnswers) {
+        if (storeAnswers || mHub.isPresent()) {
+            trial.peer().close();
+        } else {
+            promote(trial);
+        }
     }
 
     private void sendHello(PeerConnection peer) {
--- a/src/main/java/org/fescueport/internal/direct/place/Affinities.java
+++ b/src/main/java/org/fescueport/internal/direct/place/Affinities.java
@@ -13,11 +13,11 @@
      * or of the request alone.
      */
     public static Affinity of(String requestId, Prompt prompt) {
-        int shared = prompt.parts().size() - 2;
-        if (shared < 0) {
+        String shared = prompt.sharedPart();
+        if (shared.isEmpty()) {
             return new Affinity(hash(requestId), false);
         }
-        long part = hash(prompt.parts().get(shared).id());
+        long part = hash(shared);
         long key = Hashing.komihash5_0().hashLongLongToLong(hash(prompt.model()), part);
         return new Affinity(key, true);
     }
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -42,6 +42,16 @@
     /** Requests that a replica may hold beyond that, whatever the mean is. */
     private static final int SPILL_FLOOR = 3;
 
+    /** After this time what is in use has been read by a new replica, or fetched. */
+    private static final Duration SETTLING_TIME = Duration.ofSeconds(20);
+
+    /**
+     * Where a request goes.
+     *
+     * @param cacheHolder another replica that may hold the prompt
+     */
+    public record Placed(ReplicaEntry replica, Optional<ReplicaEntry> cacheHolder) {}
+
     private final FleetView mView;
     private final ReplicaLoads mLoads;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
@@ -57,11 +67,11 @@
     }
 
     /**
-     * Returns a replica of the pool, or nothing when none takes new work.
+     * Returns where the request goes, or nothing when no replica of the pool takes new work.
      *
      * @param tried replicas that the request must not go to again
      */
-    public Optional<ReplicaEntry> choose(
+    public Optional<Placed> choose(
             PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
         ReplicaSet set = mView.pool(pool);
         ReplicaFilter fresh = replica -> !tried.contains(replica.node());
@@ -70,7 +80,29 @@
         if (chosen.isEmpty()) {
             chosen = pick(set, affinity, fresh, nowNanos);
         }
-        return chosen.flatMap(replica -> mView.replica(replica.node()));
+        return chosen.flatMap(replica -> mView.replica(replica.node()))
+                .map(replica -> new Placed(replica, formerHome(replica, affinity, nowNanos)));
+    }
+
+    /**
+     * Returns the replica that the requests of this key went to before replicas came or left, or
+     * before their load made one of them spill over; it may still hold their prompt.
+     */
+    private Optional<ReplicaEntry> formerHome(
+            ReplicaEntry chosen, Affinity affinity, long nowNanos) {
+        if (!affinity.cacheable()) {
+            return Optional.empty();
+        }
+        ReplicaSet holders = mView.cacheHolders(chosen.pool());
+        Ranking ranking = Ranking.of(holders, affinity);
+        long settled = nowNanos - SETTLING_TIME.toNanos();
+        for (int index = ranking.next(); index >= 0; index = ranking.next()) {
+            NodeId id = holders.replica(index).node();
+            if (mView.isOlderThan(id, settled)) {
+                return mView.replica(id).filter(home -> !home.id().equals(chosen.id()));
+            }
+        }
+        return Optional.empty();
     }
 
     /** Notes that a replica has answered. */
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -26,6 +26,8 @@
     /** Time after the store's return within which lapsed entries of live replicas are back. */
     private static final Duration LAPSE_GRACE = Duration.ofMillis(2_300);
 
+    private static final Duration LONG_AGO = Duration.ofHours(1);
+
     /** Told when the believed replicas have changed. */
     @FunctionalInterface
     public interface ReplicaListener {
@@ -33,7 +35,7 @@
         void onReplicasChanged();
     }
 
-    private record Known(ReplicaEntry entry, StateRecord record) {
+    private record Known(ReplicaEntry entry, StateRecord record, long joinedNanos) {
         long offset() {
             return record.offset();
         }
@@ -45,6 +47,7 @@
     private final Map<NodeId, Long> mLapsedUntil = new HashMap<>();
     private final Map<NodeId, Long> mRemovedAt = new HashMap<>();
     private Map<PoolId, ReplicaSet> mPools = Map.of();
+    private Map<PoolId, ReplicaSet> mCacheHolders = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private boolean mReplicasKnown;
@@ -84,6 +87,18 @@
         return set == null ? ReplicaSet.of(pool, List.of()) : set;
     }
 
+    /** Returns the replicas of a pool that may hold prompts, also those that are leaving. */
+    public ReplicaSet cacheHolders(PoolId pool) {
+        ReplicaSet set = mCacheHolders.get(pool);
+        return set == null ? ReplicaSet.of(pool, List.of()) : set;
+    }
+
+    /** Returns whether a replica has been there since before this time. */
+    public boolean isOlderThan(NodeId id, long nanos) {
+        Known known = mReplicas.get(id);
+        return known != null && known.joinedNanos() - nanos < 0;
+    }
+
     /** Returns the pools that have a replica which takes new work. */
     public Set<PoolId> pools() {
         return mPools.keySet();
@@ -228,7 +243,7 @@
             return known != null && forget(id, "unusable");
         }
         boolean lapsed = mLapsedUntil.remove(id) != null;
-        mReplicas.put(id, new Known(entry.get(), record));
+        mReplicas.put(id, new Known(entry.get(), record, joined(known, entry.get(), nowNanos)));
         if (known != null && known.entry().equals(entry.get()) && !lapsed) {
             return false;
         }
@@ -237,6 +252,14 @@
         return true;
     }
 
+    /** Replicas of the first list have been there for as long as anybody can tell. */
+    private long joined(Known known, ReplicaEntry entry, long nowNanos) {
+        if (known != null && known.entry().startedAtMillis() == entry.startedAtMillis()) {
+            return known.joinedNanos();
+        }
+        return mReplicasKnown ? nowNanos : nowNanos - LONG_AGO.toNanos();
+    }
+
     private Optional<ReplicaEntry> decode(StateRecord record) {
         try {
             return Optional.of(mDecoder.replica(record.key(), record.value().orElseThrow()));
@@ -302,18 +325,23 @@
     }
 
     private void publish() {
-        Map<PoolId, List<Replica>> ready = new HashMap<>();
+        mPools = byPool(false);
+        mCacheHolders = byPool(true);
+        mListener.onReplicasChanged();
+    }
+
+    private Map<PoolId, ReplicaSet> byPool(boolean withLeaving) {
+        Map<PoolId, List<Replica>> replicas = new HashMap<>();
         for (var known : mReplicas.values()) {
             ReplicaEntry entry = known.entry();
-            if (!entry.leaving()) {
-                ready.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
+            if (withLeaving || !entry.leaving()) {
+                replicas.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
                         .add(replicaOf(entry));
             }
         }
         Map<PoolId, ReplicaSet> pools = new HashMap<>();
-        ready.forEach((pool, replicas) -> pools.put(pool, ReplicaSet.of(pool, replicas)));
-        mPools = Map.copyOf(pools);
-        mListener.onReplicasChanged();
+        replicas.forEach((pool, list) -> pools.put(pool, ReplicaSet.of(pool, list)));
+        return Map.copyOf(pools);
     }
 
     private static Replica replicaOf(ReplicaEntry entry) {
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -0,0 +1,210 @@
+package org.fescueport.internal.direct.place;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import io.micrometer.core.instrument.MockClock;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.RecordBatch;
+import org.fescueport.internal.direct.state.ReplicaEntry;
+import org.fescueport.internal.direct.state.StateDecoder;
+import org.fescueport.internal.direct.state.StateRecord;
+import org.fescueport.internal.direct.state.StateTopic;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ReplicaChooserTest {
+    private static final PoolId POOL = PoolId.of("llm");
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final int REPLICAS = 8;
+
+    /** The value of a replica's record is its state. */
+    private static final class Decoder implements StateDecoder {
+        @Override
+        public boolean isConfiguration(String key) {
+            return false;
+        }
+
+        @Override
+        public FleetConfiguration configuration(byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public InetSocketAddress node(byte[] value) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public ReplicaEntry replica(String key, byte[] value) {
+            boolean leaving = new String(value, StandardCharsets.UTF_8).equals("leaving");
+            var address = new InetSocketAddress(80);
+            var domain = FailureDomain.of("north");
+            return new ReplicaEntry(NodeId.of(key), POOL, address, domain, 8, leaving, 0);
+        }
+    }
+
+    private final EventLog mLog =
+            EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
+    private final FleetView mView = FleetView.create(new Decoder(), mLog);
+    private final ReplicaLoads mLoads = ReplicaLoads.create();
+    private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads);
+    private long mOffset;
+
+    ReplicaChooserTest() {
+        List<StateRecord> records = new ArrayList<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            records.add(record("r" + i, "ready"));
+        }
+        mView.take(new RecordBatch(StateTopic.REPLICAS, 0, mOffset, true, records), 0);
+    }
+
+    @AfterEach
+    void closeLog() {
+        mLog.close();
+    }
+
+    private StateRecord record(String id, String state) {
+        return StateRecord.set(mOffset++, id, state.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void change(String id, String state, long nowNanos) {
+        long from = mOffset;
+        var records = List.of(record(id, state));
+        mView.take(new RecordBatch(StateTopic.REPLICAS, from, mOffset, false, records), nowNanos);
+    }
+
+    private static Affinity key(int number) {
+        return new Affinity(number * 0x9e3779b97f4a7c15L, true);
+    }
+
+    private ReplicaChooser.Placed choose(Affinity key, long nowNanos) {
+        return mChooser.choose(POOL, key, Set.of(), nowNanos).orElseThrow();
+    }
+
+    private void hold(NodeId replica, int requests) {
+        for (int i = 0; i < requests; i++) {
+            mLoads.onSent(replica);
+        }
+    }
+
+    @Test
+    void shouldSendEqualPrefixesToOneReplicaAndSpreadOthers() {
+        Map<NodeId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 400; i++) {
+            var first = choose(key(i), 0).replica();
+            assertThat(choose(key(i), 0).replica(), is(first));
+            counts.merge(first.id(), 1, Integer::sum);
+        }
+        assertThat(counts.size(), is(REPLICAS));
+    }
+
+    @Test
+    void shouldSpillToTheSameSecondReplicaAndNameTheFirst() {
+        var home = choose(key(1), 0).replica();
+        hold(home.id(), 20);
+        var second = choose(key(1), 0);
+        assertThat(second.replica().id(), is(not(home.id())));
+        assertThat(second.cacheHolder().orElseThrow().id(), is(home.id()));
+        assertThat(choose(key(1), 0).replica(), is(second.replica()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {40, 200, 400})
+    void shouldKeepEveryReplicaInsideTwiceTheMeanForOneHotPrefix(int requests) {
+        Map<NodeId, Integer> held = new HashMap<>();
+        for (int i = 0; i < requests; i++) {
+            var replica = choose(key(1), 0).replica();
+            mLoads.onSent(replica.id());
+            held.merge(replica.id(), 1, Integer::sum);
+        }
+        int most = held.values().stream().max(Integer::compare).orElseThrow();
+        assertThat((double) most, lessThan(2.0 * requests / REPLICAS + 3));
+    }
+
+    @Test
+    void shouldNameTheFormerHomeOfAPrefixThatANewReplicaTakesOver() {
+        Map<Integer, NodeId> homes = new HashMap<>();
+        for (int i = 0; i < 200; i++) {
+            homes.put(i, choose(key(i), 0).replica().id());
+        }
+        change("new", "ready", SECOND);
+        int moved = 0;
+        for (int i = 0; i < 200; i++) {
+            var placed = choose(key(i), 2 * SECOND);
+            if (placed.replica().id().name().equals("new")) {
+                moved++;
+                assertThat(
+                        placed.cacheHolder().map(ReplicaEntry::id), is(Optional.of(homes.get(i))));
+            } else {
+                assertThat(placed.cacheHolder().isPresent(), is(false));
+            }
+        }
+        assertThat(moved, greaterThan(5));
+        assertThat(choose(key(movedKey()), 60 * SECOND).cacheHolder().isPresent(), is(false));
+    }
+
+    private int movedKey() {
+        for (int i = 0; i < 200; i++) {
+            if (choose(key(i), 2 * SECOND).replica().id().name().equals("new")) {
+                return i;
+            }
+        }
+        throw new AssertionError("no key has moved");
+    }
+
+    @Test
+    void shouldNameAReplicaThatLeavesAsTheHolderAndSendItNothing() {
+        var home = choose(key(1), 0).replica();
+        change(home.id().name(), "leaving", SECOND);
+        var placed = choose(key(1), 2 * SECOND);
+        assertThat(placed.replica().id(), is(not(home.id())));
+        assertThat(placed.cacheHolder().orElseThrow().id(), is(home.id()));
+    }
+
+    @Test
+    void shouldPassOverAReplicaThatKeepsFailing() {
+        var home = choose(key(1), 0).replica();
+        mChooser.onFailure(home, SECOND);
+        mChooser.onFailure(home, SECOND);
+        assertThat(choose(key(1), SECOND).replica().id(), is(not(home.id())));
+    }
+
+    @Test
+    void shouldSendRequestsThatShareNothingWhereTheLeastIsHeld() {
+        for (int i = 1; i < REPLICAS; i++) {
+            hold(NodeId.of("r" + i), 3);
+        }
+        assertThat(choose(new Affinity(7, false), 0).replica().id(), is(NodeId.of("r0")));
+    }
+
+    @Test
+    void shouldFindNothingOnceAllWereTried() {
+        Set<NodeId> all = new java.util.HashSet<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            all.add(NodeId.of("r" + i));
+        }
+        assertThat(mChooser.choose(POOL, key(1), all, 0).isPresent(), is(false));
+    }
+}
--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -163,6 +163,40 @@
         }
     }
 
+    @Test
+    void shouldKeepItsReaderWhenANodeBeforeItHasStartedAnew() throws Exception {
+        try (var store = StoreStandIn.start()) {
+            store.put("keyed.op", "config", Installation.configuration(1));
+            var gone = TestRouter.start("edge-0", store.address()).awaitReady();
+            Await.until("the first is ranked", () -> gone.lines().contains("ranked"));
+            try (var reader = TestRouter.start("edge-1", store.address()).awaitReady();
+                    var other = TestRouter.start("edge-2", store.address()).awaitReady()) {
+                Await.until("both rely on it", () -> other.lines().contains("relying-on-peer"));
+                gone.close();
+                try (var again = gone.startAgain(store.address()).awaitReady()) {
+                    Await.until(
+                            "the new one relies", () -> again.lines().contains("relying-on-peer"));
+                    Await.until("the other relies", () -> relies(other));
+                    Await.pause(500);
+                    long before = lostReaders(other);
+                    Await.pause(5_000);
+                    assertThat(lostReaders(other), is(before));
+                    assertThat(relies(other), is(true));
+                    assertThat(relies(reader), is(false));
+                }
+            }
+        }
+    }
+
+    private static boolean relies(TestRouter router) {
+        String lines = router.lines();
+        return lines.lastIndexOf("relying-on-peer") > lines.lastIndexOf("reading-store");
+    }
+
+    private static long lostReaders(TestRouter router) {
+        return router.lines().lines().filter(line -> line.contains("peer-lost")).count();
+    }
+
     @Test
     void shouldReadItselfWhenTheReaderIsGone() throws Exception {
         try (var store = StoreStandIn.start()) {
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -46,23 +46,20 @@
     /** Starts a router; it may not be ready yet. */
     static TestRouter start(String node, InetSocketAddress store, InetSocketAddress... seeds)
             throws IOException {
-        var settings =
-                new DirectRouterSettings(
-                        node,
-                        freeAddress(),
-                        freeAddress(),
-                        freeAddress(),
-                        List.of(seeds),
-                        Optional.empty(),
-                        "/api/readyz",
-                        "/metrics",
-                        0.2,
-                        56,
-                        STOP_TIME,
-                        1_000);
+        return start(newSettings(node, seeds), store);
+    }
+
+    /** Starts a router of the same name at the same addresses. */
+    TestRouter startAgain(InetSocketAddress store) throws IOException {
+        return start(mSettings, store);
+    }
+
+    private static TestRouter start(DirectRouterSettings settings, InetSocketAddress store)
+            throws IOException {
         var lines = new ByteArrayOutputStream();
         var loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        var log = EventLog.start(lines, Clock.SYSTEM, node, settings.logLinesPerSecond());
+        var log =
+                EventLog.start(lines, Clock.SYSTEM, settings.node(), settings.logLinesPerSecond());
         var registry = new SimpleMeterRegistry();
         var parts =
                 new DirectRouter.Parts(
@@ -79,6 +76,23 @@
         return new TestRouter(router, settings, loop, log, lines);
     }
 
+    private static DirectRouterSettings newSettings(String node, InetSocketAddress... seeds)
+            throws IOException {
+        return new DirectRouterSettings(
+                node,
+                freeAddress(),
+                freeAddress(),
+                freeAddress(),
+                List.of(seeds),
+                Optional.empty(),
+                "/api/readyz",
+                "/metrics",
+                0.2,
+                56,
+                STOP_TIME,
+                1_000);
+    }
+
     /** Waits until the router wants callers. */
     TestRouter awaitReady() {
         Await.until("the router is ready", mRouter::isReady);
