--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -82,7 +82,8 @@
             MeterRegistry registry,
             Supplier<String> counters) {}
 
-    private final DirectRouterSettings mSettings;
+    private DirectRouterSettings mSettings;
+    private final RetryBudgets mBudgets;
     private final Parts mParts;
     private final FleetView mView;
     private final StateReader mReader;
@@ -112,12 +113,12 @@
         var loads = ReplicaLoads.create();
         var chooser = ReplicaChooser.create(mView, loads);
         mView.listen(chooser::onReplicasChanged);
-        var budgets =
+        mBudgets =
                 RetryBudgets.create(
                         settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
         var crashes = CrashWatch.create();
         crashes.listen(this::spreadStrike);
-        mPeers.listen(new FromPeers(budgets, crashes));
+        mPeers.listen(new FromPeers(crashes));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -127,7 +128,7 @@
                         chooser,
                         loads,
                         ReplicaHealth.create(),
-                        budgets,
+                        mBudgets,
                         crashes,
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
@@ -172,8 +173,7 @@
     }
 
     private void begin() {
-        mPeers.onSeeds(
-                mSettings.seeds().stream().filter(s -> !s.equals(mSettings.peers())).toList());
+        useSeeds();
         mReader.start();
         Announcer.announce(
                 mParts.store(),
@@ -189,6 +189,30 @@
         every(SWEEP_INTERVAL, this::sweep);
     }
 
+    /** Takes changed settings; those of addresses count from the next start. */
+    public void reload(DirectRouterSettings settings) {
+        mParts.loop().execute(() -> use(settings));
+    }
+
+    private void use(DirectRouterSettings settings) {
+        if (settings.equals(mSettings)) {
+            return;
+        }
+        boolean moved =
+                !settings.callers().equals(mSettings.callers())
+                        || !settings.admin().equals(mSettings.admin())
+                        || !settings.peers().equals(mSettings.peers());
+        mSettings = settings;
+        mBudgets.onLimits(settings.retryShare(), settings.retryAllowance());
+        useSeeds();
+        mParts.log().change("settings-reloaded").with("addresses_at_next_start", moved).write();
+    }
+
+    private void useSeeds() {
+        mPeers.onSeeds(
+                mSettings.seeds().stream().filter(s -> !s.equals(mSettings.peers())).toList());
+    }
+
     private void every(Duration interval, Runnable task) {
         long nanos = interval.toNanos();
         mParts.loop()
@@ -294,11 +318,9 @@
 
     /** What comes from other nodes. */
     private final class FromPeers implements PeerGroup.Listener {
-        private final RetryBudgets mBudgets;
         private final CrashWatch mCrashes;
 
-        FromPeers(RetryBudgets budgets, CrashWatch crashes) {
-            mBudgets = budgets;
+        FromPeers(CrashWatch crashes) {
             mCrashes = crashes;
         }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -232,6 +232,7 @@
 
     private void onNotRun(Attempt attempt, AnswerHead head) {
         log("refused-by-replica", attempt, "status " + head.status());
+        mContext.loads().onRefused(attempt.replica().id(), mContext.nowNanos());
         mRelay.restart();
         if (mSends < mRoute.maxAttempts() && hasTimeLeft() && takeRetry()) {
             sendToNext("refused by a replica");
@@ -304,7 +305,7 @@
 
     private boolean isStuck(long nowNanos) {
         Attempt attempt = mAttempt;
-        if (!mRoute.kind().isRepeatable()) {
+        if (!mRoute.kind().isRepeatable() || !mCaller.isWritable()) {
             return false;
         }
         Duration patience = mTime.silenceLimit(mRoute.kind(), mRelay.hasBegun());
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -151,7 +151,7 @@
     private double spillLimit(ReplicaSet set, long nowNanos) {
         long all = 0;
         for (var replica : set.replicas()) {
-            all += mLoads.held(replica.node(), nowNanos);
+            all += mLoads.counted(replica.node(), nowNanos);
         }
         return SPILL_FLOOR + SPILL_FACTOR * all / Math.max(1, set.size());
     }
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
@@ -15,10 +15,18 @@
     /** A replica's word on the load of others is old after this. */
     private static final Duration REPORT_AGE = Duration.ofSeconds(3);
 
+    /** About the time in which a full service gets room again. */
+    private static final Duration FULL_TIME = Duration.ofMillis(250);
+
+    /** More than any replica holds. */
+    private static final int FULL = 1_000_000;
+
     private static final class Load {
         private int mOwn;
         private int mOthers;
         private long mToldAtNanos;
+        private long mFullUntilNanos;
+        private boolean mFull;
     }
 
     private final Map<NodeId, Load> mLoads = new HashMap<>();
@@ -48,8 +56,25 @@
         load.mToldAtNanos = nowNanos;
     }
 
+    /** Notes that the replica had no room; for a short time it is asked last. */
+    public void onRefused(NodeId replica, long nowNanos) {
+        Load load = load(replica);
+        load.mFull = true;
+        load.mFullUntilNanos = nowNanos + FULL_TIME.toNanos();
+    }
+
     /** Returns how many requests the replica holds. */
     public int held(NodeId replica, long nowNanos) {
+        Load load = mLoads.get(replica);
+        if (load == null) {
+            return 0;
+        }
+        boolean full = load.mFull && nowNanos - load.mFullUntilNanos < 0;
+        return counted(replica, nowNanos) + (full ? FULL : 0);
+    }
+
+    /** Returns how many requests the replica holds, also while it is asked last. */
+    public int counted(NodeId replica, long nowNanos) {
         Load load = mLoads.get(replica);
         if (load == null) {
             return 0;
--- a/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
+++ b/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
@@ -15,8 +15,8 @@
     /** Part of what is allowed that is used. */
     private static final double USED_PART = 0.75;
 
-    private final double mShare;
-    private final double mFleetAllowance;
+    private double mShare;
+    private double mFleetAllowance;
     private final Map<PoolId, RetryBudget> mBudgets = new HashMap<>();
     private int mNodes = 1;
 
@@ -45,6 +45,15 @@
         }
     }
 
+    /** Takes changed limits; budgets begin anew. */
+    public void onLimits(double share, double fleetAllowance) {
+        if (share != mShare || fleetAllowance != mFleetAllowance) {
+            mShare = share;
+            mFleetAllowance = fleetAllowance;
+            mBudgets.clear();
+        }
+    }
+
     /** Notes a caller's request to a pool. */
     public void onRequest(PoolId pool) {
         budget(pool).onRequest();
--- a/src/test/java/org/fescueport/LayersTest.java
+++ b/src/test/java/org/fescueport/LayersTest.java
@@ -2,11 +2,21 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 
 @AnalyzeClasses(packages = "org.fescueport", importOptions = ImportOption.DoNotIncludeTests.class)
 class LayersTest {
@@ -49,6 +59,12 @@
                     .definedBy("..internal.agent..")
                     .layer("tools")
                     .definedBy("..internal.ctl..", "..internal.load..", "..internal.standin..")
+                    .layer("direct")
+                    .definedBy("..internal.direct..")
+                    .layer("adapter")
+                    .definedBy("org.fescueport.platform..")
+                    .whereLayer("direct")
+                    .mayOnlyBeAccessedByLayers("adapter")
                     .whereLayer("facade")
                     .mayNotBeAccessedByAnyLayer()
                     .whereLayer("router")
@@ -56,13 +72,54 @@
                     .whereLayer("agent")
                     .mayOnlyBeAccessedByLayers("facade")
                     .whereLayer("wire")
-                    .mayOnlyBeAccessedByLayers("log", "fleet", "router", "agent", "tools")
+                    .mayOnlyBeAccessedByLayers("log", "fleet", "router", "agent", "direct", "tools")
                     .whereLayer("log")
                     .mayOnlyBeAccessedByLayers("fleet", "router", "agent", "tools")
                     .whereLayer("fleet")
                     .mayOnlyBeAccessedByLayers("router", "agent")
                     .as("arrows between layers");
 
+    @ArchTest
+    static final ArchRule SHOULD_KEEP_THE_PLATFORM_BEHIND_ITS_ADAPTER =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackage("org.fescueport.platform..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage("org.fescueport.platform..");
+
+    @ArchTest
+    static final ArchRule SHOULD_REACH_REPLICAS_DIRECTLY_WITHOUT_AGENT_OR_LOG =
+            noClasses()
+                    .that()
+                    .resideInAPackage("..internal.direct..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "..internal.agent..",
+                            "..internal.fleet..",
+                            "..internal.log..",
+                            "..internal.router..",
+                            "..internal.port..");
+
+    @Test
+    void shouldNamePlatformsWordsInTheAdapterAlone() throws IOException {
+        var words =
+                Pattern.compile("Fescueport-|keyed\\.(op|servers|status)|log-(append|read|newest)");
+        try (Stream<Path> files = Files.walk(Path.of("src/main"))) {
+            var leaks = files.filter(Files::isRegularFile).filter(f -> contains(f, words)).toList();
+            assertThat(leaks, is(List.of()));
+        }
+    }
+
+    private static boolean contains(Path file, Pattern words) {
+        try {
+            return words.matcher(Files.readString(file)).find();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @ArchTest
     static final ArchRule SHOULD_READ_TIME_FROM_THE_INJECTED_CLOCK =
             noClasses()
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -199,6 +199,14 @@
         assertThat(choose(new Affinity(7, false), 0).replica().id(), is(NodeId.of("r0")));
     }
 
+    @Test
+    void shouldAskAReplicaThatHadNoRoomLastForAShortTime() {
+        var home = choose(key(1), 0).replica();
+        mLoads.onRefused(home.id(), SECOND);
+        assertThat(choose(key(1), SECOND).replica().id(), is(not(home.id())));
+        assertThat(choose(key(1), 2 * SECOND).replica().id(), is(home.id()));
+    }
+
     @Test
     void shouldFindNothingOnceAllWereTried() {
         Set<NodeId> all = new java.util.HashSet<>();
--- a/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class PlatformSettingsTest {
-    private static final String SETTINGS =
+    static final String SETTINGS =
             """
             {"node_name":"edge-1","role":"router","zone":"north","unknown":{"a":[1]},
              "listen":{"frontend":"10.0.0.1:8227","ready":"10.0.0.1:8220",
