A seeded fault soak of the direct way on real processes

Change: DirectSoakTest starts three routers, links that delay, cut one way, silence, refuse and reset, a store that fails in each of its ways, signals in series; callers keep connections; it checks what may run once, not-run promises, whole own answers, what replicas are shown, drains in calm, and that callers are served in calm.

--- a/src/test/java/org/fescueport/platform/Installation.java
+++ b/src/test/java/org/fescueport/platform/Installation.java
@@ -6,7 +6,7 @@
 import org.fescueport.platform.RawServer.Script;
 
 /** A store with a configuration, replicas of two services, and a router. */
-final class Installation implements AutoCloseable {
+public final class Installation implements AutoCloseable {
     /** Routes of each kind, each with its own path, and one team. */
     static final String CONFIGURATION =
             """
@@ -49,7 +49,7 @@
         return new Installation(StoreStandIn.start(), api, llm);
     }
 
-    static String configuration(int version) {
+    public static String configuration(int version) {
         return CONFIGURATION.formatted(version, "", "");
     }
 
@@ -86,7 +86,7 @@
         return request("POST", path, "id-1", body);
     }
 
-    static String request(String method, String path, String id, String body) {
+    public static String request(String method, String path, String id, String body) {
         String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
         return method
                 + " "
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -11,19 +11,19 @@
 import java.util.TreeMap;
 
 /** A caller's connection; requests and answers are plain text. */
-final class RawCaller implements AutoCloseable {
+public final class RawCaller implements AutoCloseable {
     private static final int TIMEOUT_MS = 10_000;
 
     /** An answer; names of headers in lower case. */
-    record Answer(int status, Map<String, String> headers, String body, boolean complete) {
-        String header(String name) {
+    public record Answer(int status, Map<String, String> headers, String body, boolean complete) {
+        public String header(String name) {
             return headers.get(name.toLowerCase(Locale.ROOT));
         }
     }
 
     private final Socket mSocket = new Socket();
 
-    static RawCaller connect(InetSocketAddress address) throws IOException {
+    public static RawCaller connect(InetSocketAddress address) throws IOException {
         var caller = new RawCaller();
         caller.mSocket.connect(address, TIMEOUT_MS);
         caller.mSocket.setSoTimeout(TIMEOUT_MS);
@@ -38,12 +38,12 @@
         }
     }
 
-    void send(String text) throws IOException {
+    public void send(String text) throws IOException {
         mSocket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Reads one answer; it is incomplete when the connection ends too early. */
-    Answer receive() throws IOException {
+    public Answer receive() throws IOException {
         InputStream input = mSocket.getInputStream();
         String start = readLine(input);
         if (start == null) {
--- a/src/test/java/org/fescueport/platform/RawServer.java
+++ b/src/test/java/org/fescueport/platform/RawServer.java
@@ -17,14 +17,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Serves HTTP/1.1 from plain sockets, so that a script can answer in any wrong way as well. */
-final class RawServer implements AutoCloseable {
+public final class RawServer implements AutoCloseable {
     /** A request as it came; names of headers in lower case. */
-    record Request(String method, String target, Map<String, String> headers, byte[] body) {
-        String header(String name) {
+    public record Request(String method, String target, Map<String, String> headers, byte[] body) {
+        public String header(String name) {
             return headers.get(name.toLowerCase(Locale.ROOT));
         }
 
-        String parameter(String name) {
+        public String parameter(String name) {
             for (String pair : target.substring(target.indexOf('?') + 1).split("&")) {
                 if (pair.startsWith(name + "=")) {
                     return pair.substring(name.length() + 1);
@@ -35,17 +35,17 @@
     }
 
     /** Where a script writes its answer. */
-    record Wire(Socket socket, OutputStream output) {
-        void write(String text) throws IOException {
+    public record Wire(Socket socket, OutputStream output) {
+        public void write(String text) throws IOException {
             write(text.getBytes(StandardCharsets.UTF_8));
         }
 
-        void write(byte[] bytes) throws IOException {
+        public void write(byte[] bytes) throws IOException {
             output.write(bytes);
             output.flush();
         }
 
-        void answer(int status, String headers, byte[] body) throws IOException {
+        public void answer(int status, String headers, byte[] body) throws IOException {
             String head =
                     "HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length;
             var all = new ByteArrayOutputStream();
@@ -55,7 +55,7 @@
         }
 
         /** Resets the connection. */
-        void reset() throws IOException {
+        public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
         }
@@ -74,7 +74,7 @@
 
     /** Answers one request; an exception ends the connection. */
     @FunctionalInterface
-    interface Script {
+    public interface Script {
         void answer(Request request, Wire wire) throws Exception;
     }
 
@@ -87,14 +87,14 @@
         mScript = script;
     }
 
-    static RawServer start(Script script) throws IOException {
+    public static RawServer start(Script script) throws IOException {
         var server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
         var raw = new RawServer(server, script);
         Thread.ofVirtual().start(raw::acceptAll);
         return raw;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) mServer.getLocalSocketAddress();
     }
 
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -15,9 +15,9 @@
 import org.fescueport.platform.RawServer.Wire;
 
 /** A small stand-in of the platform's store: keyed topics with offsets, waits and a history. */
-final class StoreStandIn implements AutoCloseable {
+public final class StoreStandIn implements AutoCloseable {
     /** How it answers. */
-    enum Mode {
+    public enum Mode {
         GOOD,
         BUSY,
         MANY,
@@ -44,11 +44,11 @@
         mServer = RawServer.start(this::answer);
     }
 
-    static StoreStandIn start() throws IOException {
+    public static StoreStandIn start() throws IOException {
         return new StoreStandIn();
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return mServer.address();
     }
 
@@ -56,7 +56,7 @@
         return mServer.connections();
     }
 
-    synchronized void mode(Mode mode) {
+    public synchronized void mode(Mode mode) {
         mMode = mode;
         notifyAll();
     }
@@ -66,7 +66,7 @@
         return List.copyOf(mCalls);
     }
 
-    synchronized long put(String topic, String key, String value) {
+    public synchronized long put(String topic, String key, String value) {
         return append(topic, key, value.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -78,12 +78,12 @@
     }
 
     /** Removes a key. */
-    synchronized void remove(String topic, String key) {
+    public synchronized void remove(String topic, String key) {
         append(topic, key, new byte[0]);
     }
 
     /** Drops the history; the newest record of each key stays. */
-    synchronized void compact(String topic) {
+    public synchronized void compact(String topic) {
         topic(topic).mFirst = topic(topic).mEntries.size();
     }
 
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -0,0 +1,305 @@
+package org.fescueport.platform.soak;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.LongStream;
+import org.fescueport.platform.Installation;
+import org.fescueport.platform.RawCaller;
+import org.fescueport.platform.StoreStandIn;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Routers as processes under load, with faults from a seed: signals, restarts, links that are slow,
+ * silent, cut one way or reset, a store that fails in each of its ways, replicas that come and go.
+ * Trouble and calm alternate; in calm, changes must be in force in time and callers be served.
+ *
+ * <p>{@code -Dsoak.seed} and {@code -Dsoak.seeds} choose the seeds, {@code -Dsoak.rounds} the
+ * length; the logs of all processes stay in {@code target/soak}.
+ */
+class DirectSoakTest {
+    private static final int EDGES = 3;
+    private static final int CALLERS = 9;
+    private static final long TROUBLE_MS = 5_000;
+
+    /** What the store and the nodes need after the last fault before bounds hold again. */
+    private static final long SETTLING_MS = 4_000;
+
+    /** Bound on drains and on configurations. */
+    private static final long BOUND_MS = 2_000;
+
+    private static final double CALM_SERVED = 0.95;
+
+    private final List<EdgeProcess> mEdges = new ArrayList<>();
+    private final List<FaultProxy> mStoreLinks = new ArrayList<>();
+    private final List<SoakReplica> mReplicas = new CopyOnWriteArrayList<>();
+    private final SoakRecords mRecords = new SoakRecords();
+    private final AtomicInteger mIds = new AtomicInteger();
+    private final AtomicBoolean mStopped = new AtomicBoolean();
+    private StoreStandIn mStore;
+    private SplittableRandom mRandom;
+    private int mVersion = 1;
+    private int mReplicaNumber;
+
+    /** Seeds that once failed stay here, each with the cause in a line of docs/FINDINGS.md. */
+    static LongStream seeds() {
+        long first = Long.getLong("soak.seed", 1L);
+        return LongStream.range(first, first + Long.getLong("soak.seeds", 1L));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void shouldKeepItsPromisesThroughFaults(long seed) throws Exception {
+        mRandom = new SplittableRandom(seed);
+        Path folder = Files.createDirectories(Path.of("target", "soak", Long.toString(seed)));
+        try {
+            startFleet(folder);
+            List<Thread> callers = startCallers(seed);
+            for (int round = 0; round < Integer.getInteger("soak.rounds", 2); round++) {
+                trouble();
+                calm();
+            }
+            mStopped.set(true);
+            for (var caller : callers) {
+                caller.join(TimeUnit.SECONDS.toMillis(20));
+            }
+            mRecords.finish();
+            assertThat("seed " + seed, mRecords.allBroken(), is(List.of()));
+            assertThat(mRecords.served(), is(greaterThan(100)));
+            assertThat("served in calm", mRecords.calmShare(), is(greaterThan(CALM_SERVED)));
+        } finally {
+            stopFleet();
+        }
+    }
+
+    private void startFleet(Path folder) throws IOException {
+        mStore = StoreStandIn.start();
+        configure();
+        for (int i = 0; i < 4; i++) {
+            addReplica("llm");
+            addReplica("api");
+        }
+        List<InetSocketAddress> controls = new ArrayList<>();
+        for (int i = 0; i < EDGES; i++) {
+            controls.add(EdgeProcess.freeAddress());
+        }
+        for (int i = 0; i < EDGES; i++) {
+            var link = FaultProxy.before(mStore.address());
+            mStoreLinks.add(link);
+            String node = "edge-" + i;
+            var edge = new EdgeProcess(node, folder, link.address(), controls.get(i), controls);
+            mEdges.add(edge);
+            edge.start();
+        }
+        mEdges.forEach(edge -> await(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+    }
+
+    private void stopFleet() throws IOException {
+        mStopped.set(true);
+        mEdges.forEach(EdgeProcess::close);
+        for (var replica : mReplicas) {
+            replica.close();
+        }
+        for (var link : mStoreLinks) {
+            link.close();
+        }
+        mStore.close();
+    }
+
+    private void configure() {
+        mStore.put("keyed.op", "config", Installation.configuration(mVersion));
+        mVersion += 1 + mVersion % 3;
+    }
+
+    private SoakReplica addReplica(String service) throws IOException {
+        mReplicaNumber++;
+        String id = service + "-" + mReplicaNumber;
+        var replica = new SoakReplica(id, service, mRecords, mReplicaNumber);
+        mReplicas.add(replica);
+        replica.register(mStore, "ready");
+        return replica;
+    }
+
+    private List<Thread> startCallers(long seed) {
+        List<Thread> callers = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            var random = new SplittableRandom(seed * 1_000 + i);
+            callers.add(Thread.ofVirtual().start(() -> callAgainAndAgain(random)));
+        }
+        return callers;
+    }
+
+    /** Keeps a connection for as long as it lasts, as callers do, then goes to another node. */
+    private void callAgainAndAgain(SplittableRandom random) {
+        while (!mStopped.get()) {
+            EdgeProcess edge = mEdges.get(random.nextInt(EDGES));
+            if (!isReady(edge)) {
+                pause(20);
+                continue;
+            }
+            try (var caller = RawCaller.connect(edge.callers())) {
+                boolean open = true;
+                while (open && !mStopped.get()) {
+                    open = call(caller, random);
+                    pause(5 + random.nextInt(30));
+                }
+            } catch (IOException e) {
+                // The node is gone or was frozen for too long; the next one is asked.
+                pause(20);
+            }
+        }
+    }
+
+    private boolean call(RawCaller caller, SplittableRandom random) throws IOException {
+        String kind = List.of("safe", "unsafe", "stream").get(random.nextInt(3));
+        String id = "id-" + mIds.incrementAndGet();
+        String path = "/" + kind + "/" + random.nextInt(50);
+        mRecords.onAsked(id, path);
+        String method = kind.equals("safe") ? "GET" : "POST";
+        String body = kind.equals("safe") ? "" : "body of " + id;
+        caller.send(Installation.request(method, path, id, body));
+        var answer = caller.receive();
+        mRecords.onAnswer(id, answer);
+        return answer.complete() && !"close".equals(answer.header("Connection"));
+    }
+
+    /** Faults that follow each other quickly and overlap. */
+    private void trouble() throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TROUBLE_MS);
+        while (System.nanoTime() - end < 0) {
+            oneFault();
+            pause(150 + mRandom.nextInt(500));
+        }
+        mStore.mode(StoreStandIn.Mode.GOOD);
+        mStoreLinks.forEach(link -> link.mode(FaultProxy.Mode.PASS));
+        for (var replica : mReplicas) {
+            replica.proxy().mode(FaultProxy.Mode.PASS);
+            replica.failing(0);
+        }
+        for (var edge : mEdges) {
+            edge.thaw();
+        }
+    }
+
+    private void oneFault() throws Exception {
+        EdgeProcess edge = mEdges.get(mRandom.nextInt(EDGES));
+        SoakReplica replica = mReplicas.get(mRandom.nextInt(mReplicas.size()));
+        FaultProxy link = mStoreLinks.get(mRandom.nextInt(EDGES));
+        var modes = FaultProxy.Mode.values();
+        switch (mRandom.nextInt(12)) {
+            case 0 -> {
+                edge.kill();
+                edge.start();
+            }
+            case 1 -> restartLater(edge);
+            case 2 -> freezeFor(edge, 300 + mRandom.nextInt(2_000));
+            case 3, 4 -> {
+                var all = StoreStandIn.Mode.values();
+                mStore.mode(all[mRandom.nextInt(all.length)]);
+            }
+            case 5 -> link.mode(modes[mRandom.nextInt(modes.length)]);
+            case 6 -> replica.proxy().mode(modes[mRandom.nextInt(modes.length)]);
+            case 7 -> replica.proxy().resetAll();
+            case 8 -> replica.failing(0.4);
+            case 9 -> configure();
+            case 10 -> mStore.compact(mRandom.nextBoolean() ? "keyed.op" : "keyed.servers");
+            case 11 -> edge.hangUp();
+            default -> throw new IllegalStateException("no such fault");
+        }
+    }
+
+    /** A planned stop; the node starts again once it has ended by itself. */
+    private void restartLater(EdgeProcess edge) {
+        edge.stop();
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            if (edge.await(10) == -1) {
+                                mRecords.broken(edge.node() + " did not end in its time");
+                                edge.kill();
+                            }
+                            startIfEnded(edge);
+                        });
+    }
+
+    private void startIfEnded(EdgeProcess edge) {
+        try {
+            if (!mStopped.get() && !edge.isAlive()) {
+                edge.start();
+            }
+        } catch (IOException e) {
+            mRecords.broken(edge.node() + " cannot be started: " + e);
+        }
+    }
+
+    private void freezeFor(EdgeProcess edge, long millis) throws IOException {
+        edge.freeze();
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            pause(millis);
+                            try {
+                                edge.thaw();
+                            } catch (IOException e) {
+                                mRecords.broken(edge.node() + " cannot be thawed: " + e);
+                            }
+                        });
+    }
+
+    /** Nothing is disturbed: what changes must be in force in time, and callers be served. */
+    private void calm() throws Exception {
+        pause(SETTLING_MS);
+        mEdges.forEach(edge -> await(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+        mRecords.calm(true);
+        SoakReplica leaving = mReplicas.getFirst();
+        addReplica(leaving.id().startsWith("llm") ? "llm" : "api");
+        leaving.register(mStore, "draining");
+        long ack = System.nanoTime();
+        pause(BOUND_MS + 1_000);
+        long late = mRecords.lastArrivalNanos(leaving.id()) - ack;
+        if (late > TimeUnit.MILLISECONDS.toNanos(BOUND_MS)) {
+            mRecords.broken(leaving.id() + " got work " + late / 1_000_000 + " ms after it left");
+        }
+        mStore.remove("keyed.servers", leaving.id());
+        mReplicas.remove(leaving);
+        mRecords.calm(false);
+        leaving.close();
+    }
+
+    private static boolean isReady(EdgeProcess edge) {
+        try (var caller = RawCaller.connect(edge.ready())) {
+            caller.send("GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+            return caller.receive().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static void await(String what, long millis, java.util.function.BooleanSupplier done) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (!done.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("not within " + millis + " ms: " + what);
+            }
+            pause(20);
+        }
+    }
+
+    private static void pause(long millis) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -0,0 +1,146 @@
+package org.fescueport.platform.soak;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.platform.EdgeMain;
+
+/** A router as a process of its own; it is signalled by its id and by nothing else. */
+final class EdgeProcess implements AutoCloseable {
+    private final String mNode;
+    private final Path mFolder;
+    private final InetSocketAddress mStore;
+    private final List<InetSocketAddress> mSeeds;
+    private final InetSocketAddress mCallers = freeAddress();
+    private final InetSocketAddress mReady = freeAddress();
+    private final InetSocketAddress mControl;
+    private Process mProcess;
+    private int mLives;
+
+    EdgeProcess(
+            String node,
+            Path folder,
+            InetSocketAddress store,
+            InetSocketAddress control,
+            List<InetSocketAddress> seeds)
+            throws IOException {
+        mNode = node;
+        mFolder = folder;
+        mStore = store;
+        mControl = control;
+        mSeeds = seeds;
+    }
+
+    static InetSocketAddress freeAddress() throws IOException {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (var socket = new ServerSocket(0, 1, loopback)) {
+            return new InetSocketAddress(loopback, socket.getLocalPort());
+        }
+    }
+
+    InetSocketAddress callers() {
+        return mCallers;
+    }
+
+    InetSocketAddress ready() {
+        return mReady;
+    }
+
+    String node() {
+        return mNode;
+    }
+
+    boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    void start() throws IOException {
+        mLives++;
+        Path settings = Files.writeString(mFolder.resolve(mNode + ".json"), settings());
+        var builder =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx64m",
+                        "-Xss256k",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "--sun-misc-unsafe-memory-access=allow",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        EdgeMain.class.getName());
+        builder.environment().put("FESCUEPORT_SETTINGS", settings.toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(mFolder.resolve(mNode + "." + mLives + ".log").toFile());
+        mProcess = builder.start();
+    }
+
+    void kill() {
+        mProcess.destroyForcibly();
+        await(5);
+    }
+
+    /** Sends SIGTERM; returns at once. */
+    void stop() {
+        mProcess.destroy();
+    }
+
+    void freeze() throws IOException {
+        signal("STOP");
+    }
+
+    void thaw() throws IOException {
+        signal("CONT");
+    }
+
+    void hangUp() throws IOException {
+        signal("HUP");
+    }
+
+    /** Returns the exit code, or -1 when the process has not ended in time. */
+    int await(int seconds) {
+        try {
+            return mProcess.waitFor(seconds, TimeUnit.SECONDS) ? mProcess.exitValue() : -1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+
+    @Override
+    public void close() {
+        if (mProcess != null && mProcess.isAlive()) {
+            kill();
+        }
+    }
+
+    private void signal(String name) throws IOException {
+        if (mProcess.isAlive()) {
+            String id = Long.toString(mProcess.pid());
+            new ProcessBuilder("kill", "-" + name, id).inheritIO().start();
+        }
+    }
+
+    private String settings() {
+        List<String> seeds = mSeeds.stream().map(seed -> "\"" + text(seed) + "\"").toList();
+        return """
+        {"node_name":"%s","zone":"north","listen":{"frontend":"%s","ready":"%s","control":"%s"},
+         "seeds":[%s],"bounds":{"grace_s":8,"retry_budget_ratio":0.2,"budget_slack":56},
+         "platform":{"address":"%s"}}"""
+                .formatted(
+                        mNode,
+                        text(mCallers),
+                        text(mReady),
+                        text(mControl),
+                        String.join(",", seeds),
+                        text(mStore));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+}
