Close the listening socket before the end of a planned stop

A node without connections ended 3.25 s after SIGTERM while a request was being taken on a new one; the request had been passed on. Change: once it is idle the node closes the listening socket, and ends a round later if it is still idle.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -91,6 +91,7 @@
     private final Forwarder mForwarder;
     private final ReplicaLinks mLinks;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private Channel mListener;
     private long mStopSinceNanos;
     private boolean mStopping;
     private long mLastCheckNanos;
@@ -147,7 +148,7 @@
      * @throws java.io.IOException when an address cannot be bound; the message names it
      */
     public void start() throws java.io.IOException {
-        bind(mSettings.callers(), mForwarder.initializer());
+        mListener = bind(mSettings.callers(), mForwarder.initializer());
         bind(mSettings.admin(), adminInitializer());
         bind(mSettings.peers(), mPeers.initializer());
         if (mSettings.metrics().isPresent()) {
@@ -273,7 +274,12 @@
 
     private void endIfDone() {
         Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopSinceNanos);
-        boolean done = waited.compareTo(LEAST_STOP_TIME) > 0 && mForwarder.isIdle();
+        boolean idle = waited.compareTo(LEAST_STOP_TIME) > 0 && mForwarder.isIdle();
+        boolean done = idle && !mListener.isOpen();
+        if (idle && !done) {
+            // What has been accepted until now is served before the end, which comes a round later.
+            mListener.close();
+        }
         boolean late = waited.compareTo(longestStopTime()) > 0;
         if (done || late) {
             mReader.stop();
@@ -359,7 +365,7 @@
         };
     }
 
-    private void bind(InetSocketAddress address, ChannelInitializer<Channel> initializer)
+    private Channel bind(InetSocketAddress address, ChannelInitializer<Channel> initializer)
             throws java.io.IOException {
         var bound =
                 new ServerBootstrap()
@@ -380,5 +386,6 @@
                             + ". End the process that holds the address, or set another one.",
                     bound.cause());
         }
+        return bound.channel();
     }
 }
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -19,6 +19,8 @@
 import static org.hamcrest.Matchers.nullValue;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -455,18 +457,69 @@
     @Test
     void shouldRefuseALateRequestWhileStopping() throws Exception {
         Script script = (request, wire) -> wire.awaitClose();
-        try (var fleet = Installation.start(GOOD, script);
-                var held = RawCaller.connect(fleet.router().callers())) {
-            held.send(post("/stream/x", "hello"));
-            Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+        try (var fleet = Installation.start(GOOD, script)) {
             fleet.router().stop();
             Await.pause(200);
             assertThat(fleet.ask(get("/safe/x")).status(), is(200));
-            Await.pause(4_600);
-            var answer = fleet.ask(post("/stream/y", "hello"));
-            assertThat(answer.status(), is(503));
-            assertThat(answer.header("Retry-After"), notNullValue());
-            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            Await.pause(2_700);
+            try (var held = RawCaller.connect(fleet.router().callers())) {
+                held.send(post("/stream/x", "hello"));
+                Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+                Await.pause(1_600);
+                var answer = fleet.ask(post("/stream/y", "hello"));
+                assertThat(answer.status(), is(503));
+                assertThat(answer.header("Retry-After"), notNullValue());
+                assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            }
+        }
+    }
+
+    @Test
+    void shouldAnswerWhatItHasAcceptedBeforeItEnds() throws Exception {
+        Script script =
+                (request, wire) -> {
+                    Await.pause(100);
+                    GOOD.answer(request, wire);
+                };
+        try (var fleet = Installation.start(script, STREAM)) {
+            var ended = fleet.router().stop().thenRunAsync(() -> endSlowly(fleet.router()));
+            Await.pause(2_900);
+            var answered = new AtomicInteger();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                String name = "id-" + i + "-";
+                callers.add(
+                        Thread.ofVirtual()
+                                .start(
+                                        () -> {
+                                            for (int n = 0; !ended.isDone(); n++) {
+                                                String id = name + n;
+                                                answered.addAndGet(answers(fleet, id));
+                                                Await.pause(90);
+                                            }
+                                        }));
+            }
+            for (var caller : callers) {
+                caller.join();
+            }
+            int all = answered.get();
+            assertThat(all, greaterThan(3));
+            assertThat(fleet.arrivals("api"), is(all));
+        }
+    }
+
+    /** A process takes a few tens of milliseconds to end. */
+    private static void endSlowly(TestRouter router) {
+        Await.pause(60);
+        router.close();
+    }
+
+    /** A connection that is refused or closed unread is no answer, and was passed on to nobody. */
+    private static int answers(Installation fleet, String id) {
+        try {
+            return fleet.ask(request("POST", "/unsafe/x", id, "siren")).status() == 200 ? 1 : 0;
+        } catch (IOException e) {
+            return 0;
         }
     }
 
