One relay for every answer; new connections of a stopping node are heard

Cause: three relays held three opinions on what another answer may replace. A failure's body on a stream that may run once was passed on before it was judged; a plain answer above 64 KB, once begun, and a stream without ids were sent elsewhere and the second answer joined to the first; bytes behind the last event were dropped. Change: AnswerRelay is one class with a kind; only what is held or ends behind an event id is replaced; an answer this node replaces is not taken; a connection that has not asked stays a second. The tests are split by subject and their reading of HTTP is one class; the client's bootstrap is one as well.

--- a/src/main/java/org/fescueport/internal/direct/forward/AnswerHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AnswerHead.java
@@ -17,7 +17,6 @@
  * @param endsWithConnection whether only the end of the connection tells the end of the body
  * @param keepsOpen whether the replica takes another request on this connection
  * @param idleTime for which the replica keeps an idle connection, where it says so
- * @param retryAfter when the replica wants to be asked again
  */
 public record AnswerHead(
         int status,
@@ -29,8 +28,7 @@
         OptionalLong length,
         boolean endsWithConnection,
         boolean keepsOpen,
-        Optional<Duration> idleTime,
-        Optional<String> retryAfter) {
+        Optional<Duration> idleTime) {
     /** Requests that a replica works on, that wait there, and that it can work on at once. */
     public record Load(int running, int waiting, int slots) {}
 
@@ -39,6 +37,11 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    /** Returns whether the replica's own words go to the caller; else this node answers for it. */
+    public boolean isPassedOn() {
+        return !notRun && !promisesNotRun();
+    }
+
     /** Returns this head for a body that is told in pieces. */
     public AnswerHead withoutLength() {
         return new AnswerHead(
@@ -51,8 +54,7 @@
                 OptionalLong.empty(),
                 endsWithConnection,
                 keepsOpen,
-                idleTime,
-                retryAfter);
+                idleTime);
     }
 
     /** Returns whether the answer is a success. */
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -55,11 +55,6 @@
         return mHead;
     }
 
-    /** Returns whether the request went out on a connection that had carried one before. */
-    boolean isOnReusedConnection() {
-        return mConnection != null && mConnection.isReused();
-    }
-
     /** Stops the work at the replica; nothing more is told. */
     void giveUp() {
         if (end() && mConnection != null) {
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import org.fescueport.internal.direct.config.CallerLimits;
 
 /**
  * One connection of a caller: reads one request at a time whole, and writes its answer.
@@ -38,6 +39,9 @@
     /** Another node takes the caller at once. */
     private static final Duration ELSEWHERE_TIME = Duration.ofMillis(50);
 
+    /** For a caller that has just connected to a node that stops; longer than requests travel. */
+    private static final Duration STOPPING_IDLE_TIME = Duration.ofSeconds(1);
+
     private final ForwardingContext mContext;
     private final CallerConnections mConnections;
     private final Deque<Object> mEarly = new ArrayDeque<>();
@@ -48,6 +52,7 @@
     private boolean mAnswering;
     private boolean mClosesAfterAnswer;
     private boolean mDiscardsBody;
+    private boolean mHasAsked;
     private long mSinceNanos;
 
     CallerConnection(ForwardingContext context, CallerConnections connections) {
@@ -110,7 +115,7 @@
         var limits = mConnections.limits();
         long waited = nowNanos - mSinceNanos;
         if (mRequest == null) {
-            if (stopping || waited > limits.idleTime().toNanos()) {
+            if (waited > idleTime(limits, stopping).toNanos()) {
                 mChannel.close();
             }
         } else if (waited > limits.idleTime().toNanos()) {
@@ -118,6 +123,13 @@
         }
     }
 
+    private Duration idleTime(CallerLimits limits, boolean stopping) {
+        if (!stopping) {
+            return limits.idleTime();
+        }
+        return mHasAsked ? Duration.ZERO : STOPPING_IDLE_TIME;
+    }
+
     private void read(Object message) {
         if (message instanceof HttpRequest request) {
             onRequest(request);
@@ -131,6 +143,7 @@
 
     private void onRequest(HttpRequest request) {
         mSinceNanos = mContext.nowNanos();
+        mHasAsked = true;
         mClosesAfterAnswer = !HttpUtil.isKeepAlive(request);
         mDiscardsBody = false;
         if (request.decoderResult().isFailure()) {
--- a/src/main/java/org/fescueport/internal/direct/forward/EventCutter.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/EventCutter.java
@@ -16,7 +16,7 @@
     private static final byte RETURN = '\r';
     private static final String ID_FIELD = "id:";
 
-    private final ByteBuf mPending = Unpooled.buffer(512);
+    private final ByteBuf mPending = Unpooled.buffer(0);
     private int mScanned;
     private int mLineStart;
     private Optional<String> mPendingId = Optional.empty();
@@ -52,6 +52,13 @@
         return mPending.isReadable();
     }
 
+    /** Returns the bytes of the event that has begun, and forgets them; may be empty. */
+    ByteBuf takePartial() {
+        ByteBuf partial = Unpooled.copiedBuffer(mPending);
+        dropPartial();
+        return partial;
+    }
+
     /** Forgets the event that has begun; the next bytes begin a new one. */
     void dropPartial() {
         mPending.clear();
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -154,7 +154,6 @@
 
     void onHead(Attempt attempt, AnswerHead head) {
         if (head.notRun()) {
-            mRelay.onHead(head);
             return;
         }
         mMayHaveRun = true;
@@ -170,6 +169,10 @@
     }
 
     void onContent(Attempt attempt, ByteBuf content) {
+        if (!attempt.head().isPassedOn()) {
+            content.release();
+            return;
+        }
         boolean first = !mRelay.hasBegun();
         mRelay.onContent(content);
         if (first && mRelay.hasBegun()) {
@@ -192,6 +195,10 @@
             onNotRun(attempt, head);
             return;
         }
+        if (byConnection && mRelay.isInsideEvent()) {
+            onLost(attempt, "the stream ended inside an event");
+            return;
+        }
         if (head.status() >= 500 || head.promisesNotRun()) {
             onFailedAnswer(attempt, head);
             return;
@@ -331,7 +338,10 @@
     }
 
     private boolean mayRepeat() {
-        return mRoute.kind().isRepeatable() && mSends < mRoute.maxAttempts() && hasTimeLeft();
+        return mRoute.kind().isRepeatable()
+                && mRelay.isReplaceable()
+                && mSends < mRoute.maxAttempts()
+                && hasTimeLeft();
     }
 
     private boolean hasTimeLeft() {
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -44,8 +44,6 @@
     private int mForeign;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
-    private boolean mUsed;
-    private boolean mReused;
     private boolean mBecomesIdle;
 
     ReplicaConnection(ReplicaLink link, WireProtocol protocol) {
@@ -67,8 +65,6 @@
         mKeep = true;
         mForeign = 0;
         mRequestWritten = false;
-        mReused = mUsed;
-        mUsed = true;
         // A former caller may have taken its answer slowly.
         setReading(true);
         listener.onSending(this);
@@ -97,11 +93,6 @@
         return mChannel.isActive();
     }
 
-    /** Returns whether the connection had carried a request before this one. */
-    boolean isReused() {
-        return mReused;
-    }
-
     /** Returns for which part of the replica's patience the connection has been idle. */
     double idlePart(long nowNanos) {
         return (double) (nowNanos - mIdleSinceNanos) / mIdleLimitNanos;
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaLinks.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaLinks.java
@@ -5,9 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -16,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /** The connections of this node to all replicas; they are opened on use and closed when idle. */
@@ -35,14 +34,7 @@
     private ReplicaLinks(EventLoopGroup loop, WireProtocol protocol, Clock clock) {
         mProtocol = protocol;
         mClock = clock;
-        mBootstrap =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                                (int) CONNECT_TIME.toMillis());
+        mBootstrap = ClientSockets.on(loop, CONNECT_TIME);
     }
 
     /** Returns links without a connection, to be used on this event loop alone. */
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -4,10 +4,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
@@ -18,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.direct.log.EventLog;
+import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.NodeEntry;
 import org.fescueport.internal.direct.state.RecordBatch;
@@ -91,14 +90,7 @@
         mClock = clock;
         mLog = log;
         mCandidates = new Candidates(clock);
-        mBootstrap =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                                (int) CONNECT_TIME.toMillis());
+        mBootstrap = ClientSockets.on(loop, CONNECT_TIME);
     }
 
     /** Returns a group that knows no other node. */
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -3,11 +3,13 @@
 import static org.fescueport.platform.Installation.get;
 import static org.fescueport.platform.Installation.post;
 import static org.fescueport.platform.Installation.request;
-import static org.fescueport.platform.ReplicaStandIn.answering;
 import static org.fescueport.platform.ReplicaStandIn.beginStream;
 import static org.fescueport.platform.ReplicaStandIn.chunk;
 import static org.fescueport.platform.ReplicaStandIn.events;
 import static org.fescueport.platform.ReplicaStandIn.headersFor;
+import static org.fescueport.platform.Scripts.GOOD;
+import static org.fescueport.platform.Scripts.STREAM;
+import static org.fescueport.platform.Scripts.firstThen;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThan;
@@ -18,11 +20,8 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
-import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescueport.platform.RawServer.Script;
 import org.junit.jupiter.api.Test;
@@ -31,22 +30,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ForwardingTest {
-    private static final Script GOOD = answering("whole");
-
-    private static final Script STREAM =
-            (request, wire) -> {
-                beginStream(request, wire);
-                chunk(wire, events(1, 3));
-                wire.write("0\r\n\r\n");
-            };
-
-    /** Answers the first request in one way, all later ones in another. */
-    private static Script firstThen(Script first, Script later) {
-        var answered = new AtomicBoolean();
-        return (request, wire) ->
-                (answered.compareAndSet(false, true) ? first : later).answer(request, wire);
-    }
-
     @Test
     void shouldPassOnWhatTheReplicaAnswers() throws Exception {
         try (var fleet = Installation.start(GOOD, STREAM)) {
@@ -137,11 +120,60 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {408, 429, 503})
-    void shouldNotPassOnAPromiseThatTheReplicaDidNotMean(int status) throws Exception {
-        Script failing = (request, wire) -> wire.answer(status, headersFor(request), new byte[0]);
-        try (var fleet = Installation.start(failing, STREAM)) {
-            assertThat(fleet.ask(post("/unsafe/x", "siren")).status(), is(502));
+    @CsvSource({
+        "408, /unsafe/x, 0",
+        "429, /unsafe/x, 0",
+        "503, /unsafe/x, 0",
+        "503, /unsafe/x, 20",
+        "503, /unsafe/x, 90000",
+        "408, /once/x, 20",
+        "429, /once/x, 20",
+        "503, /once/x, 0",
+        "503, /once/x, 20",
+        "503, /once/x, 90000",
+        "503, /stream/x, 90000",
+    })
+    void shouldNotPassOnAPromiseThatTheReplicaDidNotMean(int status, String path, int length)
+            throws Exception {
+        Script failing =
+                (request, wire) -> wire.answer(status, headersFor(request), new byte[length]);
+        try (var fleet = Installation.start(failing, failing);
+                var caller = RawCaller.connect(fleet.router().callers())) {
+            caller.send(post(path, "siren") + request("GET", "/none", "id-2", ""));
+            assertThat(caller.receive().status(), is(502));
+            assertThat(caller.receive().header("Fescueport-Attempt-Id"), is("id-2"));
+        }
+    }
+
+    @Test
+    void shouldCutALargeAnswerThatIsLostOnItsWay() throws Exception {
+        Script lost =
+                (request, wire) -> {
+                    wire.write(
+                            "HTTP/1.1 200 OK\r\n"
+                                    + headersFor(request)
+                                    + "Content-Length: 100000\r\n\r\n"
+                                    + "x".repeat(80_000));
+                    Await.pause(100);
+                    wire.reset();
+                };
+        Script whole = (request, wire) -> wire.answer(200, headersFor(request), new byte[100_000]);
+        try (var fleet = Installation.start(firstThen(lost, whole), STREAM)) {
+            assertThat(fleet.ask(get("/safe/x")).complete(), is(false));
+            assertThat(fleet.arrivals("api"), is(1));
+        }
+    }
+
+    @Test
+    void shouldPassOnALargeFailureOnce() throws Exception {
+        Script failing = (request, wire) -> wire.answer(500, headersFor(request), new byte[90_000]);
+        try (var fleet = Installation.start(failing, failing)) {
+            for (String path : List.of("/safe/x", "/unsafe/x", "/once/x", "/stream/x")) {
+                var answer = fleet.ask(post(path, "siren"));
+                assertThat(path, answer.status(), is(500));
+                assertThat(path, answer.complete(), is(true));
+                assertThat(path, answer.body().length(), is(90_000));
+            }
         }
     }
 
@@ -257,86 +289,6 @@
         }
     }
 
-    @Test
-    void shouldPassOnEventsAsTheyCome() throws Exception {
-        var proceed = new CompletableFuture<Void>();
-        Script script =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 1));
-                    proceed.join();
-                    chunk(wire, events(2, 2));
-                    wire.write("0\r\n\r\n");
-                };
-        try (var fleet = Installation.start(GOOD, script);
-                var caller = RawCaller.connect(fleet.router().callers())) {
-            caller.send(post("/stream/x", "hello"));
-            Await.until("the first event is passed on", () -> fleet.arrivals("llm") == 1);
-            proceed.complete(null);
-            var answer = caller.receive();
-            assertThat(answer.body(), is(events(1, 2)));
-            assertThat(answer.complete(), is(true));
-        }
-    }
-
-    @Test
-    void shouldGoOnWithABrokenStreamBehindTheLastWholeEvent() throws Exception {
-        Script broken =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 2) + "id: 3\ndata: ev");
-                    Await.pause(50);
-                    wire.reset();
-                };
-        Script rest =
-                (request, wire) -> {
-                    int last = Integer.parseInt(request.header("Last-Event-Id"));
-                    beginStream(request, wire);
-                    chunk(wire, events(last + 1, 5));
-                    wire.write("0\r\n\r\n");
-                };
-        try (var fleet = Installation.start(GOOD, firstThen(broken, rest))) {
-            var answer = fleet.ask(post("/stream/x", "hello"));
-            assertThat(answer.body(), is(events(1, 5)));
-            assertThat(answer.complete(), is(true));
-            assertThat(fleet.arrivals("llm"), is(2));
-        }
-    }
-
-    @Test
-    void shouldNotBeginAgainAStreamThatMayRunOnce() throws Exception {
-        Script broken =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 2));
-                    Await.pause(50);
-                    wire.reset();
-                };
-        try (var fleet = Installation.start(GOOD, broken)) {
-            var answer = fleet.ask(post("/once/x", "hello"));
-            assertThat(answer.complete(), is(false));
-            assertThat(answer.body(), is(events(1, 2)));
-            assertThat(fleet.arrivals("llm"), is(1));
-        }
-    }
-
-    @Test
-    void shouldNotEndAStreamAsCompleteWhenTheReplicaThatGoesOnFails() throws Exception {
-        Script broken =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 2));
-                    Await.pause(50);
-                    wire.reset();
-                };
-        Script failing = (request, wire) -> wire.answer(500, headersFor(request), "no".getBytes());
-        try (var fleet = Installation.start(GOOD, firstThen(broken, failing))) {
-            var answer = fleet.ask(post("/stream/x", "hello"));
-            assertThat(answer.complete(), is(false));
-            assertThat(answer.body(), is(events(1, 2)));
-        }
-    }
-
     @Test
     void shouldStopTheWorkAtTheReplicaWhenTheCallerLeaves() throws Exception {
         var left = new CompletableFuture<Void>();
@@ -454,86 +406,6 @@
         }
     }
 
-    @Test
-    void shouldRefuseALateRequestWhileStopping() throws Exception {
-        Script script = (request, wire) -> wire.awaitClose();
-        try (var fleet = Installation.start(GOOD, script)) {
-            fleet.router().stop();
-            Await.pause(200);
-            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
-            Await.pause(2_700);
-            try (var held = RawCaller.connect(fleet.router().callers())) {
-                held.send(post("/stream/x", "hello"));
-                Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
-                Await.pause(1_600);
-                var answer = fleet.ask(post("/stream/y", "hello"));
-                assertThat(answer.status(), is(503));
-                assertThat(answer.header("Retry-After"), notNullValue());
-                assertThat(fleet.ask(get("/safe/x")).status(), is(200));
-            }
-        }
-    }
-
-    @Test
-    void shouldAnswerWhatItHasAcceptedBeforeItEnds() throws Exception {
-        Script script =
-                (request, wire) -> {
-                    Await.pause(100);
-                    GOOD.answer(request, wire);
-                };
-        try (var fleet = Installation.start(script, STREAM)) {
-            var ended = fleet.router().stop().thenRunAsync(() -> endSlowly(fleet.router()));
-            Await.pause(2_900);
-            var answered = new AtomicInteger();
-            List<Thread> callers = new ArrayList<>();
-            for (int i = 0; i < 3; i++) {
-                String name = "id-" + i + "-";
-                callers.add(
-                        Thread.ofVirtual()
-                                .start(
-                                        () -> {
-                                            for (int n = 0; !ended.isDone(); n++) {
-                                                String id = name + n;
-                                                answered.addAndGet(answers(fleet, id));
-                                                Await.pause(90);
-                                            }
-                                        }));
-            }
-            for (var caller : callers) {
-                caller.join();
-            }
-            int all = answered.get();
-            assertThat(all, greaterThan(3));
-            assertThat(fleet.arrivals("api"), is(all));
-        }
-    }
-
-    /** A process takes a few tens of milliseconds to end. */
-    private static void endSlowly(TestRouter router) {
-        Await.pause(60);
-        router.close();
-    }
-
-    /** A connection that is refused or closed unread is no answer, and was passed on to nobody. */
-    private static int answers(Installation fleet, String id) {
-        try {
-            return fleet.ask(request("POST", "/unsafe/x", id, "siren")).status() == 200 ? 1 : 0;
-        } catch (IOException e) {
-            return 0;
-        }
-    }
-
-    @Test
-    void shouldSayThatItIsNotReadyAndEndOnceNothingIsUnderWay() throws Exception {
-        try (var fleet = Installation.start(GOOD, STREAM)) {
-            String ready = "GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n";
-            assertThat(RawCaller.ask(fleet.router().admin(), ready).status(), is(200));
-            var stopped = fleet.router().stop();
-            Await.until("it is not ready", () -> status(fleet, ready) == 503);
-            Await.until("it has stopped", stopped::isDone);
-        }
-    }
-
     @Test
     void shouldServeItsCounters() throws Exception {
         try (var fleet = Installation.start(GOOD, STREAM)) {
@@ -557,12 +429,4 @@
             assertThat(lines, not(containsString("key-1")));
         }
     }
-
-    private static int status(Installation fleet, String request) {
-        try {
-            return RawCaller.ask(fleet.router().admin(), request).status();
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
 }
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
-import java.util.TreeMap;
 
 /** A caller's connection; requests and answers are plain text. */
 public final class RawCaller implements AutoCloseable {
@@ -45,19 +44,11 @@
     /** Reads one answer; it is incomplete when the connection ends too early. */
     public Answer receive() throws IOException {
         InputStream input = mSocket.getInputStream();
-        String start = readLine(input);
+        String start = RawHttp.readLine(input);
         if (start == null) {
             return new Answer(0, Map.of(), "", false);
         }
-        Map<String, String> headers = new TreeMap<>();
-        for (String line = readLine(input);
-                line != null && !line.isEmpty();
-                line = readLine(input)) {
-            int colon = line.indexOf(':');
-            headers.put(
-                    line.substring(0, colon).toLowerCase(Locale.ROOT),
-                    line.substring(colon + 1).strip());
-        }
+        Map<String, String> headers = RawHttp.readHeaders(input);
         int status = Integer.parseInt(start.split(" ")[1]);
         if ("chunked".equals(headers.get("transfer-encoding"))) {
             return receiveChunks(status, headers);
@@ -85,10 +76,12 @@
         InputStream input = mSocket.getInputStream();
         var body = new ByteArrayOutputStream();
         try {
-            for (String size = readLine(input); size != null; size = readLine(input)) {
+            for (String size = RawHttp.readLine(input);
+                    size != null;
+                    size = RawHttp.readLine(input)) {
                 int length = Integer.parseInt(size, 16);
                 body.writeBytes(input.readNBytes(length));
-                readLine(input);
+                RawHttp.readLine(input);
                 if (length == 0) {
                     return new Answer(status, headers, text(body.toByteArray()), true);
                 }
@@ -102,15 +95,4 @@
     private static String text(byte[] bytes) {
         return new String(bytes, StandardCharsets.UTF_8);
     }
-
-    private static String readLine(InputStream input) throws IOException {
-        var line = new ByteArrayOutputStream();
-        for (int c = input.read(); c != '\n'; c = input.read()) {
-            if (c < 0) {
-                return null;
-            }
-            line.write(c);
-        }
-        return line.toString(StandardCharsets.UTF_8).stripTrailing();
-    }
 }
--- a/src/test/java/org/fescueport/platform/RawServer.java
+++ b/src/test/java/org/fescueport/platform/RawServer.java
@@ -13,7 +13,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Serves HTTP/1.1 from plain sockets, so that a script can answer in any wrong way as well. */
@@ -143,33 +142,14 @@
     }
 
     private static Request read(InputStream input) throws IOException {
-        String start = readLine(input);
+        String start = RawHttp.readLine(input);
         if (start == null) {
             return null;
         }
-        Map<String, String> headers = new TreeMap<>();
-        for (String line = readLine(input);
-                line != null && !line.isEmpty();
-                line = readLine(input)) {
-            int colon = line.indexOf(':');
-            headers.put(
-                    line.substring(0, colon).toLowerCase(Locale.ROOT),
-                    line.substring(colon + 1).strip());
-        }
+        Map<String, String> headers = RawHttp.readHeaders(input);
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
         byte[] body = input.readNBytes(length);
         String[] words = start.split(" ");
         return new Request(words[0], words[1], headers, body);
     }
-
-    private static String readLine(InputStream input) throws IOException {
-        var line = new ByteArrayOutputStream();
-        for (int c = input.read(); c != '\n'; c = input.read()) {
-            if (c < 0) {
-                return null;
-            }
-            line.write(c);
-        }
-        return line.toString(StandardCharsets.UTF_8).stripTrailing();
-    }
 }
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/StoppingTest.java
@@ -0,0 +1,123 @@
+package org.fescueport.platform;
+
+import static org.fescueport.platform.Installation.get;
+import static org.fescueport.platform.Installation.post;
+import static org.fescueport.platform.Installation.request;
+import static org.fescueport.platform.Scripts.GOOD;
+import static org.fescueport.platform.Scripts.STREAM;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.notNullValue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.fescueport.platform.RawServer.Script;
+import org.junit.jupiter.api.Test;
+
+class StoppingTest {
+    @Test
+    void shouldRefuseALateRequestWhileStopping() throws Exception {
+        Script script = (request, wire) -> wire.awaitClose();
+        try (var fleet = Installation.start(GOOD, script)) {
+            fleet.router().stop();
+            Await.pause(200);
+            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            Await.pause(2_700);
+            try (var held = RawCaller.connect(fleet.router().callers())) {
+                held.send(post("/stream/x", "hello"));
+                Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+                Await.pause(1_600);
+                var answer = fleet.ask(post("/stream/y", "hello"));
+                assertThat(answer.status(), is(503));
+                assertThat(answer.header("Retry-After"), notNullValue());
+                assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            }
+        }
+    }
+
+    @Test
+    void shouldServeAConnectionMadeWhileStoppingThatAsksALittleLater() throws Exception {
+        try (var fleet = Installation.start(GOOD, STREAM)) {
+            fleet.router().stop();
+            Await.pause(100);
+            for (int i = 0; i < 4; i++) {
+                try (var caller = RawCaller.connect(fleet.router().callers())) {
+                    Await.pause(300);
+                    caller.send(get("/safe/x"));
+                    assertThat(caller.receive().status(), is(200));
+                }
+            }
+        }
+    }
+
+    @Test
+    void shouldAnswerWhatItHasAcceptedBeforeItEnds() throws Exception {
+        Script script =
+                (request, wire) -> {
+                    Await.pause(100);
+                    GOOD.answer(request, wire);
+                };
+        try (var fleet = Installation.start(script, STREAM)) {
+            var ended = fleet.router().stop().thenRunAsync(() -> endSlowly(fleet.router()));
+            Await.pause(2_900);
+            var answered = new AtomicInteger();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                String name = "id-" + i + "-";
+                callers.add(
+                        Thread.ofVirtual()
+                                .start(
+                                        () -> {
+                                            for (int n = 0; !ended.isDone(); n++) {
+                                                String id = name + n;
+                                                answered.addAndGet(answers(fleet, id));
+                                                Await.pause(90);
+                                            }
+                                        }));
+            }
+            for (var caller : callers) {
+                caller.join();
+            }
+            int all = answered.get();
+            assertThat(all, greaterThan(3));
+            assertThat(fleet.arrivals("api"), is(all));
+        }
+    }
+
+    /** A process takes a few tens of milliseconds to end. */
+    private static void endSlowly(TestRouter router) {
+        Await.pause(60);
+        router.close();
+    }
+
+    /** A connection that is refused or closed unread is no answer, and was passed on to nobody. */
+    private static int answers(Installation fleet, String id) {
+        try {
+            return fleet.ask(request("POST", "/unsafe/x", id, "siren")).status() == 200 ? 1 : 0;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    @Test
+    void shouldSayThatItIsNotReadyAndEndOnceNothingIsUnderWay() throws Exception {
+        try (var fleet = Installation.start(GOOD, STREAM)) {
+            String ready = "GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n";
+            assertThat(RawCaller.ask(fleet.router().admin(), ready).status(), is(200));
+            var stopped = fleet.router().stop();
+            Await.until("it is not ready", () -> status(fleet, ready) == 503);
+            Await.until("it has stopped", stopped::isDone);
+        }
+    }
+
+    private static int status(Installation fleet, String request) {
+        try {
+            return RawCaller.ask(fleet.router().admin(), request).status();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
