The soak ends what it starts; what is dead goes, health forgets replicas that are gone

Cause: a planned restart could start a router behind the end of the test; ReplicaHealth.retain was never called. Ruled out: the signals (the process left behind was a new one). Change: EdgeProcess starts nothing once closed; the router drops loads and health of replicas that are gone in one place; dead methods removed; the two fake decoders of the tests are one.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -113,7 +113,14 @@
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
         var loads = ReplicaLoads.create();
         var chooser = ReplicaChooser.create(mView, loads);
-        mView.listen(chooser::onReplicasChanged);
+        var health = ReplicaHealth.create();
+        mView.listen(
+                () -> {
+                    var present = mView.replicaIds();
+                    chooser.onReplicasChanged();
+                    loads.retain(present);
+                    health.retain(present);
+                });
         mBudgets =
                 RetryBudgets.create(
                         settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
@@ -128,7 +135,7 @@
                         mLinks,
                         chooser,
                         loads,
-                        ReplicaHealth.create(),
+                        health,
                         mBudgets,
                         crashes,
                         ForwardingMetrics.create(parts.registry()),
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -115,13 +114,8 @@
         ejection(mView.pool(replica.pool())).onFailure(replica.id(), nowNanos);
     }
 
-    /** Forgets what is known of replicas that are gone. */
+    /** Forgets pools that are gone. */
     public void onReplicasChanged() {
-        Set<NodeId> present = new HashSet<>();
-        for (var pool : mView.pools()) {
-            mView.pool(pool).replicas().forEach(replica -> present.add(replica.node()));
-        }
-        mLoads.retain(present);
         mEjections.keySet().retainAll(mView.pools());
     }
 
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
@@ -83,12 +83,6 @@
         return load.mOwn + (old ? 0 : load.mOthers);
     }
 
-    /** Returns how many requests of this node the replica holds. */
-    public int own(NodeId replica) {
-        Load load = mLoads.get(replica);
-        return load == null ? 0 : load.mOwn;
-    }
-
     /** Forgets replicas that hold nothing of this node and are not named. */
     public void retain(java.util.Set<NodeId> replicas) {
         mLoads.entrySet().removeIf(e -> e.getValue().mOwn == 0 && !replicas.contains(e.getKey()));
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -104,6 +104,11 @@
         return mPools.keySet();
     }
 
+    /** Returns all replicas, also those that are leaving. */
+    public Set<NodeId> replicaIds() {
+        return mReplicas.keySet();
+    }
+
     /** Returns the entry of a replica, also of one that is leaving. */
     public Optional<ReplicaEntry> replica(NodeId id) {
         return Optional.ofNullable(mReplicas.get(id)).map(Known::entry);
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -94,11 +94,6 @@
         }
     }
 
-    /** Returns whether this node reads the store itself, and was answered the last time. */
-    public boolean isReading() {
-        return mActive && mReachable && mReplicas.mRounds > 0;
-    }
-
     /** Reads no more. */
     public void stop() {
         mStopped = true;
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -8,7 +8,6 @@
 
 import io.micrometer.core.instrument.MockClock;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -17,16 +16,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.placement.Affinity;
-import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.FleetView;
+import org.fescueport.internal.direct.state.PlainDecoder;
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.ReplicaEntry;
-import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
 import org.junit.jupiter.api.AfterEach;
@@ -35,39 +32,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ReplicaChooserTest {
-    private static final PoolId POOL = PoolId.of("llm");
+    private static final PoolId POOL = PlainDecoder.POOL;
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
     private static final int REPLICAS = 8;
 
-    /** The value of a replica's record is its state. */
-    private static final class Decoder implements StateDecoder {
-        @Override
-        public boolean isConfiguration(String key) {
-            return false;
-        }
-
-        @Override
-        public FleetConfiguration configuration(byte[] value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public InetSocketAddress node(byte[] value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ReplicaEntry replica(String key, byte[] value) {
-            boolean leaving = new String(value, StandardCharsets.UTF_8).equals("leaving");
-            var address = new InetSocketAddress(80);
-            var domain = FailureDomain.of("north");
-            return new ReplicaEntry(NodeId.of(key), POOL, address, domain, 8, leaving, 0);
-        }
-    }
-
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
-    private final FleetView mView = FleetView.create(new Decoder(), mLog);
+    private final FleetView mView = FleetView.create(new PlainDecoder(), mLog);
     private final ReplicaLoads mLoads = ReplicaLoads.create();
     private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads);
     private long mOffset;
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
@@ -5,72 +5,20 @@
 
 import io.micrometer.core.instrument.MockClock;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
-import org.fescueport.internal.decision.PoolId;
-import org.fescueport.internal.direct.config.CallerLimits;
-import org.fescueport.internal.direct.config.FleetConfiguration;
-import org.fescueport.internal.direct.config.RouteTable;
 import org.fescueport.internal.direct.log.EventLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class FleetViewTest {
-    private static final PoolId POOL = PoolId.of("llm");
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    /** A configuration is its version; a replica is its state, and perhaps its start. */
-    private static final class Decoder implements StateDecoder {
-        @Override
-        public boolean isConfiguration(String key) {
-            return key.equals("config");
-        }
-
-        @Override
-        public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
-            try {
-                long version = Long.parseLong(text(value));
-                var routes = RouteTable.of(List.of());
-                return new FleetConfiguration(
-                        version, routes, Map.of(), Map.of(), CallerLimits.standard());
-            } catch (NumberFormatException e) {
-                throw UnusableRecordException.of("no number");
-            }
-        }
-
-        @Override
-        public InetSocketAddress node(byte[] value) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ReplicaEntry replica(String key, byte[] value) throws UnusableRecordException {
-            if (text(value).equals("unusable")) {
-                throw UnusableRecordException.of("unusable");
-            }
-            return new ReplicaEntry(
-                    NodeId.of(key),
-                    POOL,
-                    new InetSocketAddress(80),
-                    FailureDomain.of("north"),
-                    8,
-                    text(value).equals("leaving"),
-                    0);
-        }
-
-        private static String text(byte[] value) {
-            return new String(value, StandardCharsets.UTF_8);
-        }
-    }
-
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
-    private final FleetView mView = FleetView.create(new Decoder(), mLog);
+    private final FleetView mView = FleetView.create(new PlainDecoder(), mLog);
 
     @AfterEach
     void closeLog() {
@@ -119,7 +67,7 @@
     void shouldNotTakeAnOlderRecordOfAReplicaFromALaggingPeer() {
         replicas(whole(StateTopic.REPLICAS, 6, record(5, "a", "leaving")));
         replicas(whole(StateTopic.REPLICAS, 3, record(2, "a", "ready")));
-        assertThat(mView.pool(POOL).size(), is(0));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(0));
     }
 
     @Test
@@ -127,14 +75,14 @@
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(1, "a")));
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
-        assertThat(mView.pool(POOL).size(), is(0));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(0));
     }
 
     @Test
     void shouldForgetReplicasThatAWholeListDoesNotName() {
         replicas(whole(StateTopic.REPLICAS, 2, record(0, "a", "ready"), record(1, "b", "ready")));
         var news = replicas(whole(StateTopic.REPLICAS, 4, record(1, "b", "ready")));
-        assertThat(mView.pool(POOL).size(), is(1));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
         assertThat(news.size(), is(1));
         assertThat(news.getFirst().value().isEmpty(), is(true));
     }
@@ -143,14 +91,14 @@
     void shouldNotForgetReplicasForAListThatIsOlderThanWhatIsKnown() {
         replicas(whole(StateTopic.REPLICAS, 5, record(4, "a", "ready")));
         replicas(whole(StateTopic.REPLICAS, 3));
-        assertThat(mView.pool(POOL).size(), is(1));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
     }
 
     @Test
     void shouldDropAnEntryThatCannotBeUsedAndKeepTheOthers() {
         replicas(whole(StateTopic.REPLICAS, 2, record(0, "a", "ready"), record(1, "b", "ready")));
         replicas(batch(StateTopic.REPLICAS, 2, record(2, "a", "unusable")));
-        assertThat(mView.pool(POOL).size(), is(1));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
     }
 
     @Test
@@ -176,9 +124,9 @@
         mView.onStoreRegained(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(1, "a")));
         mView.expire(SECOND);
-        assertThat(mView.pool(POOL).size(), is(1));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
         mView.expire(3 * SECOND);
-        assertThat(mView.pool(POOL).size(), is(0));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(0));
     }
 
     @Test
@@ -188,7 +136,7 @@
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(1, "a")));
         replicas(batch(StateTopic.REPLICAS, 2, record(2, "a", "ready")));
         mView.expire(3 * SECOND);
-        assertThat(mView.pool(POOL).size(), is(1));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
     }
 
     @Test
@@ -202,10 +150,10 @@
     @Test
     void shouldGiveAPeerAllThatItKnows() {
         replicas(whole(StateTopic.REPLICAS, 7, record(3, "a", "ready"), record(6, "b", "leaving")));
-        var other = FleetView.create(new Decoder(), mLog);
+        var other = FleetView.create(new PlainDecoder(), mLog);
         other.take(mView.snapshot(StateTopic.REPLICAS), 0);
         assertThat(other.nextOffset(StateTopic.REPLICAS), is(7L));
-        assertThat(other.pool(POOL).size(), is(1));
+        assertThat(other.pool(PlainDecoder.POOL).size(), is(1));
         assertThat(other.replica(NodeId.of("b")).orElseThrow().leaving(), is(true));
     }
 }
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -0,0 +1,58 @@
+package org.fescueport.internal.direct.state;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.direct.config.CallerLimits;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.RouteTable;
+
+/** A configuration is its version; a replica of the one pool is its state. */
+public final class PlainDecoder implements StateDecoder {
+    public static final PoolId POOL = PoolId.of("llm");
+
+    @Override
+    public boolean isConfiguration(String key) {
+        return key.equals("config");
+    }
+
+    @Override
+    public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
+        try {
+            long version = Long.parseLong(text(value));
+            var routes = RouteTable.of(List.of());
+            return new FleetConfiguration(
+                    version, routes, Map.of(), Map.of(), CallerLimits.standard());
+        } catch (NumberFormatException e) {
+            throw UnusableRecordException.of("no number");
+        }
+    }
+
+    @Override
+    public InetSocketAddress node(byte[] value) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public ReplicaEntry replica(String key, byte[] value) throws UnusableRecordException {
+        if (text(value).equals("unusable")) {
+            throw UnusableRecordException.of("unusable");
+        }
+        return new ReplicaEntry(
+                NodeId.of(key),
+                POOL,
+                new InetSocketAddress(80),
+                FailureDomain.of("north"),
+                8,
+                text(value).equals("leaving"),
+                0);
+    }
+
+    private static String text(byte[] value) {
+        return new String(value, StandardCharsets.UTF_8);
+    }
+}
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -24,6 +24,7 @@
     private final InetSocketAddress mControl;
     private Process mProcess;
     private int mLives;
+    private boolean mClosed;
 
     EdgeProcess(
             String node,
@@ -58,8 +59,8 @@
         return mNode;
     }
 
-    boolean isAlive() {
-        return mProcess.isAlive();
+    synchronized boolean isAlive() {
+        return mProcess != null && mProcess.isAlive();
     }
 
     /** Returns whether a signal has ended the process before it wrote its first line. */
@@ -77,7 +78,11 @@
         return mFolder.resolve(mNode + "." + mLives + ".log");
     }
 
-    void start() throws IOException {
+    /** Starts the process, unless this was closed meanwhile. */
+    synchronized void start() throws IOException {
+        if (mClosed) {
+            return;
+        }
         mLives++;
         Path settings = Files.writeString(mFolder.resolve(mNode + ".json"), settings());
         var builder =
@@ -129,9 +134,11 @@
         }
     }
 
+    /** Ends the process; it can't be started again, whoever had meant to. */
     @Override
-    public void close() {
-        if (mProcess != null && mProcess.isAlive()) {
+    public synchronized void close() {
+        mClosed = true;
+        if (isAlive()) {
             kill();
         }
     }
