--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -41,7 +41,7 @@
     @ParameterizedTest
     @EnumSource(
             value = Mode.class,
-            names = {"BUSY", "MANY", "SILENT", "RESET", "GARBAGE"})
+            names = {"BUSY", "MANY", "SILENT", "RESET", "GARBAGE", "SLOW"})
     void shouldServeOnWhileTheStoreIsAwayAndCatchUpWhenItIsBack(Mode mode) throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
             fleet.store().mode(mode);
@@ -72,6 +72,40 @@
         }
     }
 
+    @Test
+    void shouldPutChangesInForceInTimeWhileTheStoreIsSlow() throws Exception {
+        try (var fleet = Installation.start(GOOD, GOOD)) {
+            fleet.store().mode(Mode.SLOW);
+            Await.pause(1_000);
+            fleet.replica("api-1").register(fleet.store(), "draining");
+            fleet.store()
+                    .put(
+                            "keyed.op",
+                            "config",
+                            Installation.configuration(5).replace("/safe/", "/sure/"));
+            Await.pause(2_000);
+            assertThat(status(fleet, get("/safe/x")), is(404));
+            int before = fleet.replica("api-1").requests().size();
+            for (int i = 0; i < 20; i++) {
+                assertThat(status(fleet, get("/sure/" + i)), is(200));
+            }
+            assertThat(fleet.replica("api-1").requests().size(), is(before));
+        }
+    }
+
+    @Test
+    void shouldBeReadyWithinTwoSecondsOfItsStart() throws Exception {
+        try (var store = StoreStandIn.start()) {
+            store.put("keyed.op", "config", Installation.configuration(1));
+            store.mode(Mode.SLOW);
+            long begun = System.nanoTime();
+            try (var router = TestRouter.start("edge-1", store.address()).awaitReady()) {
+                assertThat((System.nanoTime() - begun) / 1_000_000, lessThan(2_000L));
+                assertThat(router.isReady(), is(true));
+            }
+        }
+    }
+
     @Test
     void shouldNotGoBackToAnOlderConfiguration() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -119,6 +119,30 @@
         }
     }
 
+    @Test
+    void shouldGoElsewhereWhenTheAddressBelongsToAnotherReplicaNow() throws Exception {
+        Script other =
+                (request, wire) ->
+                        wire.answer(421, "Fescueport-Replica-Id: other\r\n", "no".getBytes());
+        try (var fleet = Installation.start(firstThen(other, GOOD), firstThen(other, STREAM))) {
+            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            assertThat(fleet.arrivals("api"), is(2));
+            assertThat(fleet.ask(post("/stream/x", "hello")).body(), is(events(1, 3)));
+            assertThat(fleet.arrivals("llm"), is(2));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/unsafe/x", "/once/x", "/stream/x"})
+    void shouldSayNotRunWhenEveryAddressBelongsToAnotherReplica(String path) throws Exception {
+        Script other = (request, wire) -> wire.answer(421, "", new byte[0]);
+        try (var fleet = Installation.start(other, other)) {
+            var answer = fleet.ask(post(path, "hello"));
+            assertThat(answer.status(), is(503));
+            assertThat(answer.header("Retry-After"), notNullValue());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "408, /unsafe/x, 0",
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -24,10 +24,14 @@
         SILENT,
         RESET,
         GARBAGE,
+        /** Each answer takes some fifty times as long as usual. */
+        SLOW,
         /** Appends are done and not answered. */
         LOST
     }
 
+    private static final long SLOW_MS = 200;
+
     private record Entry(String key, byte[] value) {}
 
     private static final class Topic {
@@ -116,6 +120,10 @@
                     answerWell(request, wire);
                 }
             }
+            case SLOW -> {
+                Await.pause(SLOW_MS);
+                answerWell(request, wire);
+            }
             case GOOD -> answerWell(request, wire);
             default -> throw new IllegalStateException("mode " + mode);
         }
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -74,6 +74,11 @@
         }
     }
 
+    /** Returns what the process has written in its present life. */
+    String lines() throws IOException {
+        return Files.readString(log());
+    }
+
     private Path log() {
         return mFolder.resolve(mNode + "." + mLives + ".log");
     }
