The fleet's retry limit holds through starts and changed numbers of nodes

Ruled out: the division by nodes and the share by own requests (no restart, no addition: never over). Change: a budget begins empty; its tokens come from requests and with time, and stay, as far as they fit, when limits or the number of nodes change. Of the allowance 0.4 may be saved, 0.35 comes anew in each window; the window is read from the settings.

--- a/src/main/java/org/fescueport/internal/decision/retry/RetryBudget.java
+++ b/src/main/java/org/fescueport/internal/decision/retry/RetryBudget.java
@@ -7,24 +7,44 @@
  * so that a lost failure domain cannot multiply the traffic.
  */
 public final class RetryBudget {
-    private final double mShare;
-    private final double mMaxTokens;
+    private double mShare;
+    private double mMaxTokens;
     private double mTokens;
 
-    private RetryBudget(double share, double maxTokens) {
+    private RetryBudget(double share, double maxTokens, double tokens) {
         mShare = share;
         mMaxTokens = maxTokens;
-        mTokens = maxTokens;
+        mTokens = tokens;
     }
 
     /** Returns a full budget of {@code share} retries for each request. */
     public static RetryBudget create(double share, double maxTokens) {
-        return new RetryBudget(share, maxTokens);
+        return new RetryBudget(share, maxTokens, maxTokens);
+    }
+
+    /**
+     * Returns a budget that requests and time have yet to fill; for a part of a joint limit, of
+     * which a former life of this process may have used its tokens a moment ago.
+     */
+    public static RetryBudget createEmpty(double share, double maxTokens) {
+        return new RetryBudget(share, maxTokens, 0);
+    }
+
+    /** Takes other limits; tokens that are there stay as far as they fit. */
+    public synchronized void onLimits(double share, double maxTokens) {
+        mShare = share;
+        mMaxTokens = maxTokens;
+        mTokens = Math.min(mTokens, maxTokens);
     }
 
     /** Notes a caller's request. */
     public synchronized void onRequest() {
-        mTokens = Math.min(mMaxTokens, mTokens + mShare);
+        add(mShare);
+    }
+
+    /** Adds tokens that come with time. */
+    public synchronized void add(double tokens) {
+        mTokens = Math.min(mMaxTokens, mTokens + tokens);
     }
 
     /** Takes a token; false when none is left. */
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -123,7 +123,11 @@
                 });
         mBudgets =
                 RetryBudgets.create(
-                        settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
+                        settings.retryShare(),
+                        settings.retryAllowance(),
+                        settings.retryWindow(),
+                        UNKNOWN_NODES,
+                        parts.clock());
         var crashes = CrashWatch.create();
         crashes.listen(this::spreadStrike);
         mPeers.listen(new FromPeers(crashes));
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -18,6 +18,7 @@
  * @param metricsPath on which counters are served
  * @param retryShare retries for each request that the whole fleet may send
  * @param retryAllowance retries in a window that the fleet may send beyond the share
+ * @param retryWindow in which those are counted
  * @param stopTime from the signal to stop until the process is ended by force
  * @param logLinesPerSecond most lines a second, of decisions and of changes each
  */
@@ -32,6 +33,7 @@
         String metricsPath,
         double retryShare,
         double retryAllowance,
+        Duration retryWindow,
         Duration stopTime,
         int logLinesPerSecond) {
     public DirectRouterSettings {
--- a/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
+++ b/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
@@ -1,5 +1,7 @@
 package org.fescueport.internal.direct.place;
 
+import io.micrometer.core.instrument.Clock;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.fescueport.internal.decision.PoolId;
@@ -9,49 +11,68 @@
  * This node's part of the retries that the whole fleet may send to each pool.
  *
  * <p>The share goes with this node's own requests, so it needs no agreement; of the fixed allowance
- * each node takes an equal part. Some of both is left over for nodes that come and go.
+ * each node takes an equal part, some of it saved and some of it coming with time. A node begins
+ * without tokens, so that starts and changed numbers of nodes don't add up to more than the fleet's
+ * limit.
  */
 public final class RetryBudgets {
-    /** Part of what is allowed that is used. */
-    private static final double USED_PART = 0.75;
+    /** Part of the share that is used. */
+    private static final double USED_SHARE = 0.75;
 
+    /** Part of the allowance that may be saved up for a bad moment. */
+    private static final double SAVED_PART = 0.4;
+
+    /** Part of the allowance that comes anew in each window. */
+    private static final double RENEWED_PART = 0.35;
+
+    private final Clock mClock;
+    private final Duration mWindow;
+    private final Map<PoolId, RetryBudget> mBudgets = new HashMap<>();
     private double mShare;
     private double mFleetAllowance;
-    private final Map<PoolId, RetryBudget> mBudgets = new HashMap<>();
-    private int mNodes = 1;
+    private int mNodes;
+    private long mBegunNanos;
+    private long mFilledNanos;
 
-    private RetryBudgets(double share, double fleetAllowance) {
+    private RetryBudgets(double share, double fleetAllowance, Duration window, Clock clock) {
         mShare = share;
         mFleetAllowance = fleetAllowance;
+        mWindow = window;
+        mClock = clock;
+        mBegunNanos = clock.monotonicTime();
+        mFilledNanos = mBegunNanos;
     }
 
     /**
-     * Returns full budgets.
+     * Returns budgets that requests and time have yet to fill.
      *
      * @param share retries for each request, of the whole fleet
      * @param fleetAllowance retries in a window beyond that, of the whole fleet
+     * @param window in which the fleet's retries are counted
+     * @param nodes that share the allowance
      */
-    public static RetryBudgets create(double share, double fleetAllowance, int nodes) {
-        var budgets = new RetryBudgets(share, fleetAllowance);
+    public static RetryBudgets create(
+            double share, double fleetAllowance, Duration window, int nodes, Clock clock) {
+        var budgets = new RetryBudgets(share, fleetAllowance, window, clock);
         budgets.mNodes = Math.max(1, nodes);
         return budgets;
     }
 
-    /** Notes how many nodes share the allowance; budgets begin anew when there are more. */
+    /** Notes how many nodes share the allowance; of those that are gone the part stays unused. */
     public void onNodes(int nodes) {
         if (nodes > mNodes) {
+            fill();
             mNodes = nodes;
-            mBudgets.clear();
+            limitAll();
         }
     }
 
-    /** Takes changed limits; budgets begin anew. */
+    /** Takes changed limits. */
     public void onLimits(double share, double fleetAllowance) {
-        if (share != mShare || fleetAllowance != mFleetAllowance) {
-            mShare = share;
-            mFleetAllowance = fleetAllowance;
-            mBudgets.clear();
-        }
+        fill();
+        mShare = share;
+        mFleetAllowance = fleetAllowance;
+        limitAll();
     }
 
     /** Notes a caller's request to a pool. */
@@ -61,12 +82,38 @@
 
     /** Takes one retry; false when none is left. */
     public boolean tryTake(PoolId pool) {
+        fill();
         return budget(pool).tryTake();
     }
 
+    private void limitAll() {
+        mBudgets.values().forEach(budget -> budget.onLimits(USED_SHARE * mShare, saved()));
+    }
+
     private RetryBudget budget(PoolId pool) {
-        double allowance = Math.max(1, USED_PART * mFleetAllowance / mNodes);
-        return mBudgets.computeIfAbsent(
-                pool, id -> RetryBudget.create(USED_PART * mShare, allowance));
+        return mBudgets.computeIfAbsent(pool, id -> newBudget());
+    }
+
+    private RetryBudget newBudget() {
+        var budget = RetryBudget.createEmpty(USED_SHARE * mShare, saved());
+        budget.add(renewed(mFilledNanos - mBegunNanos));
+        return budget;
+    }
+
+    private void fill() {
+        long now = mClock.monotonicTime();
+        double tokens = renewed(now - mFilledNanos);
+        mFilledNanos = now;
+        mBudgets.values().forEach(budget -> budget.add(tokens));
+    }
+
+    /** Returns the tokens that come in this time. */
+    private double renewed(long nanos) {
+        return RENEWED_PART * mFleetAllowance / mNodes * nanos / mWindow.toNanos();
+    }
+
+    /** Below one token no retry could ever be taken. */
+    private double saved() {
+        return Math.max(1, SAVED_PART * mFleetAllowance / mNodes);
     }
 }
