A request that is answered is no longer held against; the way of a deadly request is tested whole

Cause: a request that is asked often is under way at replicas that crash for other reasons; after two of those every node refused it for a minute. Ruled out: real deadly requests: they are never answered. Change: a success forgets the strikes, at the node that saw it and, told over the peers, at all others.

--- a/src/main/java/org/fescueport/internal/decision/poison/PoisonBook.java
+++ b/src/main/java/org/fescueport/internal/decision/poison/PoisonBook.java
@@ -164,6 +164,11 @@
         return released;
     }
 
+    /** Forgets a request that was answered, so that nobody dies of it; false if unknown. */
+    public synchronized boolean forget(Fingerprint fingerprint) {
+        return mEntries.remove(fingerprint) != null;
+    }
+
     /** Forgets what is too old. */
     public synchronized void sweep(long nowMillis) {
         mEntries.values().removeIf(e -> nowMillis - e.mLastMillis > mLimits.ageMillis());
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -129,7 +129,7 @@
                         UNKNOWN_NODES,
                         parts.clock());
         var crashes = CrashWatch.create();
-        crashes.listen(this::spreadStrike);
+        crashes.listen(new FromCrashWatch());
         mPeers.listen(new FromPeers(crashes));
         var context =
                 new ForwardingContext(
@@ -311,13 +311,23 @@
         mPeers.spread(batch.topic(), news, origin);
     }
 
-    private void spreadStrike(Fingerprint request, AgentIncarnation replica) {
-        mParts.log()
-                .change("replica-died-of-request")
-                .with("replica", replica)
-                .with("team", request.team())
-                .write();
-        mPeers.spread(StrikeCodec.encode(request, replica));
+    /** What this node finds about requests that replicas may have died of. */
+    private final class FromCrashWatch implements CrashWatch.Listener {
+        @Override
+        public void onStrike(Fingerprint request, AgentIncarnation replica) {
+            mParts.log()
+                    .change("replica-died-of-request")
+                    .with("replica", replica)
+                    .with("team", request.team())
+                    .write();
+            mPeers.spread(StrikeCodec.encode(request, replica));
+        }
+
+        @Override
+        public void onCleared(Fingerprint request) {
+            mParts.log().change("request-cleared").with("team", request.team()).write();
+            mPeers.spread(StrikeCodec.encodeAnswered(request));
+        }
     }
 
     /** What this node reads from the store itself. */
@@ -348,6 +358,10 @@
 
         @Override
         public void onStrike(PeerStrike strike) {
+            if (strike.getAnswered()) {
+                mCrashes.onCleared(StrikeCodec.request(strike));
+                return;
+            }
             mCrashes.onStrike(
                     StrikeCodec.request(strike),
                     StrikeCodec.replica(strike),
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -204,6 +204,9 @@
             return;
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
+        if (head.isSuccess() && mContext.crashes().isAnyHeld()) {
+            mContext.crashes().onSucceeded(fingerprint());
+        }
         mRelay.finish();
         end(End.ANSWERED, "status " + head.status());
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
@@ -22,6 +22,16 @@
                 .build();
     }
 
+    /** Returns that a request was answered. */
+    public static PeerStrike encodeAnswered(Fingerprint request) {
+        return PeerStrike.newBuilder()
+                .setTeam(request.team().name())
+                .setRequestHigh(request.content().high())
+                .setRequestLow(request.content().low())
+                .setAnswered(true)
+                .build();
+    }
+
     /** Reads which request it was. */
     public static Fingerprint request(PeerStrike strike) {
         var content = ContentHash.of(strike.getRequestHigh(), strike.getRequestLow());
--- a/src/main/java/org/fescueport/internal/direct/place/CrashWatch.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashWatch.java
@@ -16,7 +16,8 @@
  *
  * <p>A lost answer alone is no sign, as connections are lost for many reasons. It becomes one when
  * the replica cannot be reached shortly afterwards or has begun another life, and is forgotten when
- * the replica answers anything that came later. Used by the event loop alone.
+ * the replica answers anything that came later. A request that was answered since is of the kind
+ * that is asked often and was there when replicas died. Used by the event loop alone.
  */
 public final class CrashWatch {
     /** A crashed replica is down for seconds; what is found later has another reason. */
@@ -25,11 +26,14 @@
     private static final PoisonBook.Limits LIMITS = new PoisonBook.Limits(512, 60_000, 10_000);
     private static final int MAX_SUSPICIONS = 256;
 
-    /** Told of each request that was found to have cost a replica. */
+    /** Told what this node finds about requests that may have cost a replica. */
     @FunctionalInterface
     public interface Listener {
-        /** Called once for each request and life of a replica. */
+        /** Called once for each request and life of a replica that was lost with it. */
         void onStrike(Fingerprint request, AgentIncarnation replica);
+
+        /** A request that was held against has been answered. */
+        default void onCleared(Fingerprint request) {}
     }
 
     private record Suspicion(Fingerprint request, ReplicaEntry replica, long atNanos) {}
@@ -45,7 +49,7 @@
         return new CrashWatch();
     }
 
-    /** Sets who is told of strikes that this node has found. */
+    /** Sets who is told of what this node has found. */
     public void listen(Listener listener) {
         mListener = listener;
     }
@@ -95,6 +99,18 @@
         return mBook.strike(request, replica, millis(nowNanos));
     }
 
+    /** Notes that a request was answered well: what it met with was not of its making. */
+    public void onSucceeded(Fingerprint request) {
+        if (mBook.forget(request)) {
+            mListener.onCleared(request);
+        }
+    }
+
+    /** Takes in that another node has seen a request answered. */
+    public void onCleared(Fingerprint request) {
+        mBook.forget(request);
+    }
+
     /** Forgets what is old. */
     public void sweep(long nowNanos) {
         mSuspicions.removeIf(suspicion -> isOld(suspicion, nowNanos));
--- a/src/test/java/org/fescueport/internal/direct/place/CrashWatchTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashWatchTest.java
@@ -11,6 +11,7 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.state.ReplicaEntry;
@@ -25,7 +26,18 @@
     private final List<String> mStrikes = new ArrayList<>();
 
     CrashWatchTest() {
-        mWatch.listen((request, replica) -> mStrikes.add(replica.node().name()));
+        mWatch.listen(
+                new CrashWatch.Listener() {
+                    @Override
+                    public void onStrike(Fingerprint request, AgentIncarnation replica) {
+                        mStrikes.add(replica.node().name());
+                    }
+
+                    @Override
+                    public void onCleared(Fingerprint request) {
+                        mStrikes.add("cleared");
+                    }
+                });
     }
 
     private static ReplicaEntry replica(String id) {
@@ -53,6 +65,16 @@
         assertThat(mStrikes, is(List.of("a", "b")));
     }
 
+    @Test
+    void shouldClearARequestThatIsAnsweredAlthoughReplicasDiedWithIt() {
+        crash("a", 0);
+        crash("b", 0);
+        mWatch.onSucceeded(REQUEST);
+        mWatch.onSucceeded(REQUEST);
+        assertThat(mWatch.isPoison(REQUEST, 4 * SECOND), is(false));
+        assertThat(mStrikes, is(List.of("a", "b", "cleared")));
+    }
+
     @Test
     void shouldNotHoldALostAnswerAgainstARequestWhileTheReplicaLives() {
         for (String id : List.of("a", "b", "c")) {
--- a/src/test/java/org/fescueport/platform/ReplicaStandIn.java
+++ b/src/test/java/org/fescueport/platform/ReplicaStandIn.java
@@ -11,7 +11,9 @@
 final class ReplicaStandIn implements AutoCloseable {
     private final String mId;
     private final String mService;
-    private final RawServer mServer;
+    private RawServer mServer;
+    private int mLife = 1;
+    private volatile boolean mUp = true;
     private final List<Request> mRequests = new ArrayList<>();
 
     private ReplicaStandIn(String id, String service, Script script) throws IOException {
@@ -82,8 +84,26 @@
     String entry(String state) {
         return """
         {"service":"%s","address":"127.0.0.1:%d","zone":"north","version":"v1","slots":8,\
-        "state":"%s","cold_remaining_ms":0,"seq":1,"born":1700000000000}"""
-                .formatted(mService, mServer.address().getPort(), state);
+        "state":"%s","cold_remaining_ms":0,"seq":1,"born":170000000000%d}"""
+                .formatted(mService, mServer.address().getPort(), state, mLife);
+    }
+
+    /** Ends with all its connections. */
+    void crash() throws IOException {
+        mUp = false;
+        mServer.close();
+    }
+
+    boolean isUp() {
+        return mUp;
+    }
+
+    /** Begins another life, elsewhere. */
+    void startAgain(StoreStandIn store, Script script) throws IOException {
+        mLife++;
+        mUp = true;
+        mServer = RawServer.start((request, wire) -> record(request, wire, script));
+        register(store, "ready");
     }
 
     @Override
