Callers' connections and held bodies are bounded by the process's own limits

Cause: nothing bounded them. Trial with the program as deployed (128 MB heap): 1,500 callers each in the middle of a body of 90 KB took the heap whole, the health check was no longer answered and the process did not recover. Ruled out: connections alone (4,000 idle ones at 4,096 descriptors: all answered, 76 MB). Change: CallerQuota: bodies may hold a quarter of the heap, further ones are refused at once as not run; connections six tenths of the open files, for a new one the longest idle one ends. MachineLimits reads both at the start. Conclusion: memory and descriptors near their limits refuse, they no longer stop the node.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -19,6 +19,7 @@
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.forward.CallerQuota;
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
@@ -142,6 +143,7 @@
                         health,
                         mBudgets,
                         crashes,
+                        CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
                         new SplittableRandom(settings.node().hashCode()));
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -21,6 +21,7 @@
  * @param retryWindow in which those are counted
  * @param stopTime from the signal to stop until the process is ended by force
  * @param logLinesPerSecond most lines a second, of decisions and of changes each
+ * @param limits what callers may take of this process
  */
 public record DirectRouterSettings(
         String node,
@@ -35,7 +36,8 @@
         double retryAllowance,
         Duration retryWindow,
         Duration stopTime,
-        int logLinesPerSecond) {
+        int logLinesPerSecond,
+        MachineLimits limits) {
     public DirectRouterSettings {
         seeds = List.copyOf(seeds);
     }
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/MachineLimits.java
@@ -0,0 +1,52 @@
+package org.fescueport.internal.direct;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * What callers may take of this process, so that neither descriptors nor memory run out.
+ *
+ * <pre>{@code
+ * var limits = MachineLimits.ofThisProcess();
+ * }</pre>
+ *
+ * @param callers connections of callers at a time
+ * @param bodyBytes bytes of callers' bodies that are held at a time
+ */
+public record MachineLimits(int callers, long bodyBytes) {
+    /** Of the open files; the rest is for replicas, peers and the store. */
+    private static final double CALLERS_PART = 0.6;
+
+    /** Of the heap; a body is held until its answer is complete, and is copied once to be sent. */
+    private static final double BODIES_PART = 0.25;
+
+    /** What Linux allows a process that was given no other limit. */
+    private static final int STANDARD_FILES = 1_024;
+
+    private static final Path LIMITS = Path.of("/proc/self/limits");
+    private static final Pattern FILES = Pattern.compile("Max open files +([0-9]+) .*");
+
+    /** Returns the limits that follow from the heap and from the open files of this process. */
+    public static MachineLimits ofThisProcess() {
+        long bodies = (long) (BODIES_PART * Runtime.getRuntime().maxMemory());
+        return new MachineLimits((int) (CALLERS_PART * openFiles()), bodies);
+    }
+
+    /** Where the limit can't be read the least one that is usual holds. */
+    private static long openFiles() {
+        try (Stream<String> lines = Files.lines(LIMITS)) {
+            return lines.map(FILES::matcher)
+                    .filter(Matcher::matches)
+                    .mapToLong(found -> Long.parseLong(found.group(1)))
+                    .map(files -> Math.min(files, Integer.MAX_VALUE))
+                    .findFirst()
+                    .orElse(STANDARD_FILES);
+        } catch (IOException e) {
+            return STANDARD_FILES;
+        }
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -54,6 +54,7 @@
     private boolean mDiscardsBody;
     private boolean mHasAsked;
     private long mSinceNanos;
+    private long mHeldBytes;
 
     CallerConnection(ForwardingContext context, CallerConnections connections) {
         mContext = context;
@@ -107,13 +108,28 @@
         }
     }
 
+    /** Returns whether nothing is asked on the connection. */
+    boolean isIdle() {
+        return !mAnswering && mRequest == null;
+    }
+
+    /** Returns how long the connection has been idle, or has been sending its request. */
+    long waitedNanos(long nowNanos) {
+        return nowNanos - mSinceNanos;
+    }
+
+    /** Ends the connection at once. */
+    void close() {
+        mChannel.close();
+    }
+
     /** Closes a connection that has been idle, or has sent its request slowly, for too long. */
     void sweep(long nowNanos, boolean stopping) {
         if (mAnswering) {
             return;
         }
         var limits = mConnections.limits();
-        long waited = nowNanos - mSinceNanos;
+        long waited = waitedNanos(nowNanos);
         if (mRequest == null) {
             if (waited > idleTime(limits, stopping).toNanos()) {
                 mChannel.close();
@@ -181,6 +197,12 @@
             refuse(Refusal.Reason.BODY_TOO_LARGE, "the body is larger than the limit");
             return;
         }
+        if (!mContext.quota().tryHold(content.content().readableBytes())) {
+            content.release();
+            refuse(Refusal.Reason.NOT_RUN, "this node holds too many bodies");
+            return;
+        }
+        mHeldBytes += content.content().readableBytes();
         if (content.content().isReadable()) {
             mBody.addComponent(true, content.content());
         } else {
@@ -270,6 +292,7 @@
     private void onAnswered(io.netty.channel.ChannelFuture written) {
         mExchange = null;
         mSinceNanos = mContext.nowNanos();
+        releaseHeld();
         if (mClosesAfterAnswer) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
@@ -291,7 +314,7 @@
     /** Refuses a request of which the end is not known; nothing more is read. */
     private void refuse(Refusal.Reason reason, String message) {
         Optional<String> id = Optional.ofNullable(mRequest).map(CallerRequest::id);
-        var refusal = Refusal.of(reason, id, message);
+        var refusal = Refusal.whileReading(reason, id, message);
         mDiscardsBody = true;
         mClosesAfterAnswer = true;
         mAnswering = true;
@@ -318,7 +341,13 @@
                 .write();
     }
 
+    private void releaseHeld() {
+        mContext.quota().release(mHeldBytes);
+        mHeldBytes = 0;
+    }
+
     private void releaseAll() {
+        releaseHeld();
         mRequest = null;
         if (mBody != null) {
             mBody.release();
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -1,7 +1,9 @@
 package org.fescueport.internal.direct.forward;
 
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
@@ -27,10 +29,27 @@
                 .orElseGet(CallerLimits::standard);
     }
 
+    /** Takes a connection in; when there are too many, the one that has been idle longest ends. */
     void onOpened(CallerConnection connection) {
+        if (mContext.quota().isExceededBy(mOpen.size() + 1)) {
+            Optional<CallerConnection> idle = longestIdle();
+            mContext.log()
+                    .decision("too-many-callers")
+                    .with("open", mOpen.size())
+                    .with("ends", idle.isPresent() ? "an idle one" : "the new one")
+                    .write();
+            idle.orElse(connection).close();
+        }
         mOpen.add(connection);
     }
 
+    private Optional<CallerConnection> longestIdle() {
+        long now = mContext.nowNanos();
+        return mOpen.stream()
+                .filter(CallerConnection::isIdle)
+                .max(Comparator.comparingLong(idle -> idle.waitedNanos(now)));
+    }
+
     void onClosed(CallerConnection connection) {
         mOpen.remove(connection);
     }
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerQuota.java
@@ -0,0 +1,41 @@
+package org.fescueport.internal.direct.forward;
+
+/**
+ * Counts what callers take of this process: connections, and bytes of bodies that are held.
+ *
+ * <p>Used by the event loop alone.
+ */
+public final class CallerQuota {
+    private final int mMaxConnections;
+    private final long mMaxBodyBytes;
+    private long mBodyBytes;
+
+    private CallerQuota(int maxConnections, long maxBodyBytes) {
+        mMaxConnections = maxConnections;
+        mMaxBodyBytes = maxBodyBytes;
+    }
+
+    /** Returns a quota of which nothing is taken. */
+    public static CallerQuota of(int maxConnections, long maxBodyBytes) {
+        return new CallerQuota(maxConnections, maxBodyBytes);
+    }
+
+    /** Returns whether this many connections are too many. */
+    boolean isExceededBy(int connections) {
+        return connections > mMaxConnections;
+    }
+
+    /** Takes bytes of a body; false when there is no room for them. */
+    boolean tryHold(int bytes) {
+        if (mBodyBytes + bytes > mMaxBodyBytes) {
+            return false;
+        }
+        mBodyBytes += bytes;
+        return true;
+    }
+
+    /** Gives bytes back that are no longer held. */
+    void release(long bytes) {
+        mBodyBytes -= bytes;
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -21,6 +21,7 @@
         ReplicaHealth health,
         RetryBudgets budgets,
         CrashWatch crashes,
+        CallerQuota quota,
         ForwardingMetrics metrics,
         EventLog log,
         RandomGenerator random) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Refusal.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Refusal.java
@@ -12,6 +12,8 @@
  */
 public record Refusal(
         Reason reason, Optional<String> requestId, String message, Optional<Duration> retryAfter) {
+    private static final Duration NEXT_SECOND = Duration.ofSeconds(1);
+
     /** Why a request gets no answer of a replica. */
     public enum Reason {
         /** The request breaks the protocol. */
@@ -50,6 +52,16 @@
         return new Refusal(reason, requestId, message, Optional.empty());
     }
 
+    /**
+     * Returns a refusal of a request that has not been read to its end; where a later try can
+     * succeed it names the next second.
+     */
+    public static Refusal whileReading(Reason reason, Optional<String> requestId, String message) {
+        Optional<Duration> retryAfter =
+                reason == Reason.NOT_RUN ? Optional.of(NEXT_SECOND) : Optional.empty();
+        return new Refusal(reason, requestId, message, retryAfter);
+    }
+
     /** Returns a refusal of a request that has not run, with when to come back. */
     public static Refusal notRun(String requestId, String message, Duration retryAfter) {
         return new Refusal(
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.direct.DirectRouter;
 import org.fescueport.internal.direct.DirectRouterSettings;
+import org.fescueport.internal.direct.MachineLimits;
 import org.fescueport.internal.direct.MetersText;
 import org.fescueport.internal.direct.log.EventLog;
 
@@ -25,6 +26,9 @@
     /** So that a router that has just started may retry. */
     private static final double AMPLE_RETRIES = 100_000;
 
+    static final int MAX_CALLERS = 20;
+    static final int MAX_BODY_BYTES = 300_000;
+
     private static final Duration STOP_TIME = Duration.ofSeconds(8);
 
     private final DirectRouter mRouter;
@@ -94,7 +98,8 @@
                 AMPLE_RETRIES,
                 Duration.ofSeconds(10),
                 STOP_TIME,
-                1_000);
+                1_000,
+                new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
     }
 
     /** Waits until the router wants callers. */
