Not run is checked at each refusal, at most once at each sending

Cause: behind four replicas that could not be reached a request was refused as not run although its first sending may have run; nothing in the direct way checked its own promises. Ruled out: requests that may run once: they are never sent a second time behind a lost answer. Change: 502 there; Exchange checks at each sending that the kind allows it and the route's attempts hold, and at each refusal that nothing may have run. Conclusion: the promise of a refusal holds on every way out.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.fescueport.internal.decision.Invariants;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
@@ -147,6 +148,8 @@
             sendToNext("not sent before");
         } else if (mRelay.hasBegun()) {
             cut(reason);
+        } else if (mMayHaveRun) {
+            fail(Refusal.Reason.UNKNOWN_OUTCOME, "it may have run, and no replica is reached now");
         } else {
             refuse(reason);
         }
@@ -270,6 +273,7 @@
         var replica = chosen.get().replica();
         mTried.add(replica.id());
         mSends++;
+        checkSending();
         mAttempt = new Attempt(this, mContext, replica, mSends);
         mContext.metrics().onSend(mSends > 1);
         log("sent", mAttempt, why);
@@ -288,6 +292,20 @@
         link.send(message, mRequest.id(), once, connections, mAttempt);
     }
 
+    private void checkSending() {
+        Invariants.check(
+                mRoute.kind().isRepeatable() || !mMayHaveRun,
+                "request %s may have run and is sent again",
+                mRequest.id());
+        Invariants.check(
+                mSends <= Math.max(1, mRoute.maxAttempts()),
+                "request %s is sent %d times, route %s allows %d",
+                mRequest.id(),
+                mSends,
+                mRoute.name(),
+                mRoute.maxAttempts());
+    }
+
     private void onNoReplica() {
         if (mRelay.hasBegun()) {
             cut("no other replica is there");
@@ -370,6 +388,7 @@
     }
 
     private void refuse(String message) {
+        Invariants.check(!mMayHaveRun, "request %s may have run and is refused", mRequest.id());
         var retryAfter = mTime.retryAfter(mContext.random());
         mCaller.answer(
                 mContext.protocol()
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -20,6 +20,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -92,6 +93,27 @@
         }
     }
 
+    @Test
+    void shouldNotSayNotRunWhenARepeatReachesNobody() throws Exception {
+        List<ReplicaStandIn> replicas = new ArrayList<>();
+        Script allDie =
+                (request, wire) -> {
+                    for (var replica : replicas) {
+                        replica.crash();
+                    }
+                };
+        try (var fleet = Installation.start(allDie, STREAM)) {
+            replicas.add(fleet.replica("api-1"));
+            replicas.add(fleet.replica("api-2"));
+            for (int i = 3; i <= 8; i++) {
+                replicas.add(ReplicaStandIn.start("api-" + i, "api", allDie));
+                replicas.getLast().register(fleet.store(), "ready");
+            }
+            Await.pause(1_000);
+            assertThat(fleet.ask(get("/safe/x")).status(), is(502));
+        }
+    }
+
     @Test
     void shouldNotRepeatWhatMayRunOnceWhenItsAnswerIsLost() throws Exception {
         try (var fleet = Installation.start((request, wire) -> wire.reset(), STREAM)) {
