--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -19,6 +19,7 @@
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.forward.CallerQuota;
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
@@ -123,9 +124,13 @@
                 });
         mBudgets =
                 RetryBudgets.create(
-                        settings.retryShare(), settings.retryAllowance(), UNKNOWN_NODES);
+                        settings.retryShare(),
+                        settings.retryAllowance(),
+                        settings.retryWindow(),
+                        UNKNOWN_NODES,
+                        parts.clock());
         var crashes = CrashWatch.create();
-        crashes.listen(this::spreadStrike);
+        crashes.listen(new FromCrashWatch());
         mPeers.listen(new FromPeers(crashes));
         var context =
                 new ForwardingContext(
@@ -138,6 +143,7 @@
                         health,
                         mBudgets,
                         crashes,
+                        CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
                         new SplittableRandom(settings.node().hashCode()));
@@ -307,13 +313,23 @@
         mPeers.spread(batch.topic(), news, origin);
     }
 
-    private void spreadStrike(Fingerprint request, AgentIncarnation replica) {
-        mParts.log()
-                .change("replica-died-of-request")
-                .with("replica", replica)
-                .with("team", request.team())
-                .write();
-        mPeers.spread(StrikeCodec.encode(request, replica));
+    /** What this node finds about requests that replicas may have died of. */
+    private final class FromCrashWatch implements CrashWatch.Listener {
+        @Override
+        public void onStrike(Fingerprint request, AgentIncarnation replica) {
+            mParts.log()
+                    .change("replica-died-of-request")
+                    .with("replica", replica)
+                    .with("team", request.team())
+                    .write();
+            mPeers.spread(StrikeCodec.encode(request, replica));
+        }
+
+        @Override
+        public void onCleared(Fingerprint request) {
+            mParts.log().change("request-cleared").with("team", request.team()).write();
+            mPeers.spread(StrikeCodec.encodeAnswered(request));
+        }
     }
 
     /** What this node reads from the store itself. */
@@ -344,6 +360,10 @@
 
         @Override
         public void onStrike(PeerStrike strike) {
+            if (strike.getAnswered()) {
+                mCrashes.onCleared(StrikeCodec.request(strike));
+                return;
+            }
             mCrashes.onStrike(
                     StrikeCodec.request(strike),
                     StrikeCodec.replica(strike),
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -18,8 +18,10 @@
  * @param metricsPath on which counters are served
  * @param retryShare retries for each request that the whole fleet may send
  * @param retryAllowance retries in a window that the fleet may send beyond the share
+ * @param retryWindow in which those are counted
  * @param stopTime from the signal to stop until the process is ended by force
  * @param logLinesPerSecond most lines a second, of decisions and of changes each
+ * @param limits what callers may take of this process
  */
 public record DirectRouterSettings(
         String node,
@@ -32,8 +34,10 @@
         String metricsPath,
         double retryShare,
         double retryAllowance,
+        Duration retryWindow,
         Duration stopTime,
-        int logLinesPerSecond) {
+        int logLinesPerSecond,
+        MachineLimits limits) {
     public DirectRouterSettings {
         seeds = List.copyOf(seeds);
     }
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -20,6 +20,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -92,6 +93,27 @@
         }
     }
 
+    @Test
+    void shouldNotSayNotRunWhenARepeatReachesNobody() throws Exception {
+        List<ReplicaStandIn> replicas = new ArrayList<>();
+        Script allDie =
+                (request, wire) -> {
+                    for (var replica : replicas) {
+                        replica.crash();
+                    }
+                };
+        try (var fleet = Installation.start(allDie, STREAM)) {
+            replicas.add(fleet.replica("api-1"));
+            replicas.add(fleet.replica("api-2"));
+            for (int i = 3; i <= 8; i++) {
+                replicas.add(ReplicaStandIn.start("api-" + i, "api", allDie));
+                replicas.getLast().register(fleet.store(), "ready");
+            }
+            Await.pause(1_000);
+            assertThat(fleet.ask(get("/safe/x")).status(), is(502));
+        }
+    }
+
     @Test
     void shouldNotRepeatWhatMayRunOnceWhenItsAnswerIsLost() throws Exception {
         try (var fleet = Installation.start((request, wire) -> wire.reset(), STREAM)) {
@@ -119,6 +141,30 @@
         }
     }
 
+    @Test
+    void shouldGoElsewhereWhenTheAddressBelongsToAnotherReplicaNow() throws Exception {
+        Script other =
+                (request, wire) ->
+                        wire.answer(421, "Fescueport-Replica-Id: other\r\n", "no".getBytes());
+        try (var fleet = Installation.start(firstThen(other, GOOD), firstThen(other, STREAM))) {
+            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            assertThat(fleet.arrivals("api"), is(2));
+            assertThat(fleet.ask(post("/stream/x", "hello")).body(), is(events(1, 3)));
+            assertThat(fleet.arrivals("llm"), is(2));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/unsafe/x", "/once/x", "/stream/x"})
+    void shouldSayNotRunWhenEveryAddressBelongsToAnotherReplica(String path) throws Exception {
+        Script other = (request, wire) -> wire.answer(421, "", new byte[0]);
+        try (var fleet = Installation.start(other, other)) {
+            var answer = fleet.ask(post(path, "hello"));
+            assertThat(answer.status(), is(503));
+            assertThat(answer.header("Retry-After"), notNullValue());
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "408, /unsafe/x, 0",
