--- a/src/main/java/org/fescueport/internal/agent/AgentCore.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentCore.java
@@ -27,7 +27,6 @@
 import org.fescueport.internal.decision.attempt.Refusal;
 import org.fescueport.internal.decision.attempt.RefusalReason;
 import org.fescueport.internal.decision.attempt.Submission;
-import org.fescueport.internal.decision.claim.StoredAnswer;
 import org.fescueport.internal.decision.placement.LoadBound;
 import org.fescueport.internal.log.poison.PoisonGuard;
 import org.fescueport.internal.telemetry.Telemetry;
@@ -59,27 +58,20 @@
     private static final double PREFILL_PER_SECOND = 20_000;
 
     private static final double DECODE_PER_SECOND = 50;
-    private static final String BACKEND_LOST = "backend_lost";
 
     /** Who this agent is. */
     record Identity(String node, long incarnation, String failureDomain) {}
 
     private final Identity mIdentity;
     private final SubmitGuard mGuard;
-    private final Backend mBackend;
-    private final Executor mLoop;
     private final Clock mClock;
     private final Telemetry mTelemetry;
     private final AgentCounters mCounters;
     private final AttemptRegister mRegister = AttemptRegister.create(REGISTER_LIMITS);
     private final AnswerBuffer mBuffer = AnswerBuffer.create(BUFFER_LIMITS);
     private final Refusals mRefusals;
-    private final RunProgress.Shared mShared;
+    private final RunLifecycle mLifecycle;
     private final AdmissionQueue mQueue;
-    private KeyedRuns mKeyed;
-    private KeyedStart mKeyedStart;
-    private PoisonGate mPoison;
-    private CacheImport mImport;
     private CacheHandover mHandover;
     private long mHandoverSeconds;
     private final Speeds mSpeeds = Speeds.startingAt(PREFILL_PER_SECOND, DECODE_PER_SECOND);
@@ -98,17 +90,25 @@
             Telemetry telemetry) {
         mIdentity = identity;
         mGuard = SubmitGuard.of(identity, clock);
-        mBackend = backend;
         var bound = LoadBound.of(DEFAULT_LOAD_BOUND, FLOOR_TOKENS);
         mQueue = AdmissionQueue.create(new AdmissionLimits(inFlight, queue, bound), mSpeeds);
-        mLoop = loop;
         mClock = clock;
         mTelemetry = telemetry;
         mCounters = AgentCounters.of(telemetry);
         mRefusals = Refusals.of(identity.node(), mCounters, this::load);
-        mShared =
-                new RunProgress.Shared(
-                        mQueue, mSpeeds, mBuffer, mCounters, this::load, clock, this::onBackendEnd);
+        mLifecycle =
+                RunLifecycle.of(
+                        new RunLifecycle.Parts(
+                                backend,
+                                mRegister,
+                                mBuffer,
+                                mQueue,
+                                mSpeeds,
+                                mCounters,
+                                this::load,
+                                loop,
+                                clock),
+                        new Ends());
     }
 
     static AgentCore create(
@@ -127,19 +127,18 @@
      * before the first frame.
      */
     void use(KeyedRuns keyed, PoisonGuard guard) {
-        mPoison = PoisonGate.of(guard, mLoop, new AdmittedRuns(), mClock);
-        mKeyed = keyed;
-        mKeyedStart = KeyedStart.of(this, keyed, mLoop);
+        mLifecycle.use(keyed, guard);
     }
 
     /** Sets what brings caches from other agents; without it none is brought. */
     void use(CacheImport cacheImport) {
-        mImport = cacheImport;
+        mLifecycle.use(cacheImport);
     }
 
     /** Sets what hands caches over on a planned leave, for at most so long. */
     void use(CacheHandover handover, long seconds) {
         mHandover = handover;
+        mLifecycle.use(handover);
         mHandoverSeconds = seconds;
     }
 
@@ -209,11 +208,12 @@
         }
         run.cancelBackend();
         if (run.isStarted()) {
-            end(run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
+            mLifecycle.end(
+                    run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
             mBuffer.discard(id);
         } else {
             mRegister.refuse(id, RefusalReason.CANCELLED, run.deadlineNanos(), now());
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "cancelled", ""));
+            mLifecycle.end(run, BackendListener.End.failed(Outcome.NOT_RUN, "cancelled", ""));
         }
     }
 
@@ -226,7 +226,8 @@
             case Refusal.Recorded recorded -> {
                 var run = mRuns.get(id);
                 if (run != null && !run.isEnded()) {
-                    end(run, BackendListener.End.failed(Outcome.NOT_RUN, "given_up", ""));
+                    mLifecycle.end(
+                            run, BackendListener.End.failed(Outcome.NOT_RUN, "given_up", ""));
                 }
                 mRefusals.tellNotRun(connection, id, recorded.reason());
             }
@@ -320,7 +321,7 @@
         switch (mQueue.offer(run.offer(), now())) {
             case Admission.Admitted ignored -> {
                 track(run);
-                start(run);
+                mLifecycle.start(run);
             }
             case Admission.Queued ignored -> {
                 track(run);
@@ -344,7 +345,7 @@
     private void poll() {
         var step = mQueue.poll(now());
         for (var offer : step.started()) {
-            start(mRuns.get(offer.id()));
+            mLifecycle.start(mRuns.get(offer.id()));
         }
         for (var givenUp : step.givenUp()) {
             giveUp(mRuns.get(givenUp.offer().id()), givenUp);
@@ -358,163 +359,7 @@
                         Outcome.NOT_RUN,
                         lower(givenUp.reason()),
                         "given up in the queue of " + mIdentity.node());
-        close(run, end, givenUp.retryAfterMillis());
-    }
-
-    private void start(Run run) {
-        mPoison.admit(run);
-    }
-
-    private void startAdmitted(Run run) {
-        if (run.submit().getNotRepeatable()) {
-            mKeyedStart.begin(run);
-        } else if (passGate(run)) {
-            call(run);
-        }
-    }
-
-    /** Answers a run with what its key gave the first time. */
-    void repeat(Run run, StoredAnswer answer) {
-        mCounters.onRepeatedKey();
-        run.add(mBuffer.append(run.id(), answer.body()));
-        var usage = BackendListener.Usage.NONE;
-        end(
-                run,
-                new BackendListener.End(
-                        Outcome.COMPLETED,
-                        "repeated_key",
-                        "",
-                        answer.status(),
-                        answer.contentType(),
-                        "",
-                        usage),
-                0);
-    }
-
-    /** Records that a run which has not started never will. */
-    void refuseBeforeStart(Run run, RefusalReason reason) {
-        if (!run.isEnded()) {
-            mRegister.refuse(run.id(), reason, run.deadlineNanos(), now());
-        }
-    }
-
-    /** The gate to the backend server: records the start, or ends the run. */
-    boolean passGate(Run run) {
-        if (run.isEnded()) {
-            return false;
-        }
-        if (!mBuffer.open(run.id(), run.team(), Math.max(1, run.submit().getFirstChunk()))) {
-            refuseBeforeStart(run, RefusalReason.ANSWERS_FULL);
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "answers_full", ""));
-            return false;
-        }
-        if (!mRegister.start(run.id(), now())) {
-            mBuffer.discard(run.id());
-            end(
-                    run,
-                    BackendListener.End.failed(
-                            Outcome.NOT_RUN, "deadline_passed", "it waited past its deadline"));
-            return false;
-        }
-        if (!mPoison.start(run)) {
-            mRegister.finish(run.id(), now());
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "suspect", ""));
-            return false;
-        }
-        run.markStarted(now());
-        return true;
-    }
-
-    /** Hands a run that has passed the gate to the backend server. */
-    void call(Run run) {
-        if (mImport == null) {
-            callBackend(run);
-        } else {
-            mImport.before(run, () -> callBackend(run));
-        }
-    }
-
-    private void callBackend(Run run) {
-        if (run.isEnded()) {
-            return;
-        }
-        mCounters.onStart();
-        var traceparent = Telemetry.traceparentOf(run.span());
-        var listener = LoopedListener.of(mLoop, RunProgress.of(run, mShared));
-        run.setHandle(BackendCall.start(mBackend, run.submit(), traceparent, listener));
-    }
-
-    private void end(Run run, BackendListener.End end) {
-        end(run, end, 0);
-    }
-
-    /** Ends a run with its final outcome, and lets others start in its place. */
-    void end(Run run, BackendListener.End end, long retryAfterMillis) {
-        close(run, end, retryAfterMillis);
-        poll();
-    }
-
-    private void close(Run run, BackendListener.End end, long retryAfterMillis) {
-        if (run.isEnded()) {
-            return;
-        }
-        mActive--;
-        long now = now();
-        if (run.isStarted()) {
-            mRegister.finish(run.id(), now);
-            mBuffer.end(run.id(), now);
-            keepAnswer(run, end);
-            if (mHandover != null && end.outcome() == Outcome.COMPLETED) {
-                mHandover.onCompleted(run, end.usage().promptTokens());
-            }
-            mPoison.onEnd(run, "cancelled".equals(end.reason()));
-        }
-        if (!mQueue.cancel(run.id())) {
-            mQueue.onFinished(run.id());
-        }
-        var outcome = AgentFrames.outcome(run.id(), end, retryAfterMillis, load(), run.strikes());
-        run.end(outcome, now);
-        mEnded.addLast(run);
-        mCounters.onOutcome(end.outcome(), end.reason());
-        run.span().setAttribute("fescue.outcome", lower(end.outcome()));
-        run.span().end();
-        mPoison.onClosed(run);
-    }
-
-    private void keepAnswer(Run run, BackendListener.End end) {
-        if (run.permit() == null) {
-            return;
-        }
-        boolean isWhole = end.outcome() == Outcome.COMPLETED;
-        mKeyed.finish(
-                run.permit(),
-                isWhole
-                        ? Optional.of(KeyedRuns.answerOf(end, run.firstPiece()))
-                        : Optional.empty());
-    }
-
-    private void onBackendEnd(Run run, BackendListener.End end) {
-        if (BACKEND_LOST.equals(end.reason())) {
-            endAfterHealthCheck(run, end);
-        } else {
-            end(run, end);
-        }
-    }
-
-    /** Tells a lost connection from a dead backend server, before the router hears of either. */
-    private void endAfterHealthCheck(Run run, BackendListener.End end) {
-        mBackend.checkHealth()
-                .whenComplete(
-                        (ok, failure) ->
-                                mLoop.execute(
-                                        () -> {
-                                            if (failure != null) {
-                                                onHealth(false);
-                                                mCounters.onBackendDeath();
-                                                run.setStrikes(mPoison.onBackendDied(run));
-                                            }
-                                            end(run, end);
-                                        }));
+        mLifecycle.close(run, end, givenUp.retryAfterMillis());
     }
 
     /** Cancels attempts that became suspect elsewhere, unless they may not be repeated. */
@@ -523,7 +368,8 @@
             var run = mRuns.get(id);
             if (run != null && !run.isEnded() && run.permit() == null) {
                 run.cancelBackend();
-                end(run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
+                mLifecycle.end(
+                        run, BackendListener.End.failed(Outcome.FAILED_AFTER_RUN, "cancelled", ""));
             }
         }
     }
@@ -531,7 +377,7 @@
     private void dropSuperseded(AttemptId id) {
         var run = mRuns.get(id);
         if (run != null) {
-            end(run, BackendListener.End.failed(Outcome.NOT_RUN, "superseded", ""));
+            mLifecycle.end(run, BackendListener.End.failed(Outcome.NOT_RUN, "superseded", ""));
         }
     }
 
@@ -556,17 +402,22 @@
         return mClock.monotonicTime();
     }
 
-    /** Goes on with, or ends, what the gate against poison has decided on. */
-    private final class AdmittedRuns implements PoisonGate.Runs {
+    /** What the ends of runs mean here: they are kept for a while, and others start. */
+    private final class Ends implements RunLifecycle.Listener {
+        @Override
+        public void onClosed(Run run) {
+            mActive--;
+            mEnded.addLast(run);
+        }
+
         @Override
-        public void proceed(Run run) {
-            startAdmitted(run);
+        public void onPlaceFree() {
+            poll();
         }
 
         @Override
-        public void end(Run run, BackendListener.End end, long retryAfterMillis) {
-            refuseBeforeStart(run, RefusalReason.POISON);
-            AgentCore.this.end(run, end, retryAfterMillis);
+        public void onBackendDown() {
+            onHealth(false);
         }
     }
 }
--- a/src/main/java/org/fescueport/internal/agent/KeyedStart.java
+++ b/src/main/java/org/fescueport/internal/agent/KeyedStart.java
@@ -7,18 +7,18 @@
 
 /** Starts runs that may not be repeated, once their key is granted; on the agent's loop. */
 final class KeyedStart {
-    private final AgentCore mCore;
+    private final RunLifecycle mLifecycle;
     private final KeyedRuns mKeyed;
     private final Executor mLoop;
 
-    private KeyedStart(AgentCore core, KeyedRuns keyed, Executor loop) {
-        mCore = core;
+    private KeyedStart(RunLifecycle lifecycle, KeyedRuns keyed, Executor loop) {
+        mLifecycle = lifecycle;
         mKeyed = keyed;
         mLoop = loop;
     }
 
-    static KeyedStart of(AgentCore core, KeyedRuns keyed, Executor loop) {
-        return new KeyedStart(core, keyed, loop);
+    static KeyedStart of(RunLifecycle lifecycle, KeyedRuns keyed, Executor loop) {
+        return new KeyedStart(lifecycle, keyed, loop);
     }
 
     /** Asks for the key and goes on when the verdict is there. */
@@ -32,11 +32,11 @@
             case KeyedRuns.Verdict.Run granted -> start(run, granted.permit());
             case KeyedRuns.Verdict.Done done -> repeatAnswer(run, done.answer());
             case KeyedRuns.Verdict.Unknown unknown -> {
-                mCore.refuseBeforeStart(run, RefusalReason.CLAIM_REFUSED);
+                mLifecycle.refuseBeforeStart(run, RefusalReason.CLAIM_REFUSED);
                 end(run, Outcome.UNKNOWN, "begun_before", unknown.detail(), 0);
             }
             case KeyedRuns.Verdict.Refused refused -> {
-                mCore.refuseBeforeStart(run, RefusalReason.CLAIM_REFUSED);
+                mLifecycle.refuseBeforeStart(run, RefusalReason.CLAIM_REFUSED);
                 var name = KeyedRuns.nameOf(refused.reason());
                 var text = KeyTexts.of(refused);
                 end(run, Outcome.NOT_RUN, name, text, refused.retryAfterMillis());
@@ -45,7 +45,7 @@
     }
 
     private void start(Run run, KeyedRuns.Permit permit) {
-        if (!mCore.passGate(run)) {
+        if (!mLifecycle.passGate(run)) {
             mKeyed.giveBack(permit);
             return;
         }
@@ -54,15 +54,15 @@
             return;
         }
         run.setPermit(permit);
-        mCore.call(run);
+        mLifecycle.call(run);
     }
 
     private void repeatAnswer(Run run, StoredAnswer answer) {
-        if (!mCore.passGate(run)) {
+        if (!mLifecycle.passGate(run)) {
             return;
         }
         if (answer.bodyKept()) {
-            mCore.repeat(run, answer);
+            mLifecycle.repeat(run, answer);
             return;
         }
         var text = "it was run before; its answer was too long to be kept";
@@ -70,6 +70,6 @@
     }
 
     private void end(Run run, Outcome outcome, String reason, String text, long retryAfterMillis) {
-        mCore.end(run, BackendListener.End.failed(outcome, reason, text), retryAfterMillis);
+        mLifecycle.end(run, BackendListener.End.failed(outcome, reason, text), retryAfterMillis);
     }
 }
