AgentProcess: what is made of an agent's parts is AgentParts

Ruled out: nothing; behaviour is meant to stay. Change: AgentParts makes keyed runs, cache import and handover and the guard against poison.

--- a/src/main/java/org/fescueport/internal/agent/AgentProcess.java
+++ b/src/main/java/org/fescueport/internal/agent/AgentProcess.java
@@ -14,7 +14,6 @@
 import org.fescueport.internal.decision.Declarations;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
-import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.lease.LeaseHolder;
 import org.fescueport.internal.fleet.AgentConnections;
 import org.fescueport.internal.fleet.ConfigSources;
@@ -24,16 +23,12 @@
 import org.fescueport.internal.http.HttpServer;
 import org.fescueport.internal.http.HttpServerSettings;
 import org.fescueport.internal.http.Routes;
-import org.fescueport.internal.log.claim.AtMostOnce;
 import org.fescueport.internal.log.claim.ClaimDecider;
 import org.fescueport.internal.log.claim.ClaimSettings;
-import org.fescueport.internal.log.claim.OwnerBoundKeys;
 import org.fescueport.internal.log.config.ConfigFollower;
 import org.fescueport.internal.log.config.FollowerSettings;
 import org.fescueport.internal.log.config.SnapshotDuty;
 import org.fescueport.internal.log.lease.LeaseKeeper;
-import org.fescueport.internal.log.poison.PoisonGuard;
-import org.fescueport.internal.log.poison.PoisonSettings;
 import org.fescueport.internal.port.HttpEngine;
 import org.fescueport.internal.port.HttpLogService;
 import org.fescueport.internal.port.HttpPlainService;
@@ -58,7 +53,6 @@
     private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(2);
     private static final Duration GOSSIP_INTERVAL = Duration.ofMillis(250);
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(200);
-    private static final int MAX_OWNED_KEYS = 20_000;
     private static final Duration HEALTH_INTERVAL = Duration.ofSeconds(1);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(40);
     private static final Duration DRAIN_POLL = Duration.ofMillis(20);
@@ -82,6 +76,7 @@
     private final ConfigSources mSources;
     private final ClaimDecider mDecider;
     private final MeanGossip mGossip;
+    private final AgentParts mParts;
     private final Optional<ReplicaStatus> mReplica;
     private final Supervisor mRoot;
     private volatile SharedDuties mDuties;
@@ -141,6 +136,7 @@
                         mLoop,
                         () -> mCore.load().getOutstandingTokens(),
                         mCore::onMean);
+        mParts = parts();
         mReplica = replicaStatus();
         mRoot = supervisor();
     }
@@ -217,6 +213,22 @@
         };
     }
 
+    private AgentParts parts() {
+        return new AgentParts(
+                mSettings,
+                mIncarnation,
+                mMembership,
+                mConnections,
+                mConfig,
+                mDecider,
+                mTokenKeys,
+                mLog,
+                mLoop,
+                mTimers,
+                mClock,
+                mTelemetry);
+    }
+
     private AgentConnections connections() {
         return AgentConnections.create(
                 mTransport,
@@ -229,43 +241,6 @@
                 mTelemetry);
     }
 
-    /** Needs the address that was taken, which a key names as its owner's. */
-    private KeyedRuns keyedRuns() {
-        var self = AgentIncarnation.of(NodeId.of(mSettings.node().node()), mIncarnation);
-        var settings = ClaimSettings.standard();
-        var deciders =
-                ClaimDeciders.create(
-                        self.node(), settings.partitions(), mDecider, mMembership, mConnections);
-        var claims =
-                AtMostOnce.start(self, deciders::of, mClock, mTimers, settings, new SecureRandom());
-        var address = mAddress.getHostString() + ":" + mAddress.getPort();
-        return KeyedRuns.create(
-                claims,
-                OwnerBoundKeys.create(self, address, MAX_OWNED_KEYS, mClock),
-                mTokenKeys.tokens(),
-                mConfig::declarations,
-                settings.window(),
-                mClock,
-                mTimers);
-    }
-
-    private CacheImport cacheImport(Backend.Model model) {
-        var counters = AgentCounters.of(mTelemetry);
-        return CacheImport.of(model.engine(), mMembership, mConnections, mLoop, mClock, counters);
-    }
-
-    private CacheHandover cacheHandover(Backend.Model model) {
-        return CacheHandover.of(
-                model.engine(),
-                NodeId.of(mSettings.node().node()),
-                PoolId.of(mSettings.pool()),
-                mMembership,
-                CacheHandover.over(mConnections),
-                mLoop,
-                mClock,
-                AgentCounters.of(mTelemetry));
-    }
-
     private void onDeclarations(Declarations declarations) {
         var pool = PoolId.of(mSettings.pool());
         declarations
@@ -273,20 +248,6 @@
                 .ifPresent(bound -> mLoop.execute(() -> mCore.onLoadBound(bound)));
     }
 
-    private PoisonGuard poisonGuard() {
-        var node = NodeId.of(mSettings.node().node());
-        var pool = PoolId.of(mSettings.pool());
-        var strikes = StrikeSpread.of(node, pool, mMembership, mConnections);
-        return PoisonGuard.start(
-                AgentIncarnation.of(node, mIncarnation),
-                mLog,
-                mClock,
-                mTimers,
-                PoisonSettings.standard(),
-                strikes::tell,
-                attempts -> mLoop.execute(() -> mCore.cancelSuspects(attempts)));
-    }
-
     private Supervisor supervisor() {
         return Supervisor.of("agent", RestartPolicy.standard(), mTimers, mClock)
                 .add(Worker.of("config", onFailure -> startConfig()))
@@ -398,15 +359,15 @@
         var calls = AgentCalls.create(mConfig, mGossip, mDecider, mLoop);
         var server = AgentServer.of(mCore, mLoop, calls, this::hello);
         mAddress = mTransport.listen(mSettings.node().listen(), server);
-        var keyed = keyedRuns();
-        var guard = poisonGuard();
+        var keyed = mParts.keyedRuns(mAddress);
+        var guard = mParts.poisonGuard(mCore::cancelSuspects);
         calls.use(keyed, guard);
         mCore.use(keyed, guard);
         if (mBackend instanceof Backend.Model model) {
-            var cacheImport = cacheImport(model);
+            var cacheImport = mParts.cacheImport(model);
             calls.use(cacheImport);
             mCore.use(cacheImport);
-            mHandover = cacheHandover(model);
+            mHandover = mParts.cacheHandover(model);
             mCore.use(mHandover, mSettings.drainSeconds());
             mReplica.ifPresent(status -> takeOrders(calls, model, status));
             onServing();
