A node writes on after lines were left out

Cause: the line that tells how many lines were left out went into the log's queue without waking the writer; every later line wakes it only when it is the first, so a node that had once used up its budget wrote nothing any more. Change: one way into the queue, bounded and waking. A limit of open files that cannot be read is told. Figures: EventLogTest.shouldWriteOnAfterLinesWereLeftOutRegressionOfLostWakeUp failed before, passes.

--- a/src/main/java/org/fescueport/internal/direct/MachineLimits.java
+++ b/src/main/java/org/fescueport/internal/direct/MachineLimits.java
@@ -6,12 +6,13 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.fescueport.internal.direct.log.EventLog;
 
 /**
  * What callers may take of this process, so that neither descriptors nor memory run out.
  *
  * <pre>{@code
- * var limits = MachineLimits.ofThisProcess();
+ * var limits = MachineLimits.ofThisProcess(log);
  * }</pre>
  *
  * @param callers connections of callers at a time
@@ -31,13 +32,13 @@
     private static final Pattern FILES = Pattern.compile("Max open files +([0-9]+) .*");
 
     /** Returns the limits that follow from the heap and from the open files of this process. */
-    public static MachineLimits ofThisProcess() {
+    public static MachineLimits ofThisProcess(EventLog log) {
         long bodies = (long) (BODIES_PART * Runtime.getRuntime().maxMemory());
-        return new MachineLimits((int) (CALLERS_PART * openFiles()), bodies);
+        return new MachineLimits((int) (CALLERS_PART * openFiles(log)), bodies);
     }
 
     /** Where the limit can't be read the least one that is usual holds. */
-    private static long openFiles() {
+    private static long openFiles(EventLog log) {
         try (Stream<String> lines = Files.lines(LIMITS)) {
             return lines.map(FILES::matcher)
                     .filter(Matcher::matches)
@@ -46,6 +47,10 @@
                     .findFirst()
                     .orElse(STANDARD_FILES);
         } catch (IOException e) {
+            log.change("open-files-unknown")
+                    .with("assumed", STANDARD_FILES)
+                    .with("cause", e)
+                    .write();
             return STANDARD_FILES;
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/log/EventLog.java
+++ b/src/main/java/org/fescueport/internal/direct/log/EventLog.java
@@ -115,17 +115,24 @@
 
     void add(String line) {
         synchronized (mLock) {
-            if (mLines.size() >= 4 * mLinesPerSecond) {
+            if (!enqueue(line)) {
                 mLeftOut.incrementAndGet();
-                return;
-            }
-            mLines.add(line);
-            if (mLines.size() == 1) {
-                mLock.notifyAll();
             }
         }
     }
 
+    /** The only way into the queue: the writer sleeps while it is empty, and only then. */
+    private boolean enqueue(String line) {
+        if (mLines.size() >= 4 * mLinesPerSecond) {
+            return false;
+        }
+        mLines.add(line);
+        if (mLines.size() == 1) {
+            mLock.notifyAll();
+        }
+        return true;
+    }
+
     private void renewBudget() {
         long now = mClock.monotonicTime();
         if (now - mSecondStart < SECOND_NANOS) {
@@ -134,9 +141,17 @@
         mSecondStart = now;
         mDecisions = 0;
         mChanges = 0;
-        long leftOut = mLeftOut.getAndSet(0);
-        if (leftOut > 0) {
-            mLines.add(new LogLine(this, "lines-left-out", true).with("count", leftOut).text());
+        tellLeftOut();
+    }
+
+    private void tellLeftOut() {
+        long leftOut = mLeftOut.get();
+        if (leftOut == 0) {
+            return;
+        }
+        String line = new LogLine(this, "lines-left-out", true).with("count", leftOut).text();
+        if (enqueue(line)) {
+            mLeftOut.addAndGet(-leftOut);
         }
     }
 
--- a/src/test/java/org/fescueport/internal/direct/log/EventLogTest.java
+++ b/src/test/java/org/fescueport/internal/direct/log/EventLogTest.java
@@ -46,6 +46,30 @@
         assertThat(text(), containsString("\"ended\""));
     }
 
+    @Test
+    void shouldWriteOnAfterLinesWereLeftOutRegressionOfLostWakeUp() throws Exception {
+        try (var log = EventLog.start(mOutput, mClock, "edge-1", 10)) {
+            for (int i = 0; i < 25; i++) {
+                log.decision("sent").write();
+            }
+            awaitText("\"sent\"");
+            Thread.sleep(300);
+            mClock.add(Duration.ofSeconds(2));
+            log.decision("later").write();
+            awaitText("later");
+            awaitText("lines-left-out");
+        }
+    }
+
+    /** Waits while the log is open, as its end writes whatever is there. */
+    private void awaitText(String part) throws InterruptedException {
+        long end = System.nanoTime() + Duration.ofSeconds(3).toNanos();
+        while (!text().contains(part)) {
+            assertThat("no " + part + " within 3 s", System.nanoTime() - end < 0, is(true));
+            Thread.sleep(10);
+        }
+    }
+
     @Test
     void shouldKeepRoomForChangesWhenDecisionsUseTheirsUp() {
         try (var log = EventLog.start(mOutput, mClock, "edge-1", 10)) {
