Read again: one way to drop what is held, one way to configure the tests' store

Ruled out: a change of behaviour; bounds and assertions of the tests are as they were. Change: dropHeld; the setting is gone from DirectRouterSettings; StoreStandIn.configure, StreamsTest.BROKEN, assertThatTheOtherReplicaServes.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -20,7 +20,6 @@
  * @param retryAllowance retries in a window that the fleet may send beyond the share
  * @param retryWindow in which those are counted
  * @param stopTime from the signal to stop until the process is ended by force
- * @param logLinesPerSecond most lines a second, of decisions and of changes each
  * @param limits what callers may take of this process
  */
 public record DirectRouterSettings(
@@ -36,7 +35,6 @@
         double retryAllowance,
         Duration retryWindow,
         Duration stopTime,
-        int logLinesPerSecond,
         MachineLimits limits) {
     public DirectRouterSettings {
         seeds = List.copyOf(seeds);
--- a/src/main/java/org/fescueport/internal/direct/forward/AnswerRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AnswerRelay.java
@@ -59,8 +59,8 @@
         mCaller.finish();
     }
 
-    /** Forgets what came of an answer that another one will replace or continue. */
-    void restart() {
+    /** Forgets what has come and was not passed on; another answer may replace or continue it. */
+    void dropHeld() {
         mCutter.dropPartial();
         mHeld.release();
         mHeld = Unpooled.EMPTY_BUFFER;
@@ -86,11 +86,6 @@
         return mCutter.lastId();
     }
 
-    /** Lets go of what is held. */
-    void close() {
-        restart();
-    }
-
     private void pass(ByteBuf content) {
         if (content.isReadable()) {
             begin();
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -246,7 +246,7 @@
     private void onNotRun(Attempt attempt, AnswerHead head) {
         log("refused-by-replica", attempt, "status " + head.status());
         mContext.loads().onRefused(attempt.replica().id(), mContext.nowNanos());
-        mRelay.restart();
+        mRelay.dropHeld();
         if (mSends < mRoute.maxAttempts() && hasTimeLeft() && takeRetry()) {
             sendToNext("refused by a replica");
         } else if (mMayHaveRun) {
@@ -259,7 +259,7 @@
     }
 
     private void resend(String why) {
-        mRelay.restart();
+        mRelay.dropHeld();
         sendToNext(why);
     }
 
@@ -411,7 +411,7 @@
         mOver = true;
         mAttempt = null;
         mBody.release();
-        mRelay.close();
+        mRelay.dropHeld();
         mContext.metrics().onEnd(end);
         mContext.log()
                 .decision("ended")
--- a/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
+++ b/src/main/java/org/fescueport/internal/direct/place/RetryBudgets.java
@@ -27,11 +27,11 @@
 
     private final Clock mClock;
     private final Duration mWindow;
+    private final long mBegunNanos;
     private final Map<PoolId, RetryBudget> mBudgets = new HashMap<>();
     private double mShare;
     private double mFleetAllowance;
     private int mNodes;
-    private long mBegunNanos;
     private long mFilledNanos;
 
     private RetryBudgets(double share, double fleetAllowance, Duration window, Clock clock) {
--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -17,6 +17,11 @@
 class BelievedStateTest {
     private static final Script GOOD = answering("whole");
 
+    /** The repeatable route lies under another path than before. */
+    private static String moved(int version) {
+        return Installation.configuration(version).replace("/safe/", "/sure/");
+    }
+
     private static int status(Installation fleet, String request) {
         return status(fleet.router(), request);
     }
@@ -47,11 +52,7 @@
             fleet.store().mode(mode);
             Await.pause(1_500);
             assertThat(status(fleet, get("/safe/x")), is(200));
-            fleet.store()
-                    .put(
-                            "keyed.op",
-                            "config",
-                            Installation.configuration(2).replace("key-1", "key-2"));
+            fleet.store().configure(Installation.configuration(2).replace("key-1", "key-2"));
             fleet.store().mode(Mode.GOOD);
             Await.until("the key is gone", () -> status(fleet, get("/safe/x")) == 401);
         }
@@ -60,11 +61,7 @@
     @Test
     void shouldPutAConfigurationInForceAtOnce() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
-            fleet.store()
-                    .put(
-                            "keyed.op",
-                            "config",
-                            Installation.configuration(5).replace("/safe/", "/sure/"));
+            fleet.store().configure(moved(5));
             long begun = System.nanoTime();
             Await.until("the new route is there", () -> status(fleet, get("/sure/x")) == 200);
             assertThat((System.nanoTime() - begun) / 1_000_000, lessThan(500L));
@@ -78,11 +75,7 @@
             fleet.store().mode(Mode.SLOW);
             Await.pause(1_000);
             fleet.replica("api-1").register(fleet.store(), "draining");
-            fleet.store()
-                    .put(
-                            "keyed.op",
-                            "config",
-                            Installation.configuration(5).replace("/safe/", "/sure/"));
+            fleet.store().configure(moved(5));
             Await.pause(2_000);
             assertThat(status(fleet, get("/safe/x")), is(404));
             int before = fleet.replica("api-1").requests().size();
@@ -96,7 +89,7 @@
     @Test
     void shouldBeReadyWithinTwoSecondsOfItsStart() throws Exception {
         try (var store = StoreStandIn.start()) {
-            store.put("keyed.op", "config", Installation.configuration(1));
+            store.configure(Installation.configuration(1));
             store.mode(Mode.SLOW);
             long begun = System.nanoTime();
             try (var router = TestRouter.start("edge-1", store.address()).awaitReady()) {
@@ -109,14 +102,10 @@
     @Test
     void shouldNotGoBackToAnOlderConfiguration() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
-            fleet.store()
-                    .put(
-                            "keyed.op",
-                            "config",
-                            Installation.configuration(5).replace("/safe/", "/sure/"));
+            fleet.store().configure(moved(5));
             Await.until("the new route is there", () -> status(fleet, get("/sure/x")) == 200);
-            fleet.store().put("keyed.op", "config", Installation.configuration(4));
-            fleet.store().put("keyed.op", "config", "not json");
+            fleet.store().configure(Installation.configuration(4));
+            fleet.store().configure("not json");
             Await.pause(500);
             assertThat(status(fleet, get("/sure/x")), is(200));
         }
@@ -125,11 +114,7 @@
     @Test
     void shouldReadOnWhenTheHistoryIsGone() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
-            fleet.store()
-                    .put(
-                            "keyed.op",
-                            "config",
-                            Installation.configuration(5).replace("/safe/", "/sure/"));
+            fleet.store().configure(moved(5));
             fleet.store().compact("keyed.op");
             fleet.store().compact("keyed.servers");
             Await.until("the new route is there", () -> status(fleet, get("/sure/x")) == 200);
@@ -140,12 +125,7 @@
     void shouldSendNothingMoreToAReplicaThatLeaves() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
             fleet.replica("api-1").register(fleet.store(), "draining");
-            Await.pause(1_000);
-            int before = fleet.replica("api-1").requests().size();
-            for (int i = 0; i < 20; i++) {
-                assertThat(status(fleet, get("/safe/" + i)), is(200));
-            }
-            assertThat(fleet.replica("api-1").requests().size(), is(before));
+            assertThatTheOtherReplicaServes(fleet);
         }
     }
 
@@ -153,13 +133,17 @@
     void shouldSendNothingMoreToAReplicaWhoseEntryIsRemoved() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD)) {
             fleet.store().remove("keyed.servers", "api-1");
-            Await.pause(1_000);
-            int before = fleet.replica("api-1").requests().size();
-            for (int i = 0; i < 20; i++) {
-                assertThat(status(fleet, get("/safe/" + i)), is(200));
-            }
-            assertThat(fleet.replica("api-1").requests().size(), is(before));
+            assertThatTheOtherReplicaServes(fleet);
+        }
+    }
+
+    private static void assertThatTheOtherReplicaServes(Installation fleet) {
+        Await.pause(1_000);
+        int before = fleet.replica("api-1").requests().size();
+        for (int i = 0; i < 20; i++) {
+            assertThat(status(fleet, get("/safe/" + i)), is(200));
         }
+        assertThat(fleet.replica("api-1").requests().size(), is(before));
     }
 
     @Test
@@ -171,11 +155,7 @@
             try (var second = TestRouter.start("edge-2", away.address(), seed)) {
                 second.awaitReady();
                 assertThat(status(second, get("/safe/x")), is(200));
-                fleet.store()
-                        .put(
-                                "keyed.op",
-                                "config",
-                                Installation.configuration(7).replace("/safe/", "/sure/"));
+                fleet.store().configure(moved(7));
                 Await.until("the change has come", () -> status(second, get("/sure/x")) == 200);
             }
         }
@@ -200,7 +180,7 @@
     @Test
     void shouldKeepItsReaderWhenANodeBeforeItHasStartedAnew() throws Exception {
         try (var store = StoreStandIn.start()) {
-            store.put("keyed.op", "config", Installation.configuration(1));
+            store.configure(Installation.configuration(1));
             var gone = TestRouter.start("edge-0", store.address()).awaitReady();
             Await.until("the first is ranked", () -> gone.lines().contains("ranked"));
             try (var reader = TestRouter.start("edge-1", store.address()).awaitReady();
@@ -234,16 +214,13 @@
     @Test
     void shouldReadItselfWhenTheReaderIsGone() throws Exception {
         try (var store = StoreStandIn.start()) {
-            store.put("keyed.op", "config", Installation.configuration(1));
+            store.configure(Installation.configuration(1));
             var first = TestRouter.start("edge-1", store.address());
             Await.until("the first is ranked", () -> first.lines().contains("ranked"));
             try (var second = TestRouter.start("edge-2", store.address()).awaitReady()) {
                 Await.until("it relies on it", () -> second.lines().contains("relying-on-peer"));
                 first.close();
-                store.put(
-                        "keyed.op",
-                        "config",
-                        Installation.configuration(2).replace("/safe/", "/sure/"));
+                store.configure(moved(2));
                 long begun = System.nanoTime();
                 Await.until("the change has come", () -> status(second, get("/sure/x")) == 503);
                 assertThat((System.nanoTime() - begun) / 1_000_000, lessThan(1_900L));
--- a/src/test/java/org/fescueport/platform/Installation.java
+++ b/src/test/java/org/fescueport/platform/Installation.java
@@ -35,7 +35,7 @@
 
     private Installation(StoreStandIn store, Script api, Script llm) throws IOException {
         mStore = store;
-        store.put("keyed.op", "config", configuration(1));
+        store.configure(configuration(1));
         for (int i = 1; i <= 2; i++) {
             mReplicas.add(ReplicaStandIn.start("api-" + i, "api", api));
             mReplicas.add(ReplicaStandIn.start("llm-" + i, "llm", llm));
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -74,6 +74,11 @@
         return append(topic, key, value.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Writes a configuration, as the operator does. */
+    public void configure(String configuration) {
+        put("keyed.op", "config", configuration);
+    }
+
     synchronized long append(String topic, String key, byte[] value) {
         Topic records = topic(topic);
         records.mEntries.add(new Entry(key, value));
--- a/src/test/java/org/fescueport/platform/StreamsTest.java
+++ b/src/test/java/org/fescueport/platform/StreamsTest.java
@@ -19,6 +19,15 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class StreamsTest {
+    /** Two events, then the connection is reset. */
+    private static final Script BROKEN =
+            (request, wire) -> {
+                beginStream(request, wire);
+                chunk(wire, events(1, 2));
+                Await.pause(50);
+                wire.reset();
+            };
+
     @ParameterizedTest
     @ValueSource(strings = {"/once/x", "/stream/x"})
     void shouldPassOnTheBytesBehindTheLastEvent(String path) throws Exception {
@@ -124,14 +133,7 @@
 
     @Test
     void shouldNotBeginAgainAStreamThatMayRunOnce() throws Exception {
-        Script broken =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 2));
-                    Await.pause(50);
-                    wire.reset();
-                };
-        try (var fleet = Installation.start(GOOD, broken)) {
+        try (var fleet = Installation.start(GOOD, BROKEN)) {
             var answer = fleet.ask(post("/once/x", "hello"));
             assertThat(answer.complete(), is(false));
             assertThat(answer.body(), is(events(1, 2)));
@@ -141,15 +143,8 @@
 
     @Test
     void shouldNotEndAStreamAsCompleteWhenTheReplicaThatGoesOnFails() throws Exception {
-        Script broken =
-                (request, wire) -> {
-                    beginStream(request, wire);
-                    chunk(wire, events(1, 2));
-                    Await.pause(50);
-                    wire.reset();
-                };
         Script failing = (request, wire) -> wire.answer(500, headersFor(request), "no".getBytes());
-        try (var fleet = Installation.start(GOOD, firstThen(broken, failing))) {
+        try (var fleet = Installation.start(GOOD, firstThen(BROKEN, failing))) {
             var answer = fleet.ask(post("/stream/x", "hello"));
             assertThat(answer.complete(), is(false));
             assertThat(answer.body(), is(events(1, 2)));
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -26,6 +26,7 @@
     /** So that a router that has just started may retry. */
     private static final double AMPLE_RETRIES = 100_000;
 
+    private static final int LOG_LINES_PER_SECOND = 1_000;
     static final int MAX_CALLERS = 20;
     static final int MAX_BODY_BYTES = 300_000;
 
@@ -65,8 +66,7 @@
             throws IOException {
         var lines = new ByteArrayOutputStream();
         var loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        var log =
-                EventLog.start(lines, Clock.SYSTEM, settings.node(), settings.logLinesPerSecond());
+        var log = EventLog.start(lines, Clock.SYSTEM, settings.node(), LOG_LINES_PER_SECOND);
         var registry = new SimpleMeterRegistry();
         var parts =
                 new DirectRouter.Parts(
@@ -98,7 +98,6 @@
                 AMPLE_RETRIES,
                 Duration.ofSeconds(10),
                 STOP_TIME,
-                1_000,
                 new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
     }
 
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -124,7 +124,7 @@
     }
 
     private void configure() {
-        mStore.put("keyed.op", "config", Installation.configuration(mVersion));
+        mStore.configure(Installation.configuration(mVersion));
         mVersion += 1 + mVersion % 3;
     }
 
