Use a replica whose entry went away no longer than the bound, also around the store's return

Cause: within 2.3 s of the store's return a removal was taken for an entry that had lapsed during the outage, and the replica was used to the end of that time, longer than the bound of 2 s for a real removal. The two look alike. Ruled out: the reading of other records (taken at once), peers (agreed to 0.15 s). The bound is read from the settings; an installation without one has the usual 2 s. Conclusion: a pool of which every entry lapsed may be refused for the last 0.4 s before its heartbeats are back; that is the price of the bound.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -101,7 +101,7 @@
     private DirectRouter(DirectRouterSettings settings, Parts parts) {
         mSettings = settings;
         mParts = parts;
-        mView = FleetView.create(parts.decoder(), parts.log());
+        mView = FleetView.create(parts.decoder(), parts.log(), settings.leaveBound());
         mPeers = PeerGroup.create(settings.node(), mView, parts.loop(), parts.clock(), parts.log());
         mReader =
                 StateReader.create(
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -19,6 +19,7 @@
  * @param retryShare retries for each request that the whole fleet may send
  * @param retryAllowance retries in a window that the fleet may send beyond the share
  * @param retryWindow in which those are counted
+ * @param leaveBound longest time a replica may be used after it was told to leave
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
  */
@@ -34,6 +35,7 @@
         double retryShare,
         double retryAllowance,
         Duration retryWindow,
+        Duration leaveBound,
         Duration stopTime,
         MachineLimits limits) {
     public DirectRouterSettings {
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -24,7 +24,10 @@
  */
 public final class FleetView {
     /** Time after the store's return within which lapsed entries of live replicas are back. */
-    private static final Duration LAPSE_GRACE = Duration.ofMillis(2_300);
+    private static final Duration USUAL_RETURN = Duration.ofMillis(2_300);
+
+    /** A sweep for lapsed entries, and what is then still on its way to a replica. */
+    private static final Duration LEAVE_MARGIN = Duration.ofMillis(400);
 
     private static final Duration LONG_AGO = Duration.ofHours(1);
 
@@ -43,6 +46,7 @@
 
     private final StateDecoder mDecoder;
     private final EventLog mLog;
+    private final Duration mLapseGrace;
     private final Map<NodeId, Known> mReplicas = new HashMap<>();
     private final Map<NodeId, Long> mLapsedUntil = new HashMap<>();
     private final Map<NodeId, Long> mRemovedAt = new HashMap<>();
@@ -56,14 +60,22 @@
     private Optional<Long> mLapseGraceEndNanos = Optional.empty();
     private ReplicaListener mListener = () -> {};
 
-    private FleetView(StateDecoder decoder, EventLog log) {
+    private FleetView(StateDecoder decoder, EventLog log, Duration lapseGrace) {
         mDecoder = decoder;
         mLog = log;
+        mLapseGrace = lapseGrace;
     }
 
-    /** Returns a view that believes nothing yet. */
-    public static FleetView create(StateDecoder decoder, EventLog log) {
-        return new FleetView(decoder, log);
+    /**
+     * Returns a view that believes nothing yet.
+     *
+     * @param leaveBound longest time a replica may be used after its removal has been read; an
+     *     entry that lapsed and one that was taken away look alike, so it bounds both
+     */
+    public static FleetView create(StateDecoder decoder, EventLog log, Duration leaveBound) {
+        Duration longest = leaveBound.minus(LEAVE_MARGIN);
+        Duration grace = longest.compareTo(USUAL_RETURN) < 0 ? longest : USUAL_RETURN;
+        return new FleetView(decoder, log, grace);
     }
 
     /** Sets who is told of changed replicas. */
@@ -121,7 +133,7 @@
 
     /** Notes that the store has just answered again after it had not. */
     public void onStoreRegained(long nowNanos) {
-        mLapseGraceEndNanos = Optional.of(nowNanos + LAPSE_GRACE.toNanos());
+        mLapseGraceEndNanos = Optional.of(nowNanos + mLapseGrace.toNanos());
     }
 
     /** Returns how long removed entries may still come back; 0 when the store is steady. */
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -38,7 +38,8 @@
 
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
-    private final FleetView mView = FleetView.create(new PlainDecoder(), mLog);
+    private final FleetView mView =
+            FleetView.create(new PlainDecoder(), mLog, Duration.ofSeconds(2));
     private final ReplicaLoads mLoads = ReplicaLoads.create();
     private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads);
     private long mOffset;
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
@@ -12,13 +12,21 @@
 import org.fescueport.internal.direct.log.EventLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FleetViewTest {
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
+    /** No request may reach a replica later than this after its removal was read. */
+    private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
+
+    /** Between two sweeps for lapsed entries, as the forwarder has them. */
+    private static final Duration SWEEP = Duration.ofMillis(250);
+
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
-    private final FleetView mView = FleetView.create(new PlainDecoder(), mLog);
+    private final FleetView mView = FleetView.create(new PlainDecoder(), mLog, LEAVE_BOUND);
 
     @AfterEach
     void closeLog() {
@@ -129,6 +137,32 @@
         assertThat(mView.pool(PlainDecoder.POOL).size(), is(0));
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {2_000, 2_500, 3_000})
+    void shouldNotUseAReplicaThatWasTakenAwayAsTheStoreReturnedLongerThanTheBound(long boundMs) {
+        var view = FleetView.create(new PlainDecoder(), mLog, Duration.ofMillis(boundMs));
+        view.take(
+                whole(StateTopic.REPLICAS, 2, record(0, "a", "ready"), record(1, "b", "ready")), 0);
+        view.onStoreRegained(0);
+        view.take(batch(StateTopic.REPLICAS, 2, StateRecord.removed(2, "a")), 0);
+        long last = Duration.ofMillis(boundMs).toNanos();
+        for (long now = 0; now < last; now += SWEEP.toNanos()) {
+            view.expire(now);
+        }
+        assertThat(view.replica(NodeId.of("a")).isPresent(), is(false));
+        assertThat(view.pool(PlainDecoder.POOL).size(), is(1));
+    }
+
+    @Test
+    void shouldNotUseItLongerForAPeerThatSawTheStoreReturnLater() {
+        replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
+        mView.onStoreRegained(0);
+        replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(1, "a")));
+        mView.onLapseGrace(LEAVE_BOUND, SECOND);
+        mView.expire(LEAVE_BOUND.minus(SWEEP).toNanos());
+        assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
+    }
+
     @Test
     void shouldKeepAReplicaThatIsBackAfterItsEntryLapsed() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
@@ -150,7 +184,7 @@
     @Test
     void shouldGiveAPeerAllThatItKnows() {
         replicas(whole(StateTopic.REPLICAS, 7, record(3, "a", "ready"), record(6, "b", "leaving")));
-        var other = FleetView.create(new PlainDecoder(), mLog);
+        var other = FleetView.create(new PlainDecoder(), mLog, LEAVE_BOUND);
         other.take(mView.snapshot(StateTopic.REPLICAS), 0);
         assertThat(other.nextOffset(StateTopic.REPLICAS), is(7L));
         assertThat(other.pool(PlainDecoder.POOL).size(), is(1));
--- a/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
@@ -21,7 +21,8 @@
              "listen":{"frontend":"10.0.0.1:8227","ready":"10.0.0.1:8220",
               "control":"10.0.0.1:8229"},
              "seeds":["10.0.0.1:8229","10.0.0.2:8229"],"data_dir":null,
-             "bounds":{"grace_s":8,"retry_budget_ratio":0.2,"budget_slack":56,"budget_window_s":10},
+             "bounds":{"grace_s":8,"drain_ms":2000,"retry_budget_ratio":0.2,"budget_slack":56,
+              "budget_window_s":10},
              "platform":{"address":"10.200.1.7:8223","form":"log"}}""";
 
     @TempDir Path mFolder;
@@ -34,15 +35,25 @@
         assertThat(settings.control().getPort(), is(8_229));
         assertThat(settings.seeds().size(), is(2));
         assertThat(settings.grace().toSeconds(), is(8L));
+        assertThat(settings.leaveBound().toMillis(), is(2_000L));
         assertThat(settings.retryRatio(), is(0.2));
     }
 
+    @Test
+    void shouldTakeTheUsualBoundForLeavingWhereNoneIsStated() throws Exception {
+        Path file =
+                Files.writeString(
+                        mFolder.resolve("boot"), SETTINGS.replace("\"drain_ms\":2000,", ""));
+        assertThat(PlatformSettings.read(file).leaveBound().toSeconds(), is(2L));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
             value = {
                 "\"node_name\":\"edge-1\", | '' | node_name",
                 "\"node_name\":\"edge-1\" | \"node_name\":1 | node_name",
+                "\"drain_ms\":2000 | \"drain_ms\":\"soon\" | drain_ms",
                 "\"grace_s\":8 | \"grace_s\":\"long\" | grace_s",
                 "10.200.1.7:8223 | store:8223 | store:8223",
                 "\"listen\": | \"listens\": | listen",
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -30,6 +30,7 @@
     static final int MAX_CALLERS = 20;
     static final int MAX_BODY_BYTES = 300_000;
 
+    private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
     private static final Duration STOP_TIME = Duration.ofSeconds(8);
 
     private final DirectRouter mRouter;
@@ -97,6 +98,7 @@
                 0.2,
                 AMPLE_RETRIES,
                 Duration.ofSeconds(10),
+                LEAVE_BOUND,
                 STOP_TIME,
                 new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
     }
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -160,7 +160,7 @@
         return """
         {"node_name":"%s","zone":"north","listen":{"frontend":"%s","ready":"%s","control":"%s"},
          "seeds":[%s],"bounds":{"grace_s":8,"retry_budget_ratio":0.2,"budget_slack":56,
-          "budget_window_s":10},
+          "budget_window_s":10,"drain_ms":2000},
          "platform":{"address":"%s"}}"""
                 .formatted(
                         mNode,
