Refuse headers that trickle in for longer than the configuration allows

Cause: CallerLimits.headerTime was decoded and read by nobody; a caller could send one byte after the other for as long as a connection may be idle (15 s), counted from the end of the last answer. Ruled out: the body's time, which is bounded from the end of the headers on. Change: the time runs from a request's first byte, not from empty lines between requests; 408 when it is over.

--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -21,6 +21,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.fescueport.internal.direct.config.CallerLimits;
 
 /**
@@ -54,6 +55,7 @@
     private boolean mDiscardsBody;
     private boolean mHasAsked;
     private long mSinceNanos;
+    private OptionalLong mHeaderSinceNanos = OptionalLong.empty();
     private long mHeldBytes;
 
     CallerConnection(ForwardingContext context, CallerConnections connections) {
@@ -101,6 +103,13 @@
         read(message);
     }
 
+    /** Bytes have come; when nothing is asked, they begin the headers of a request. */
+    void onBytes() {
+        if (isIdle() && mHeaderSinceNanos.isEmpty()) {
+            mHeaderSinceNanos = OptionalLong.of(mContext.nowNanos());
+        }
+    }
+
     /** Looks after the times of a request that is answered. */
     void check(long nowNanos) {
         if (mExchange != null) {
@@ -130,7 +139,9 @@
         }
         var limits = mConnections.limits();
         long waited = waitedNanos(nowNanos);
-        if (mRequest == null) {
+        if (areHeadersLate(limits, nowNanos)) {
+            refuse(Refusal.Reason.TOO_SLOW, "the headers did not come in time");
+        } else if (mRequest == null) {
             if (waited > idleTime(limits, stopping).toNanos()) {
                 mChannel.close();
             }
@@ -139,6 +150,11 @@
         }
     }
 
+    private boolean areHeadersLate(CallerLimits limits, long nowNanos) {
+        return mHeaderSinceNanos.isPresent()
+                && nowNanos - mHeaderSinceNanos.getAsLong() > limits.headerTime().toNanos();
+    }
+
     private Duration idleTime(CallerLimits limits, boolean stopping) {
         if (!stopping) {
             return limits.idleTime();
@@ -159,6 +175,7 @@
 
     private void onRequest(HttpRequest request) {
         mSinceNanos = mContext.nowNanos();
+        mHeaderSinceNanos = OptionalLong.empty();
         mHasAsked = true;
         mClosesAfterAnswer = !HttpUtil.isKeepAlive(request);
         mDiscardsBody = false;
@@ -315,6 +332,7 @@
     private void refuse(Refusal.Reason reason, String message) {
         Optional<String> id = Optional.ofNullable(mRequest).map(CallerRequest::id);
         var refusal = Refusal.whileReading(reason, id, message);
+        mHeaderSinceNanos = OptionalLong.empty();
         mDiscardsBody = true;
         mClosesAfterAnswer = true;
         mAnswering = true;
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -25,9 +25,11 @@
             @Override
             protected void initChannel(Channel channel) {
                 int maxHeader = mConnections.limits().maxHeaderBytes();
-                channel.pipeline().addLast(new StrictRequestDecoder(maxHeader));
-                channel.pipeline().addLast(new HttpResponseEncoder());
-                channel.pipeline().addLast(new CallerConnection(mContext, mConnections));
+                var connection = new CallerConnection(mContext, mConnections);
+                channel.pipeline()
+                        .addLast(new StrictRequestDecoder(maxHeader, connection::onBytes))
+                        .addLast(new HttpResponseEncoder())
+                        .addLast(connection);
             }
         };
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/StrictRequestDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/StrictRequestDecoder.java
@@ -1,17 +1,39 @@
 package org.fescueport.internal.direct.forward;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 
 /** Refuses what two parsers may read in two ways, where the library would repair it. */
 final class StrictRequestDecoder extends HttpRequestDecoder {
-    StrictRequestDecoder(int maxHeaderBytes) {
+    private final Runnable mOnBytes;
+
+    /**
+     * Returns a decoder for one connection.
+     *
+     * @param onBytes told of bytes before they are read, but not of empty lines between requests
+     */
+    StrictRequestDecoder(int maxHeaderBytes, Runnable onBytes) {
         super(
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(maxHeaderBytes)
                         .setMaxHeaderSize(maxHeaderBytes)
                         .setMaxChunkSize(65_536));
+        mOnBytes = onBytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof ByteBuf bytes && !isBlank(bytes)) {
+            mOnBytes.run();
+        }
+        super.channelRead(context, message);
+    }
+
+    private static boolean isBlank(ByteBuf bytes) {
+        return bytes.forEachByte(value -> value == '\r' || value == '\n') < 0;
     }
 
     @Override
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -58,6 +58,11 @@
         return new Answer(status, headers, text(body), body.length == length);
     }
 
+    /** Returns whether the first byte of an answer is there. */
+    boolean hasAnswer() throws IOException {
+        return mSocket.getInputStream().available() > 0;
+    }
+
     /** Returns whether the other side has closed the connection and sent nothing more. */
     boolean isAtEnd() throws IOException {
         try {
