Test nodes that cannot reach each other while all reach the store

Change: the store's stand-in shows nodes at other addresses, so that proxies stand between them; FaultProxy moved beside the stand-ins.

--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -190,23 +190,18 @@
                 try (var again = gone.startAgain(store.address()).awaitReady()) {
                     Await.until(
                             "the new one relies", () -> again.lines().contains("relying-on-peer"));
-                    Await.until("the other relies", () -> relies(other));
+                    Await.until("the other relies", () -> other.reliesOnPeer());
                     Await.pause(500);
                     long before = lostReaders(other);
                     Await.pause(5_000);
                     assertThat(lostReaders(other), is(before));
-                    assertThat(relies(other), is(true));
-                    assertThat(relies(reader), is(false));
+                    assertThat(other.reliesOnPeer(), is(true));
+                    assertThat(reader.reliesOnPeer(), is(false));
                 }
             }
         }
     }
 
-    private static boolean relies(TestRouter router) {
-        String lines = router.lines();
-        return lines.lastIndexOf("relying-on-peer") > lines.lastIndexOf("reading-store");
-    }
-
     private static long lostReaders(TestRouter router) {
         return router.lines().lines().filter(line -> line.contains("peer-lost")).count();
     }
--- a/src/test/java/org/fescueport/platform/FaultProxy.java
+++ b/src/test/java/org/fescueport/platform/FaultProxy.java
@@ -1,4 +1,4 @@
-package org.fescueport.platform.soak;
+package org.fescueport.platform;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -13,9 +13,9 @@
 import java.util.concurrent.locks.LockSupport;
 
 /** Passes connections on over loopback, and disturbs them as it is told. */
-final class FaultProxy implements AutoCloseable {
+public final class FaultProxy implements AutoCloseable {
     /** What happens to bytes on the way. */
-    enum Mode {
+    public enum Mode {
         PASS,
         /** Bytes come late. */
         DELAY,
@@ -39,23 +39,23 @@
         mServer = server;
     }
 
-    static FaultProxy before(InetSocketAddress target) throws IOException {
+    public static FaultProxy before(InetSocketAddress target) throws IOException {
         var server = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
         var proxy = new FaultProxy(target, server);
         Thread.ofVirtual().start(proxy::acceptAll);
         return proxy;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) mServer.getLocalSocketAddress();
     }
 
-    void mode(Mode mode) {
+    public void mode(Mode mode) {
         mMode = mode;
     }
 
     /** Resets all connections. */
-    void resetAll() {
+    public void resetAll() {
         for (var socket : mOpen) {
             try {
                 socket.setSoLinger(true, 0);
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -11,6 +11,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.platform.RawServer.Request;
 import org.fescueport.platform.RawServer.Wire;
 
@@ -31,6 +33,7 @@
     }
 
     private static final long SLOW_MS = 200;
+    private static final String NODES = "keyed.status";
 
     private record Entry(String key, byte[] value) {}
 
@@ -43,6 +46,7 @@
     private final Map<String, Topic> mTopics = new HashMap<>();
     private final List<String> mCalls = new ArrayList<>();
     private Mode mMode = Mode.GOOD;
+    private UnaryOperator<InetSocketAddress> mShown = address -> address;
 
     private StoreStandIn() throws IOException {
         mServer = RawServer.start(this::answer);
@@ -65,6 +69,11 @@
         notifyAll();
     }
 
+    /** From now on nodes find each other at these addresses, in place of those they give. */
+    public synchronized void showNodesAt(UnaryOperator<InetSocketAddress> shown) {
+        mShown = shown;
+    }
+
     /** Returns the calls so far, as path and query. */
     synchronized List<String> calls() {
         return List.copyOf(mCalls);
@@ -158,12 +167,21 @@
             byte[] value = new byte[length - 1 - key.length];
             body.get(value);
             String name = new String(key, StandardCharsets.UTF_8);
-            long offset = append(request.parameter("topic"), name, value);
+            String topic = request.parameter("topic");
+            long offset = append(topic, name, topic.equals(NODES) ? shown(value) : value);
             first = first < 0 ? offset : first;
         }
         return first;
     }
 
+    private byte[] shown(byte[] node) {
+        try {
+            return RecordDecoder.nodeRecord(mShown.apply(new RecordDecoder().node(node)));
+        } catch (StateDecoder.UnusableRecordException e) {
+            throw new IllegalArgumentException("a node has written what none can read", e);
+        }
+    }
+
     private synchronized byte[] newest(String name) {
         List<Entry> entries = topic(name).mEntries;
         Map<String, Integer> last = new LinkedHashMap<>();
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -109,6 +109,12 @@
         return this;
     }
 
+    /** Returns whether another node reads the store for this one. */
+    boolean reliesOnPeer() {
+        String text = lines();
+        return text.lastIndexOf("relying-on-peer") > text.lastIndexOf("reading-store");
+    }
+
     boolean isReady() {
         return mRouter.isReady();
     }
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.LongStream;
+import org.fescueport.platform.FaultProxy;
 import org.fescueport.platform.Installation;
 import org.fescueport.platform.RawCaller;
 import org.fescueport.platform.StoreStandIn;
--- a/src/test/java/org/fescueport/platform/soak/SoakReplica.java
+++ b/src/test/java/org/fescueport/platform/soak/SoakReplica.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.fescueport.platform.FaultProxy;
 import org.fescueport.platform.RawServer;
 import org.fescueport.platform.StoreStandIn;
 
