--- a/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -93,7 +93,13 @@
     }
 
     void send(PeerMessage message) {
-        mContext.writeAndFlush(message);
+        try (var frame = PeerFrame.of(message)) {
+            send(frame);
+        }
+    }
+
+    void send(PeerFrame frame) {
+        mContext.writeAndFlush(frame.bytes());
     }
 
     /** Returns whether what was sent is taken by the other side. */
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -7,14 +7,15 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32LengthFieldPrepender;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.FleetView;
@@ -161,31 +162,33 @@
         int nodes = nodes();
         var pulse = PeerPulse.newBuilder().setReading(reading).setNodes(nodes);
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
-        for (var peer : mOpen) {
-            if (!peer.isOutbound()) {
-                peer.send(message);
-            }
-        }
+        sendToAll(message, peer -> !peer.isOutbound());
         mListener.onNodes(nodes);
     }
 
-    /** Passes news on to all connected nodes but the one that they came from. */
+    /**
+     * Passes news on to all connected nodes but the one that they came from. One that can't take
+     * them now notices the gap at the next news, and asks.
+     */
     public void spread(StateTopic topic, List<StateRecord> news, Optional<PeerOrigin> origin) {
         long end = mView.nextOffset(topic);
+        Map<Long, PeerFrame> frames = new HashMap<>();
         for (var peer : mOpen) {
-            boolean back = origin.filter(o -> o.mConnection == peer).isPresent();
-            if (back) {
+            if (origin.filter(o -> o.mConnection == peer).isPresent()) {
+                peer.onKnown(topic, end);
+            } else if (!news.isEmpty() && peer.hello().isPresent() && peer.isWritable()) {
+                long from = peer.knownEnd(topic);
+                frames.computeIfAbsent(from, f -> frame(RecordBatch.news(topic, f, end, news)));
+                peer.send(frames.get(from));
                 peer.onKnown(topic, end);
-            } else if (!news.isEmpty() && peer.hello().isPresent()) {
-                sendNews(peer, topic, news, end);
             }
         }
+        frames.values().forEach(PeerFrame::close);
     }
 
     /** Tells all connected nodes that a request was lost with a replica. */
     public void spread(PeerStrike strike) {
-        var message = PeerMessage.newBuilder().setStrike(strike).build();
-        mOpen.forEach(peer -> peer.send(message));
+        sendToAll(PeerMessage.newBuilder().setStrike(strike).build(), peer -> true);
     }
 
     /** Ends all connections; none is opened any more. */
@@ -234,7 +237,7 @@
         mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
         for (var topic : List.of(StateTopic.CONFIGURATION, StateTopic.REPLICAS)) {
             if (peer.knownEnd(topic) < mView.nextOffset(topic)) {
-                sendWhole(peer, topic);
+                sendMissing(peer, topic);
             }
         }
     }
@@ -261,9 +264,7 @@
     private void onStrike(PeerConnection from, PeerMessage message) {
         mListener.onStrike(message.getStrike());
         if (!from.isOutbound()) {
-            mOpen.stream()
-                    .filter(peer -> peer != from && !peer.isOutbound())
-                    .forEach(peer -> peer.send(message));
+            sendToAll(message, peer -> peer != from && !peer.isOutbound());
         }
     }
 
@@ -342,20 +343,22 @@
         peer.send(PeerMessage.newBuilder().setHello(hello).build());
     }
 
-    private void sendNews(PeerConnection peer, StateTopic topic, List<StateRecord> news, long end) {
-        if (!peer.isWritable()) {
-            // It lacks what is not sent now, notices the gap at the next news, and asks.
-            return;
+    private void sendMissing(PeerConnection peer, StateTopic topic) {
+        RecordBatch batch = mView.changesSince(topic, peer.knownEnd(topic));
+        try (var frame = frame(batch)) {
+            peer.send(frame);
         }
-        var batch = new RecordBatch(topic, peer.knownEnd(topic), end, false, news);
-        peer.send(PeerRecordsCodec.encode(batch, mView.lapseGrace(nowNanos())));
-        peer.onKnown(topic, end);
+        peer.onKnown(topic, batch.end());
     }
 
-    private void sendWhole(PeerConnection peer, StateTopic topic) {
-        RecordBatch batch = mView.snapshot(topic);
-        peer.send(PeerRecordsCodec.encode(batch, mView.lapseGrace(nowNanos())));
-        peer.onKnown(topic, batch.end());
+    private void sendToAll(PeerMessage message, Predicate<PeerConnection> told) {
+        try (var frame = PeerFrame.of(message)) {
+            mOpen.stream().filter(told).forEach(peer -> peer.send(frame));
+        }
+    }
+
+    private PeerFrame frame(RecordBatch batch) {
+        return PeerFrame.of(PeerRecordsCodec.encode(batch, mView.lapseGrace(nowNanos())));
     }
 
     private int nodes() {
@@ -386,8 +389,6 @@
                         new WriteBufferWaterMark(HIGH_WATER_BYTES / 2, HIGH_WATER_BYTES));
         channel.pipeline().addLast(new ProtobufVarint32FrameDecoder());
         channel.pipeline().addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()));
-        channel.pipeline().addLast(new ProtobufVarint32LengthFieldPrepender());
-        channel.pipeline().addLast(new ProtobufEncoder());
         channel.pipeline().addLast(handler);
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,7 +39,13 @@
         void onReplicasChanged();
     }
 
-    private record Known(ReplicaEntry entry, StateRecord record, long joinedNanos) {
+    /**
+     * A replica's newest record.
+     *
+     * @param changedOffset offset of the first record that said the same
+     */
+    private record Known(
+            ReplicaEntry entry, StateRecord record, long changedOffset, long joinedNanos) {
         long offset() {
             return record.offset();
         }
@@ -55,6 +62,10 @@
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private boolean mReplicasKnown;
+
+    /** Offset from which on all removals of replicas are known. */
+    private long mRemovalsFrom;
+
     private long mNextConfiguration;
     private long mNextReplica;
     private Optional<Long> mLapseGraceEndNanos = Optional.empty();
@@ -163,7 +174,10 @@
         }
         boolean replicas = batch.topic() == StateTopic.REPLICAS;
         if (replicas && batch.whole() && batch.end() >= mNextReplica) {
-            mReplicasKnown = true;
+            if (!mReplicasKnown) {
+                mReplicasKnown = true;
+                mRemovalsFrom = batch.end();
+            }
             changed |= removeMissing(batch, nowNanos, news);
         }
         advance(batch.topic(), batch.end());
@@ -182,6 +196,44 @@
         return new RecordBatch(topic, 0, nextOffset(topic), true, records);
     }
 
+    /**
+     * Returns what somebody lacks who knows all before this offset: the few records that have
+     * changed something since, or a snapshot where those are not known.
+     */
+    public RecordBatch changesSince(StateTopic topic, long from) {
+        boolean known = topic != StateTopic.REPLICAS || from >= mRemovalsFrom;
+        if (from == 0 || !known) {
+            return snapshot(topic);
+        }
+        List<StateRecord> records =
+                topic == StateTopic.CONFIGURATION
+                        ? mConfigurationRecord.stream().toList()
+                        : replicaChanges(from);
+        return RecordBatch.news(
+                topic,
+                from,
+                nextOffset(topic),
+                records.stream().filter(record -> record.offset() >= from).toList());
+    }
+
+    private List<StateRecord> replicaChanges(long from) {
+        List<StateRecord> changes = new ArrayList<>();
+        mReplicas.forEach(
+                (id, known) -> {
+                    if (known.changedOffset() >= from && !mLapsedUntil.containsKey(id)) {
+                        changes.add(known.record());
+                    }
+                });
+        mRemovedAt.forEach(
+                (id, offset) -> {
+                    if (!mReplicas.containsKey(id) || mLapsedUntil.containsKey(id)) {
+                        changes.add(StateRecord.removed(offset, id.name()));
+                    }
+                });
+        changes.sort(Comparator.comparingLong(StateRecord::offset));
+        return changes;
+    }
+
     /** Drops the lapsed entries whose time is over. */
     public void expire(long nowNanos) {
         boolean changed = false;
@@ -260,8 +312,11 @@
             return known != null && forget(id, "unusable");
         }
         boolean lapsed = mLapsedUntil.remove(id) != null;
-        mReplicas.put(id, new Known(entry.get(), record, joined(known, entry.get(), nowNanos)));
-        if (known != null && known.entry().equals(entry.get()) && !lapsed) {
+        boolean same = known != null && known.entry().equals(entry.get()) && !lapsed;
+        long changed = same ? known.changedOffset() : record.offset();
+        long joined = joined(known, entry.get(), nowNanos);
+        mReplicas.put(id, new Known(entry.get(), record, changed, joined));
+        if (same) {
             return false;
         }
         news.add(record);
--- a/src/main/java/org/fescueport/internal/direct/state/RecordBatch.java
+++ b/src/main/java/org/fescueport/internal/direct/state/RecordBatch.java
@@ -20,6 +20,12 @@
         return new RecordBatch(topic, 0, page.end(), true, page.records());
     }
 
+    /** Returns records that changed something, for somebody who knows all before an offset. */
+    public static RecordBatch news(
+            StateTopic topic, long from, long end, List<StateRecord> records) {
+        return new RecordBatch(topic, from, end, false, records);
+    }
+
     /** Returns the records that a reading from this offset gave. */
     public static RecordBatch following(StateTopic topic, long from, StateStore.Page page) {
         return new RecordBatch(topic, from, page.end(), false, page.records());
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.direct.state;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
 import io.micrometer.core.instrument.MockClock;
@@ -181,6 +182,38 @@
         assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
     }
 
+    @Test
+    void shouldGiveAPeerThatKnowsMostOnlyWhatHasChangedSince() {
+        replicas(whole(StateTopic.REPLICAS, 4, record(1, "a", "ready"), record(3, "b", "ready")));
+        replicas(batch(StateTopic.REPLICAS, 4, record(4, "a", "ready"), record(5, "b", "ready")));
+        replicas(batch(StateTopic.REPLICAS, 6, record(6, "c", "ready")));
+        replicas(batch(StateTopic.REPLICAS, 7, StateRecord.removed(7, "b")));
+        var changes = mView.changesSince(StateTopic.REPLICAS, 4);
+        assertThat(changes.whole(), is(false));
+        assertThat(changes.from(), is(4L));
+        assertThat(changes.end(), is(8L));
+        assertThat(changes.records().stream().map(StateRecord::key).toList(), contains("c", "b"));
+        assertThat(changes.records().getLast().value().isEmpty(), is(true));
+    }
+
+    @Test
+    void shouldGiveEverythingToAPeerFromBeforeItsOwnFirstReading() {
+        replicas(whole(StateTopic.REPLICAS, 4, record(1, "a", "ready")));
+        assertThat(mView.changesSince(StateTopic.REPLICAS, 3).whole(), is(true));
+        assertThat(mView.changesSince(StateTopic.REPLICAS, 0).whole(), is(true));
+        assertThat(mView.changesSince(StateTopic.REPLICAS, 4).whole(), is(false));
+    }
+
+    @Test
+    void shouldTellAPeerThatAnEntryWentAwayWhichIsStillUsedHere() {
+        replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
+        mView.onStoreRegained(0);
+        replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(1, "a")));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
+        var changes = mView.changesSince(StateTopic.REPLICAS, 1).records();
+        assertThat(changes.getFirst().value().isEmpty(), is(true));
+    }
+
     @Test
     void shouldGiveAPeerAllThatItKnows() {
         replicas(whole(StateTopic.REPLICAS, 7, record(3, "a", "ready"), record(6, "b", "leaving")));
