--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -55,24 +55,30 @@
     /** Starts a router; it may not be ready yet. */
     static TestRouter start(String node, InetSocketAddress store, InetSocketAddress... seeds)
             throws IOException {
-        return start(newSettings(node, seeds), store);
+        return start(newSettings(node, seeds), store, Clock.SYSTEM);
+    }
+
+    /** Starts a router that goes by this clock. */
+    static TestRouter start(String node, InetSocketAddress store, Clock clock) throws IOException {
+        return start(newSettings(node), store, clock);
     }
 
     /** Starts a router of the same name at the same addresses. */
     TestRouter startAgain(InetSocketAddress store) throws IOException {
-        return start(mSettings, store);
+        return start(mSettings, store, Clock.SYSTEM);
     }
 
-    private static TestRouter start(DirectRouterSettings settings, InetSocketAddress store)
+    private static TestRouter start(
+            DirectRouterSettings settings, InetSocketAddress store, Clock clock)
             throws IOException {
         var lines = new ByteArrayOutputStream();
         var loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        var log = EventLog.start(lines, Clock.SYSTEM, settings.node(), LOG_LINES_PER_SECOND);
+        var log = EventLog.start(lines, clock, settings.node(), LOG_LINES_PER_SECOND);
         var registry = new SimpleMeterRegistry();
         var parts =
                 new DirectRouter.Parts(
                         loop,
-                        Clock.SYSTEM,
+                        clock,
                         log,
                         LogStore.at(store, loop),
                         new RecordDecoder(),
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.fescueport.platform.FaultProxy;
 import org.fescueport.platform.Installation;
 import org.fescueport.platform.RawCaller;
@@ -27,9 +28,10 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Routers as processes under load, with faults from a seed: signals, restarts, links that are slow,
- * silent, cut one way or reset, a store that fails in each of its ways, replicas that come and go.
- * Trouble and calm alternate; in calm, changes must be in force in time and callers be served.
+ * Routers as processes under load, with faults from a seed: signals, restarts, links to the store,
+ * to replicas and between nodes that are slow, silent, cut one way or reset, a store that fails in
+ * each of its ways, replicas that come and go. Trouble and calm alternate; in calm, changes must be
+ * in force in time and callers be served.
  *
  * <p>{@code -Dsoak.seed} and {@code -Dsoak.seeds} choose the seeds, {@code -Dsoak.rounds} the
  * length; the logs of all processes stay in {@code target/soak}.
@@ -49,6 +51,7 @@
 
     private final List<EdgeProcess> mEdges = new ArrayList<>();
     private final List<FaultProxy> mStoreLinks = new ArrayList<>();
+    private final List<FaultProxy> mPeerLinks = new ArrayList<>();
     private final List<SoakReplica> mReplicas = new CopyOnWriteArrayList<>();
     private final Set<EdgeProcess> mRestarting = ConcurrentHashMap.newKeySet();
     private final SoakRecords mRecords = new SoakRecords();
@@ -98,32 +101,49 @@
             addReplica("api");
         }
         List<InetSocketAddress> controls = new ArrayList<>();
+        List<InetSocketAddress> seeds = new ArrayList<>();
         for (int i = 0; i < EDGES; i++) {
             controls.add(EdgeProcess.freeAddress());
+            mPeerLinks.add(FaultProxy.before(controls.get(i)));
+            seeds.add(mPeerLinks.get(i).address());
         }
+        mStore.showNodesAt(node -> seeds.get(controls.indexOf(node)));
         for (int i = 0; i < EDGES; i++) {
             var link = FaultProxy.before(mStore.address());
             mStoreLinks.add(link);
             String node = "edge-" + i;
-            var edge = new EdgeProcess(node, folder, link.address(), controls.get(i), controls);
+            var edge =
+                    new EdgeProcess(
+                            node, folder, link.address(), controls.get(i), others(seeds, i));
             mEdges.add(edge);
             edge.start();
         }
         mEdges.forEach(edge -> await(edge.node() + " is ready", 15_000, () -> isReady(edge)));
     }
 
+    private static List<InetSocketAddress> others(List<InetSocketAddress> all, int own) {
+        List<InetSocketAddress> others = new ArrayList<>(all);
+        others.remove(own);
+        return others;
+    }
+
     private void stopFleet() throws IOException {
         mStopped.set(true);
         mEdges.forEach(EdgeProcess::close);
         for (var replica : mReplicas) {
             replica.close();
         }
-        for (var link : mStoreLinks) {
+        for (var link : links()) {
             link.close();
         }
         mStore.close();
     }
 
+    /** Returns the links to the store and between the nodes. */
+    private List<FaultProxy> links() {
+        return Stream.concat(mStoreLinks.stream(), mPeerLinks.stream()).toList();
+    }
+
     private void configure() {
         mStore.configure(Installation.configuration(mVersion));
         mVersion += 1 + mVersion % 3;
@@ -202,7 +222,7 @@
             pause(150 + mRandom.nextInt(500));
         }
         mStore.mode(StoreStandIn.Mode.GOOD);
-        mStoreLinks.forEach(link -> link.mode(FaultProxy.Mode.PASS));
+        links().forEach(link -> link.mode(FaultProxy.Mode.PASS));
         for (var replica : mReplicas) {
             replica.proxy().mode(FaultProxy.Mode.PASS);
             replica.failing(0);
@@ -216,8 +236,9 @@
         EdgeProcess edge = mEdges.get(mRandom.nextInt(EDGES));
         SoakReplica replica = mReplicas.get(mRandom.nextInt(mReplicas.size()));
         FaultProxy link = mStoreLinks.get(mRandom.nextInt(EDGES));
+        FaultProxy peers = mPeerLinks.get(mRandom.nextInt(EDGES));
         var modes = FaultProxy.Mode.values();
-        switch (mRandom.nextInt(12)) {
+        switch (mRandom.nextInt(14)) {
             case 0 -> {
                 if (!mRestarting.contains(edge)) {
                     edge.kill();
@@ -241,6 +262,8 @@
             case 9 -> configure();
             case 10 -> mStore.compact(mRandom.nextBoolean() ? "keyed.op" : "keyed.servers");
             case 11 -> edge.hangUp();
+            case 12 -> peers.mode(modes[mRandom.nextInt(modes.length)]);
+            case 13 -> peers.resetAll();
             default -> throw new IllegalStateException("no such fault");
         }
     }
