--- a/src/main/java/org/fescueport/internal/load/LoadMain.java
+++ b/src/main/java/org/fescueport/internal/load/LoadMain.java
@@ -5,6 +5,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
 import org.fescueport.internal.load.experiment.ExperimentCommand;
+import org.fescueport.internal.load.report.ReportCommand;
 import org.fescueport.internal.load.soak.SoakAuditCommand;
 import org.fescueport.internal.load.soak.SoakLoadCommand;
 import org.fescueport.internal.load.soak.SoakPlanCommand;
@@ -21,6 +22,7 @@
             CompareCommand.class,
             ExperimentCommand.class,
             MeasuresCommand.class,
+            ReportCommand.class,
             RunCommand.class,
             SoakAuditCommand.class,
             SoakLoadCommand.class,
