The placing of the direct way is a decision of its own

Change: decision.placement.PrefixPlacement and ReplicaLoads; ReplicaChooser keeps ejection and the former home. No behaviour changed.

--- /dev/null
+++ b/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
@@ -0,0 +1,65 @@
+package org.fescueport.internal.decision.placement;
+
+import java.util.Optional;
+
+/**
+ * Ties requests that share a prompt prefix to as few replicas as their load needs.
+ *
+ * <p>Answers a load of many requests with common prefixes, of which a few are hot at times: each
+ * prefix goes to the first replica in the order of its key that is not loaded far above the mean,
+ * so that all routers choose alike and little is read again. Requests that share nothing go where
+ * the least is held. Room is measured by the slots of each replica. Not safe for use by several
+ * threads.
+ *
+ * <pre>{@code
+ * var placement = PrefixPlacement.create(loads);
+ * Optional<Replica> replica = placement.choose(set, affinity, ReplicaFilter.ALL, now);
+ * }</pre>
+ */
+public final class PrefixPlacement {
+    /** Part of the mean by which a replica may be loaded above it before a key spills over. */
+    private static final double SPILL_FACTOR = 1.6;
+
+    /** Requests that a replica may hold beyond that, whatever the mean is. */
+    private static final int SPILL_FLOOR = 3;
+
+    private final ReplicaLoads mLoads;
+
+    private PrefixPlacement(ReplicaLoads loads) {
+        mLoads = loads;
+    }
+
+    /** Returns a placement by these loads. */
+    public static PrefixPlacement create(ReplicaLoads loads) {
+        return new PrefixPlacement(loads);
+    }
+
+    /** Returns the replica for a request, or nothing when the filter allows none. */
+    public Optional<Replica> choose(
+            ReplicaSet set, Affinity affinity, ReplicaFilter filter, long nowNanos) {
+        ReplicaFilter hasRoom =
+                affinity.cacheable() ? belowSpillLimit(set, nowNanos) : replica -> false;
+        var walk =
+                RankWalk.of(
+                        set,
+                        affinity,
+                        filter,
+                        hasRoom,
+                        replica -> mLoads.held(replica.node(), nowNanos) / replica.weight());
+        int first = walk.next();
+        int index = first >= 0 ? first : walk.leastLoaded();
+        return index < 0 ? Optional.empty() : Optional.of(set.replica(index));
+    }
+
+    private ReplicaFilter belowSpillLimit(ReplicaSet set, long nowNanos) {
+        long all = 0;
+        double weights = 0;
+        for (var replica : set.replicas()) {
+            all += mLoads.counted(replica.node(), nowNanos);
+            weights += replica.weight();
+        }
+        double perWeight = SPILL_FACTOR * all / weights;
+        return replica ->
+                mLoads.held(replica.node(), nowNanos) < SPILL_FLOOR + perWeight * replica.weight();
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaLoads.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaLoads.java
@@ -1,15 +1,16 @@
-package org.fescueport.internal.direct.place;
+package org.fescueport.internal.decision.placement;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.fescueport.internal.decision.NodeId;
 
 /**
  * How many requests each replica holds, as far as this node can tell.
  *
  * <p>What this node has sent is known at once; what others have sent is what the replica last told
- * beyond that, and is believed for a short time. Used by the event loop alone.
+ * beyond that, and is believed for a short time. Not safe for use by several threads.
  */
 public final class ReplicaLoads {
     /** A replica's word on the load of others is old after this. */
@@ -84,7 +85,7 @@
     }
 
     /** Forgets replicas that hold nothing of this node and are not named. */
-    public void retain(java.util.Set<NodeId> replicas) {
+    public void retain(Set<NodeId> replicas) {
         mLoads.entrySet().removeIf(e -> e.getValue().mOwn == 0 && !replicas.contains(e.getKey()));
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -2,11 +2,11 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
+import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.place.CrashWatch;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaHealth;
-import org.fescueport.internal.direct.place.ReplicaLoads;
 import org.fescueport.internal.direct.place.RetryBudgets;
 import org.fescueport.internal.direct.state.FleetView;
 
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -19,6 +19,7 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.PlainDecoder;
