--- a/src/main/java/org/fescueport/internal/load/experiment/VirtualTime.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/VirtualTime.java
@@ -3,7 +3,7 @@
 import java.util.PriorityQueue;
 
 /** A clock that stands still while code runs, and moves from one scheduled action to the next. */
-final class VirtualTime {
+public final class VirtualTime {
     private record Event(long atNanos, long sequence, Runnable action)
             implements Comparable<Event> {
         @Override
@@ -13,27 +13,27 @@
         }
     }
 
-    static final long MILLI = 1_000_000L;
-    static final long SECOND = 1_000 * MILLI;
+    public static final long MILLI = 1_000_000L;
+    public static final long SECOND = 1_000 * MILLI;
 
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private long mNowNanos;
     private long mSequence;
 
-    long now() {
+    public long now() {
         return mNowNanos;
     }
 
-    void at(long nanos, Runnable action) {
+    public void at(long nanos, Runnable action) {
         mEvents.add(new Event(Math.max(nanos, mNowNanos), mSequence++, action));
     }
 
-    void after(long nanos, Runnable action) {
+    public void after(long nanos, Runnable action) {
         at(mNowNanos + nanos, action);
     }
 
     /** Runs an action again and again, first after one period. */
-    void every(long periodNanos, Runnable action) {
+    public void every(long periodNanos, Runnable action) {
         after(
                 periodNanos,
                 () -> {
@@ -42,7 +42,7 @@
                 });
     }
 
-    void runUntil(long nanos) {
+    public void runUntil(long nanos) {
         while (!mEvents.isEmpty() && mEvents.peek().atNanos() <= nanos) {
             var event = mEvents.poll();
             mNowNanos = event.atNanos();
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
@@ -0,0 +1,56 @@
+package org.fescueport.internal.load.experiment.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.PrefixPlacement;
+import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.decision.placement.Replica;
+import org.fescueport.internal.decision.placement.ReplicaFilter;
+import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaSet;
+
+/** How one router picks a replica: the product's own way, or one to compare it with. */
+@FunctionalInterface
+public interface Placer {
+    /** Returns where the request goes, or nothing when the filter allows no replica. */
+    Optional<Replica> choose(ReplicaSet set, Affinity affinity, ReplicaFilter filter, long now);
+
+    /** Returns the product's own decision. */
+    static Placer own(ReplicaLoads loads) {
+        return PrefixPlacement.create(loads)::choose;
+    }
+
+    /** Returns one that looks at the load alone. */
+    static Placer leastHeld(ReplicaLoads loads) {
+        var placement = PrefixPlacement.create(loads);
+        return (set, affinity, filter, now) ->
+                placement.choose(set, new Affinity(affinity.key(), false), filter, now);
+    }
+
+    /** Returns one that looks at the prefix alone. */
+    static Placer firstRank() {
+        return (set, affinity, filter, now) -> {
+            var ranking = Ranking.of(set, affinity);
+            for (int index = ranking.next(); index >= 0; index = ranking.next()) {
+                if (filter.allows(set.replica(index))) {
+                    return Optional.of(set.replica(index));
+                }
+            }
+            return Optional.empty();
+        };
+    }
+
+    /** Returns one that looks at nothing. */
+    static Placer random(Random random) {
+        return (set, affinity, filter, now) -> {
+            List<Replica> left = new ArrayList<>(set.replicas());
+            left.removeIf(replica -> !filter.allows(replica));
+            return left.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(left.get(random.nextInt(left.size())));
+        };
+    }
+}
