Place by what other nodes must have sent too, and believe a replica's word while it owes an answer

A node knows of others' requests only what a replica tells with an answer. An overloaded replica answers late: after 3 s its word was forgotten and it looked empty just then, to every node. And between two answers all nodes sent alike to the same home, each counting only its own. Change: what a replica told is believed while it owes this node an answer; for each answer beyond one that it owes this node more than when it told, it is taken to owe the other nodes as many.

--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaLoads.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaLoads.java
@@ -10,7 +10,8 @@
  * How many requests each replica holds, as far as this node can tell.
  *
  * <p>What this node has sent is known at once; what others have sent is what the replica last told
- * beyond that, and is believed for a short time. Not safe for use by several threads.
+ * beyond that, and is believed for a short time, or until the replica has answered this node. Not
+ * safe for use by several threads.
  */
 public final class ReplicaLoads {
     /** A replica's word on the load of others is old after this. */
@@ -24,6 +25,7 @@
 
     private static final class Load {
         private int mOwn;
+        private int mOwnWhenTold;
         private int mOthers;
         private long mToldAtNanos;
         private long mFullUntilNanos;
@@ -31,6 +33,7 @@
     }
 
     private final Map<NodeId, Load> mLoads = new HashMap<>();
+    private int mNodes = 1;
 
     private ReplicaLoads() {}
 
@@ -39,6 +42,11 @@
         return new ReplicaLoads();
     }
 
+    /** Notes how many nodes there are that send to the same replicas, with this one. */
+    public void onNodes(int nodes) {
+        mNodes = nodes;
+    }
+
     /** Notes a request that was sent. */
     public void onSent(NodeId replica) {
         load(replica).mOwn++;
@@ -54,6 +62,7 @@
     public void onTold(NodeId replica, int held, long nowNanos) {
         Load load = load(replica);
         load.mOthers = Math.max(0, held - load.mOwn);
+        load.mOwnWhenTold = load.mOwn;
         load.mToldAtNanos = nowNanos;
     }
 
@@ -80,8 +89,17 @@
         if (load == null) {
             return 0;
         }
-        boolean old = nowNanos - load.mToldAtNanos > REPORT_AGE.toNanos();
-        return load.mOwn + (old ? 0 : load.mOthers);
+        boolean old = load.mOwn == 0 && nowNanos - load.mToldAtNanos > REPORT_AGE.toNanos();
+        return load.mOwn + (old ? 0 : load.mOthers + sentByOthersSince(load));
+    }
+
+    /**
+     * The other nodes choose alike, so while a replica owes this node more answers than when it
+     * last told its load, it owes them as many more; one may be on its way in any case.
+     */
+    private int sentByOthersSince(Load load) {
+        int more = load.mOwn - load.mOwnWhenTold - 1;
+        return Math.max(0, more) * (mNodes - 1);
     }
 
     /** Forgets replicas that hold nothing of this node and are not named. */
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -131,7 +131,7 @@
                         parts.clock());
         var crashes = CrashWatch.create();
         crashes.listen(new FromCrashWatch());
-        mPeers.listen(new FromPeers(crashes));
+        mPeers.listen(new FromPeers(crashes, loads));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -348,9 +348,11 @@
     /** What comes from other nodes. */
     private final class FromPeers implements PeerGroup.Listener {
         private final CrashWatch mCrashes;
+        private final ReplicaLoads mLoads;
 
-        FromPeers(CrashWatch crashes) {
+        FromPeers(CrashWatch crashes, ReplicaLoads loads) {
             mCrashes = crashes;
+            mLoads = loads;
         }
 
         @Override
@@ -373,6 +375,7 @@
         @Override
         public void onNodes(int nodes) {
             mBudgets.onNodes(nodes);
+            mLoads.onNodes(nodes);
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/decision/placement/ReplicaLoadsTest.java
@@ -0,0 +1,57 @@
+package org.fescueport.internal.decision.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import org.fescueport.internal.decision.NodeId;
+import org.junit.jupiter.api.Test;
+
+class ReplicaLoadsTest {
+    private static final NodeId REPLICA = NodeId.of("r");
+    private static final long LONG = Duration.ofMinutes(1).toNanos();
+
+    private final ReplicaLoads mLoads = ReplicaLoads.create();
+
+    private void send(int requests) {
+        for (int i = 0; i < requests; i++) {
+            mLoads.onSent(REPLICA);
+        }
+    }
+
+    @Test
+    void shouldCountWhatOthersHaveThereUntilThatIsOld() {
+        send(1);
+        mLoads.onTold(REPLICA, 20, 0);
+        mLoads.onEnded(REPLICA);
+        assertThat(mLoads.counted(REPLICA, 1), is(19));
+        assertThat(mLoads.counted(REPLICA, LONG), is(0));
+    }
+
+    /** An overloaded replica answers late: it must not look empty just then. */
+    @Test
+    void shouldBelieveWhatAReplicaToldWhileItOwesAnAnswer() {
+        send(1);
+        mLoads.onTold(REPLICA, 20, 0);
+        assertThat(mLoads.counted(REPLICA, LONG), is(20));
+    }
+
+    @Test
+    void shouldExpectThatOtherNodesWaitForAsManyMoreAnswersAsThisOne() {
+        mLoads.onNodes(10);
+        send(1);
+        mLoads.onTold(REPLICA, 5, 0);
+        send(1);
+        assertThat(mLoads.counted(REPLICA, 1), is(2 + 4));
+        send(2);
+        assertThat(mLoads.counted(REPLICA, 1), is(4 + 4 + 2 * 9));
+        mLoads.onTold(REPLICA, 12, 2);
+        assertThat(mLoads.counted(REPLICA, 3), is(12));
+    }
+
+    @Test
+    void shouldExpectNothingOfOthersWhereThereAreNone() {
+        send(7);
+        assertThat(mLoads.counted(REPLICA, 0), is(7));
+    }
+}
