--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.CallerQuota;
 import org.fescueport.internal.direct.forward.Forwarder;
@@ -31,7 +32,6 @@
 import org.fescueport.internal.direct.place.CrashWatch;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaHealth;
-import org.fescueport.internal.direct.place.ReplicaLoads;
 import org.fescueport.internal.direct.place.RetryBudgets;
 import org.fescueport.internal.direct.state.Announcer;
 import org.fescueport.internal.direct.state.FleetView;
@@ -131,7 +131,7 @@
                         parts.clock());
         var crashes = CrashWatch.create();
         crashes.listen(new FromCrashWatch());
-        mPeers.listen(new FromPeers(crashes));
+        mPeers.listen(new FromPeers(crashes, loads));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -348,9 +348,11 @@
     /** What comes from other nodes. */
     private final class FromPeers implements PeerGroup.Listener {
         private final CrashWatch mCrashes;
+        private final ReplicaLoads mLoads;
 
-        FromPeers(CrashWatch crashes) {
+        FromPeers(CrashWatch crashes, ReplicaLoads loads) {
             mCrashes = crashes;
+            mLoads = loads;
         }
 
         @Override
@@ -373,6 +375,7 @@
         @Override
         public void onNodes(int nodes) {
             mBudgets.onNodes(nodes);
+            mLoads.onNodes(nodes);
         }
     }
 
