Send configurations deflated between nodes

Change: values from 1,024 bytes on are deflated (RFC 1950), once for all peers; a value that is not what it says ends the connection.

--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.zip.DataFormatException;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.FleetView;
@@ -26,6 +27,7 @@
 import org.fescueport.internal.wire.generated.PeerHello;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
+import org.fescueport.internal.wire.generated.PeerRecords;
 import org.fescueport.internal.wire.generated.PeerStrike;
 
 /**
@@ -223,7 +225,7 @@
     void onMessage(PeerConnection peer, PeerMessage message) {
         switch (message.getBodyCase()) {
             case HELLO -> onHello(peer, message.getHello());
-            case RECORDS -> onRecords(peer, PeerRecordsCodec.decode(message.getRecords()), message);
+            case RECORDS -> onRecords(peer, message.getRecords());
             case PULSE -> onPulse(peer, message.getPulse());
             case STRIKE -> onStrike(peer, message);
             case BODY_NOT_SET ->
@@ -242,9 +244,17 @@
         }
     }
 
-    private void onRecords(PeerConnection peer, RecordBatch batch, PeerMessage message) {
-        long grace = message.getRecords().getLapseGraceMs();
-        mView.onLapseGrace(Duration.ofMillis(grace), nowNanos());
+    private void onRecords(PeerConnection peer, PeerRecords records) {
+        RecordBatch batch;
+        try {
+            batch = PeerRecordsCodec.decode(records);
+        } catch (DataFormatException e) {
+            // A node that has read this can't be relied on; another one is tried, or the store.
+            onBroken(peer, e);
+            peer.close();
+            return;
+        }
+        mView.onLapseGrace(Duration.ofMillis(records.getLapseGraceMs()), nowNanos());
         if (!mView.follows(batch)) {
             sendHello(peer);
             return;
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.zip.DataFormatException;
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
@@ -29,25 +30,41 @@
                             .setOffset(record.offset())
                             .setKey(record.key())
                             .setRemoved(record.value().isEmpty());
-            record.value().ifPresent(value -> entry.setValue(ByteString.copyFrom(value)));
+            record.value().ifPresent(value -> setValue(entry, value));
             records.addEntries(entry);
         }
         return PeerMessage.newBuilder().setRecords(records).build();
     }
 
-    static RecordBatch decode(PeerRecords records) {
+    private static void setValue(PeerRecord.Builder entry, byte[] value) {
+        if (value.length < Deflation.LEAST_BYTES) {
+            entry.setValue(ByteString.copyFrom(value));
+        } else {
+            entry.setValue(Deflation.deflate(value)).setInflatedBytes(value.length);
+        }
+    }
+
+    /**
+     * Returns the records of a message.
+     *
+     * @throws DataFormatException when a value can't be read
+     */
+    static RecordBatch decode(PeerRecords records) throws DataFormatException {
         List<StateRecord> entries = new ArrayList<>();
         for (var entry : records.getEntriesList()) {
             entries.add(
                     entry.getRemoved()
                             ? StateRecord.removed(entry.getOffset(), entry.getKey())
-                            : StateRecord.set(
-                                    entry.getOffset(),
-                                    entry.getKey(),
-                                    entry.getValue().toByteArray()));
+                            : StateRecord.set(entry.getOffset(), entry.getKey(), value(entry)));
         }
         StateTopic topic = records.getReplicas() ? StateTopic.REPLICAS : StateTopic.CONFIGURATION;
         return new RecordBatch(
                 topic, records.getFrom(), records.getEnd(), records.getWhole(), entries);
     }
+
+    private static byte[] value(PeerRecord entry) throws DataFormatException {
+        return entry.getInflatedBytes() == 0
+                ? entry.getValue().toByteArray()
+                : Deflation.inflate(entry.getValue(), entry.getInflatedBytes());
+    }
 }
