--- a/src/test/java/org/fescueport/platform/StoppingTest.java
+++ b/src/test/java/org/fescueport/platform/StoppingTest.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescueport.platform.RawServer.Script;
 import org.junit.jupiter.api.Test;
@@ -53,6 +54,23 @@
         }
     }
 
+    /** What connects behind its last look would be cut by its end. */
+    @Test
+    void shouldListenNoMoreOnceItHasDecidedToEnd() throws Exception {
+        try (var fleet = Installation.start(GOOD, STREAM)) {
+            var heard = fleet.router().stop().thenApply(done -> canConnect(fleet));
+            assertThat(heard.get(10, TimeUnit.SECONDS), is(false));
+        }
+    }
+
+    private static boolean canConnect(Installation fleet) {
+        try (var caller = RawCaller.connect(fleet.router().callers())) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     @Test
     void shouldAnswerWhatItHasAcceptedBeforeItEnds() throws Exception {
         Script script =
