--- a/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
@@ -2,20 +2,24 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.load.experiment.model.Backend;
 import org.fescueport.internal.load.experiment.model.Call;
 import org.fescueport.internal.load.experiment.model.EngineModel;
 import org.fescueport.internal.load.experiment.model.ModelFleet;
 import org.fescueport.internal.load.experiment.model.ModelTally;
 import org.fescueport.internal.load.experiment.model.Placer;
+import org.fescueport.internal.load.experiment.model.ServiceModel;
 
 /**
- * What callers of engines that queue and refuse by themselves get, by the way of placing: a steady
+ * What callers of replicas that queue and refuse by themselves get, by the way of placing: a steady
  * time, then a burst in which one subject gets much of the traffic, then a steady time again.
+ * Engines share prompts, plain services share nothing.
  */
 final class PlacingExperiment implements Experiment {
     private static final long SECOND = VirtualTime.SECOND;
@@ -24,6 +28,10 @@
     private static final EngineModel.Settings ENGINE =
             new EngineModel.Settings(64, 192, 526_114, 3_090_000, 60_000, 56.9, 2_048);
 
+    /** The same of its plain service. */
+    private static final ServiceModel.Settings SERVICE =
+            new ServiceModel.Settings(6, 24, 85_700_000, 0.3);
+
     private static final double BURST_FACTOR = 2.5;
     private static final double HOT_SHARE = 0.3;
     private static final int SUBJECTS_FOR_EACH_ENGINE = 12;
@@ -31,19 +39,32 @@
     /** Spread of the popularity of subjects: the n-th has 1/n of the first one's. */
     private static final double ZIPF = 1.0;
 
-    private record Size(String name, int routers, int engines, double ratePerSecond) {}
+    /** Odd multiplier that makes keys of numbers. */
+    private static final long SPREAD = 0x9e3779b97f4a7c15L;
+
+    private record Size(
+            String name, int routers, int replicas, boolean service, double ratePerSecond) {}
 
-    /** A kind of call: shared and own prompt tokens, answer, first token aimed at, share. */
+    /** A kind of call: shared and own prompt tokens, answer, times, share of all calls. */
     private record Kind(
-            int shared, int own, int output, int urgency, double aimSeconds, double share) {}
+            int shared,
+            int own,
+            int output,
+            int urgency,
+            double aimSeconds,
+            double deadlineSeconds,
+            double share) {}
 
     private static final List<Kind> KINDS =
             List.of(
-                    new Kind(10_512, 1_300, 384, 0, 1.0, 0.24),
-                    new Kind(699, 130, 294, 2, 0.8, 0.40),
-                    new Kind(2_041, 360, 24, 1, 1.2, 0.36));
+                    new Kind(10_512, 1_300, 384, 0, 1.0, 12, 0.24),
+                    new Kind(699, 130, 294, 2, 0.8, 12, 0.40),
+                    new Kind(2_041, 360, 24, 1, 1.2, 12, 0.36));
 
-    private static final double DEADLINE_SECONDS = 12;
+    private static final Kind LOOKUP = new Kind(0, 0, 0, 0, 0.386, 1.5, 1);
+
+    /** Longer than any call waits. */
+    private static final long RUN_OUT = 12 * SECOND;
 
     /** One way to place, made for each router. */
     private record Way(String name, Function<ReplicaLoads, Placer> placer) {}
@@ -53,10 +74,11 @@
         var report = new Report("placing", seed, quick).with("burst_factor", BURST_FACTOR);
         long third = (quick ? 10 : 30) * SECOND;
         List<Size> sizes = new ArrayList<>();
-        sizes.add(new Size("5/8", 5, 8, 50));
-        sizes.add(new Size("32/41", 32, 41, 256));
+        sizes.add(new Size("5/8", 5, 8, false, 50));
+        sizes.add(new Size("32/41", 32, 41, false, 256));
+        sizes.add(new Size("32/3 services", 32, 3, true, 80));
         if (!quick) {
-            sizes.add(new Size("330/1200", 330, 1_200, 1_600));
+            sizes.add(new Size("330/1200", 330, 1_200, false, 1_600));
         }
         for (var size : sizes) {
             for (var way : ways(seed)) {
@@ -101,26 +123,29 @@
                             mTally,
                             size.routers(),
                             way.placer(),
-                            size.engines(),
-                            this::newEngine);
-            for (int i = 1; i <= size.engines() * SUBJECTS_FOR_EACH_ENGINE; i++) {
+                            size.replicas(),
+                            this::newReplica);
+            for (int i = 1; i <= size.replicas() * SUBJECTS_FOR_EACH_ENGINE; i++) {
                 mPopularity += Math.pow(i, -ZIPF);
                 mSubjects.put(mPopularity, i);
             }
         }
 
-        private EngineModel newEngine() {
+        private Backend newReplica() {
+            if (mSize.service()) {
+                return ServiceModel.create(SERVICE, mTime, mRandom);
+            }
             var engine = EngineModel.create(ENGINE, mTime);
             mEngines.add(engine);
             return engine;
         }
 
-        void measure(long third, java.util.Map<String, Object> row) {
+        void measure(long third, Map<String, Object> row) {
             mTime.at(third, () -> mBurst = true);
             mTime.at(2 * third, () -> mBurst = false);
             mTime.every(SECOND / 4, this::measureSkew);
             arriveNext(3 * third);
-            mTime.runUntil(3 * third + (long) (DEADLINE_SECONDS * SECOND));
+            mTime.runUntil(3 * third + RUN_OUT);
             long read = mEngines.stream().mapToLong(e -> e.counts().readTokens()).sum();
             long shared = mEngines.stream().mapToLong(e -> e.counts().sharedReadTokens()).sum();
             row.put("calls", mTally.arrived());
@@ -150,6 +175,12 @@
         }
 
         private void submit() {
+            if (mSize.service()) {
+                long key = mNextOwn * SPREAD;
+                var parts = List.of(new Call.Part(mNextOwn--, 0));
+                mFleet.submit(call(LOOKUP, parts), new Affinity(key, false));
+                return;
+            }
             int number = drawKind();
             Kind kind = KINDS.get(number);
             long subject = (long) number << 32 | drawSubject();
@@ -157,15 +188,17 @@
                     List.of(
                             new Call.Part(subject, kind.shared()),
                             new Call.Part(mNextOwn--, kind.own()));
-            var call =
-                    Call.arriving(
-                            mTime.now(),
-                            parts,
-                            kind.output(),
-                            kind.urgency(),
-                            (long) (kind.aimSeconds() * SECOND),
-                            (long) (DEADLINE_SECONDS * SECOND));
-            mFleet.submit(call, new Affinity(subject * 0x9e3779b97f4a7c15L, true));
+            mFleet.submit(call(kind, parts), new Affinity(subject * SPREAD, true));
+        }
+
+        private Call call(Kind kind, List<Call.Part> parts) {
+            return Call.arriving(
+                    mTime.now(),
+                    parts,
+                    kind.output(),
+                    kind.urgency(),
+                    (long) (kind.aimSeconds() * SECOND),
+                    (long) (kind.deadlineSeconds() * SECOND));
         }
 
         private int drawKind() {
--- a/src/test/java/org/fescueport/internal/load/experiment/PlacingExperimentTest.java
+++ b/src/test/java/org/fescueport/internal/load/experiment/PlacingExperimentTest.java
@@ -29,6 +29,15 @@
         assertThat(figure(size, "own", "complete"), greaterThan(0.99));
     }
 
+    @Test
+    void shouldSpreadRequestsThatShareNothingBetterThanChance() {
+        String size = "32/3 services";
+        assertThat(
+                figure(size, "own", "in_aim"),
+                greaterThanOrEqualTo(figure(size, "random", "in_aim")));
+        assertThat(figure(size, "own", "refused"), lessThan(0.01));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"5/8", "32/41"})
     void shouldReadPromptsAgainFarLessOftenThanWithoutTheirPrefix(String size) {
