Read the change again: one way to wait and to ask in the tests, one walk in the load tool

Change: Await takes a limit, RawCaller.statusOf, Placer.firstRank goes by RankWalk and serves the baseline. No class of the router changed.

--- a/src/main/java/org/fescueport/internal/load/experiment/Baselines.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/Baselines.java
@@ -1,7 +1,7 @@
 package org.fescueport.internal.load.experiment;
 
 import java.util.Random;
-import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.load.experiment.model.Placer;
 
 /** What others do, and an oracle; each sees the true load, which is more than a router has. */
 final class Baselines {
@@ -28,17 +28,18 @@
     }
 
     static Policy plainRendezvous() {
-        return (job, fleet) -> {
-            var set = fleet.viewOf(job.mRouter);
-            var ranking = Ranking.of(set, job.mAffinity);
-            for (int index = ranking.next(); index >= 0; index = ranking.next()) {
-                var node = set.replica(index).node();
-                if (!job.mTried.contains(node) && fleet.isListed(job.mRouter, node)) {
-                    return target(fleet.replica(node));
-                }
-            }
-            return null;
-        };
+        var firstRank = Placer.firstRank();
+        return (job, fleet) ->
+                firstRank
+                        .choose(
+                                fleet.viewOf(job.mRouter),
+                                job.mAffinity,
+                                replica ->
+                                        !job.mTried.contains(replica.node())
+                                                && fleet.isListed(job.mRouter, replica.node()),
+                                fleet.now())
+                        .map(replica -> target(fleet.replica(replica.node())))
+                        .orElse(null);
     }
 
     /**
--- a/src/main/java/org/fescueport/internal/load/experiment/model/PartCache.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/PartCache.java
@@ -37,8 +37,4 @@
             oldest.remove();
         }
     }
-
-    long tokens() {
-        return mTokens;
-    }
 }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
@@ -6,7 +6,7 @@
 import java.util.Random;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.PrefixPlacement;
-import org.fescueport.internal.decision.placement.Ranking;
+import org.fescueport.internal.decision.placement.RankWalk;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaFilter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
@@ -33,13 +33,8 @@
     /** Returns one that looks at the prefix alone. */
     static Placer firstRank() {
         return (set, affinity, filter, now) -> {
-            var ranking = Ranking.of(set, affinity);
-            for (int index = ranking.next(); index >= 0; index = ranking.next()) {
-                if (filter.allows(set.replica(index))) {
-                    return Optional.of(set.replica(index));
-                }
-            }
-            return Optional.empty();
+            int index = RankWalk.of(set, affinity, filter, ReplicaFilter.ALL, any -> 0).next();
+            return index < 0 ? Optional.empty() : Optional.of(set.replica(index));
         };
     }
 
--- a/src/test/java/org/fescueport/platform/ClockStepTest.java
+++ b/src/test/java/org/fescueport/platform/ClockStepTest.java
@@ -48,15 +48,9 @@
             caller.send(get("/safe/y"));
             assertThat(caller.receive().status(), is(200));
             fleet.store().configure(Installation.configuration(9).replace("/safe/", "/new/"));
-            Await.until("the change is in force", () -> status(router) == 200);
-        }
-    }
-
-    private static int status(TestRouter router) {
-        try {
-            return RawCaller.ask(router.callers(), get("/new/x")).status();
-        } catch (java.io.IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            Await.until(
+                    "the change is in force",
+                    () -> RawCaller.statusOf(router.callers(), get("/new/x")) == 200);
         }
     }
 }
--- a/src/test/java/org/fescueport/platform/FaultProxy.java
+++ b/src/test/java/org/fescueport/platform/FaultProxy.java
@@ -9,8 +9,6 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 
 /** Passes connections on over loopback, and disturbs them as it is told. */
 public final class FaultProxy implements AutoCloseable {
@@ -116,7 +114,7 @@
                     return;
                 }
                 if (mMode == Mode.DELAY) {
-                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(DELAY_MS));
+                    Await.pause(DELAY_MS);
                 }
                 output.write(buffer, 0, read);
             }
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -37,6 +38,15 @@
         }
     }
 
+    /** Returns the status alone; for conditions, which can't throw what is checked. */
+    static int statusOf(InetSocketAddress address, String request) {
+        try {
+            return ask(address, request).status();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     public void send(String text) throws IOException {
         mSocket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/org/fescueport/platform/SplitTest.java
+++ b/src/test/java/org/fescueport/platform/SplitTest.java
@@ -83,11 +83,7 @@
 
     /** The route is there, although no replica serves it. */
     private static boolean isKnown(TestRouter router, String path) {
-        try {
-            return RawCaller.ask(router.callers(), get(path + "x")).status() == 503;
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return RawCaller.statusOf(router.callers(), get(path + "x")) == 503;
     }
 
     @ParameterizedTest
--- a/src/test/java/org/fescueport/platform/StoppingTest.java
+++ b/src/test/java/org/fescueport/platform/StoppingTest.java
@@ -132,10 +132,6 @@
     }
 
     private static int status(Installation fleet, String request) {
-        try {
-            return RawCaller.ask(fleet.router().admin(), request).status();
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
+        return RawCaller.statusOf(fleet.router().admin(), request);
     }
 }
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -17,9 +17,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.LockSupport;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
+import org.fescueport.platform.Await;
 import org.fescueport.platform.FaultProxy;
 import org.fescueport.platform.Installation;
 import org.fescueport.platform.RawCaller;
@@ -118,7 +118,7 @@
             mEdges.add(edge);
             edge.start();
         }
-        mEdges.forEach(edge -> await(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, () -> isReady(edge)));
     }
 
     private static List<InetSocketAddress> others(List<InetSocketAddress> all, int own) {
@@ -172,18 +172,18 @@
         while (!mStopped.get()) {
             EdgeProcess edge = mEdges.get(random.nextInt(EDGES));
             if (!isReady(edge)) {
-                pause(20);
+                Await.pause(20);
                 continue;
             }
             try (var caller = RawCaller.connect(edge.callers())) {
                 boolean open = true;
                 while (open && !mStopped.get()) {
                     open = call(caller, random);
-                    pause(5 + random.nextInt(30));
+                    Await.pause(5 + random.nextInt(30));
                 }
             } catch (IOException e) {
                 // The node is gone or was frozen for too long; the next one is asked.
-                pause(20);
+                Await.pause(20);
             }
         }
     }
@@ -219,7 +219,7 @@
         while (System.nanoTime() - end < 0) {
             startWhatEnded();
             oneFault();
-            pause(150 + mRandom.nextInt(500));
+            Await.pause(150 + mRandom.nextInt(500));
         }
         mStore.mode(StoreStandIn.Mode.GOOD);
         links().forEach(link -> link.mode(FaultProxy.Mode.PASS));
@@ -299,7 +299,7 @@
         Thread.ofVirtual()
                 .start(
                         () -> {
-                            pause(millis);
+                            Await.pause(millis);
                             try {
                                 edge.thaw();
                             } catch (IOException e) {
@@ -310,16 +310,16 @@
 
     /** Nothing is disturbed: what changes must be in force in time, and callers be served. */
     private void calm() throws Exception {
-        pause(SETTLING_MS / 2);
+        Await.pause(SETTLING_MS / 2);
         startWhatEnded();
-        pause(SETTLING_MS);
-        mEdges.forEach(edge -> await(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+        Await.pause(SETTLING_MS);
+        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, () -> isReady(edge)));
         mRecords.calm(true);
         SoakReplica leaving = mReplicas.getFirst();
         addReplica(leaving.id().startsWith("llm") ? "llm" : "api");
         leaving.register(mStore, "draining");
         long ack = System.nanoTime();
-        pause(BOUND_MS + 1_000);
+        Await.pause(BOUND_MS + 1_000);
         long late = mRecords.lastArrivalNanos(leaving.id()) - ack;
         if (late > TimeUnit.MILLISECONDS.toNanos(BOUND_MS)) {
             mRecords.broken(leaving.id() + " got work " + late / 1_000_000 + " ms after it left");
@@ -338,18 +338,4 @@
             return false;
         }
     }
-
-    private static void await(String what, long millis, java.util.function.BooleanSupplier done) {
-        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
-        while (!done.getAsBoolean()) {
-            if (System.nanoTime() - end > 0) {
-                throw new AssertionError("not within " + millis + " ms: " + what);
-            }
-            pause(20);
-        }
-    }
-
-    private static void pause(long millis) {
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
-    }
 }
