Heed what replicas say of new work in their answers

The router knew the store's list alone, which is silent while the store is away and says ready again for an entry that is back. Ruled out: ejection (it is forgotten after seconds, and is passed over when no other replica is left); the store's entry (another writer, another clock). Change: ReplicaNotices in decision/placement, by life (id and start), on the runtime's clock; the chooser never picks a closed replica, for first sendings, repeats, streams that go on and silent replicas alike; a request whose connection opens behind the notice goes elsewhere; a paused replica is not asked for what it holds of a prompt. All closed: refused at once with when the first opens. Limit: a replica that began another life under its id before the store told so is taken for the old one until then.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -19,6 +19,7 @@
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.CallerQuota;
 import org.fescueport.internal.direct.forward.Forwarder;
@@ -113,7 +114,8 @@
                         parts.log());
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
         var loads = ReplicaLoads.create();
-        var chooser = ReplicaChooser.create(mView, loads);
+        var notices = ReplicaNotices.create();
+        var chooser = ReplicaChooser.create(mView, loads, notices);
         var health = ReplicaHealth.create();
         mView.listen(
                 () -> {
@@ -140,6 +142,7 @@
                         mLinks,
                         chooser,
                         loads,
+                        notices,
                         health,
                         mBudgets,
                         crashes,
--- a/src/main/java/org/fescueport/internal/direct/forward/AnswerHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AnswerHead.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.fescueport.internal.decision.placement.ReplicaNotice;
 
 /**
  * What a replica says before the body of an answer.
@@ -17,6 +18,7 @@
  * @param endsWithConnection whether only the end of the connection tells the end of the body
  * @param keepsOpen whether the replica takes another request on this connection
  * @param idleTime for which the replica keeps an idle connection, where it says so
+ * @param notice that the replica gives of new work
  */
 public record AnswerHead(
         int status,
@@ -28,7 +30,8 @@
         OptionalLong length,
         boolean endsWithConnection,
         boolean keepsOpen,
-        Optional<Duration> idleTime) {
+        Optional<Duration> idleTime,
+        ReplicaNotice notice) {
     /** Requests that a replica works on, that wait there, and that it can work on at once. */
     public record Load(int running, int waiting, int slots) {}
 
@@ -54,7 +57,8 @@
                 OptionalLong.empty(),
                 endsWithConnection,
                 keepsOpen,
-                idleTime);
+                idleTime,
+                notice);
     }
 
     /** Returns whether the answer is a success. */
--- a/src/main/java/org/fescueport/internal/direct/forward/AnswerListener.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AnswerListener.java
@@ -7,6 +7,12 @@
     /** Returns whether the request is still to be sent. */
     boolean isWanted();
 
+    /** Returns whether the replica may still be sent a request that it was chosen for. */
+    boolean isReplicaOpen();
+
+    /** The replica takes no new work any more; the request was not sent. */
+    void onReplicaClosed();
+
     /** The request goes out now, on this connection. */
     void onSending(ReplicaConnection connection);
 
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -1,6 +1,8 @@
 package org.fescueport.internal.direct.forward;
 
 import io.netty.buffer.ByteBuf;
+import java.time.Duration;
+import org.fescueport.internal.decision.placement.ReplicaNotice;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /**
@@ -73,6 +75,18 @@
         return !mOver;
     }
 
+    @Override
+    public boolean isReplicaOpen() {
+        return mContext.notices().takesWork(mReplica.life(), mContext.nowNanos());
+    }
+
+    @Override
+    public void onReplicaClosed() {
+        if (end()) {
+            mExchange.onNotSent(this, "the replica takes no new work any more");
+        }
+    }
+
     @Override
     public void onSending(ReplicaConnection connection) {
         mConnection = connection;
@@ -94,6 +108,7 @@
         long now = mContext.nowNanos();
         mContext.health().onHeard(mReplica.id(), now);
         mContext.crashes().onAnswered(mReplica, mBegunNanos);
+        takeNotice(head.notice(), now);
         head.load()
                 .ifPresent(
                         load -> {
@@ -128,6 +143,19 @@
         }
     }
 
+    private void takeNotice(ReplicaNotice notice, long nowNanos) {
+        if (mContext.notices().onNotice(mReplica.life(), notice, nowNanos)) {
+            mContext.log()
+                    .change("replica-notice")
+                    .with("replica", mReplica.id())
+                    .with("life", mReplica.startedAtMillis())
+                    .with("leaving", notice.leaving())
+                    .with("pause_ms", notice.pause().map(Duration::toMillis).orElse(0L))
+                    .with("unreadable", notice.unreadable().orElse(""))
+                    .write();
+        }
+    }
+
     private boolean end() {
         if (mOver) {
             return false;
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -389,7 +389,8 @@
 
     private void refuse(String message) {
         Invariants.check(!mMayHaveRun, "request %s may have run and is refused", mRequest.id());
-        var retryAfter = mTime.retryAfter(mContext.random());
+        var opensIn = mContext.chooser().opensIn(mPool, mContext.nowNanos());
+        var retryAfter = mTime.retryAfter(opensIn, mContext.random());
         mCaller.answer(
                 mContext.protocol()
                         .writeRefusal(Refusal.notRun(mRequest.id(), message, retryAfter)));
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.place.CrashWatch;
 import org.fescueport.internal.direct.place.ReplicaChooser;
@@ -18,6 +19,7 @@
         ReplicaLinks links,
         ReplicaChooser chooser,
         ReplicaLoads loads,
+        ReplicaNotices notices,
         ReplicaHealth health,
         RetryBudgets budgets,
         CrashWatch crashes,
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaLinks.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaLinks.java
@@ -88,12 +88,13 @@
                         .connect(link.replica().address());
         opened.addListener(
                 done -> {
-                    if (done.isSuccess() && listener.isWanted()) {
+                    if (done.isSuccess() && listener.isWanted() && listener.isReplicaOpen()) {
                         connection.send(message, requestId, listener);
                     } else if (done.isSuccess()) {
                         message.release();
                         connection.rest(Optional.empty());
                         link.onIdle(connection);
+                        listener.onReplicaClosed();
                     } else {
                         message.release();
                         link.onClosing(connection);
--- a/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.direct.config.RequestKind;
@@ -21,6 +22,9 @@
     /** Callers come back after at most a third of the time that they have left. */
     private static final double RETURN_PART = 0.3;
 
+    /** Callers who are told of a time at which there is room come back within this after it. */
+    private static final Duration SPREAD_OF_RETURN = Duration.ofMillis(200);
+
     private static final Duration SHORTEST_RETURN = Duration.ofMillis(100);
     private static final Duration LONGEST_RETURN = Duration.ofMillis(1_500);
 
@@ -69,8 +73,16 @@
         return Duration.ofNanos((long) (ANSWER_PART * mObjective.toNanos()));
     }
 
-    /** Returns when to come back, spread so that callers do not return all at once. */
-    Duration retryAfter(RandomGenerator random) {
+    /**
+     * Returns when to come back, spread so that callers do not return all at once.
+     *
+     * @param opensIn when the first replica takes work again, where all have asked for a pause
+     */
+    Duration retryAfter(Optional<Duration> opensIn, RandomGenerator random) {
+        if (opensIn.isPresent()) {
+            double spread = random.nextDouble() * SPREAD_OF_RETURN.toNanos();
+            return opensIn.get().plusNanos((long) spread);
+        }
         double left = Math.max(0, mEndNanos - mClock.monotonicTime());
         double longest = Math.min(RETURN_PART * left, LONGEST_RETURN.toNanos());
         double part = longest * (0.4 + 0.6 * random.nextDouble());
--- a/src/main/java/org/fescueport/internal/direct/place/CrashWatch.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashWatch.java
@@ -119,7 +119,7 @@
 
     private void strike(Suspicion suspicion, long nowNanos) {
         ReplicaEntry replica = suspicion.replica();
-        var life = AgentIncarnation.of(replica.id(), replica.startedAtMillis());
+        var life = replica.life();
         if (onStrike(suspicion.request(), life, nowNanos)) {
             mListener.onStrike(suspicion.request(), life);
         }
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.ejection.EjectionSettings;
 import org.fescueport.internal.decision.ejection.OutlierEjection;
 import org.fescueport.internal.decision.placement.Affinity;
@@ -15,13 +16,14 @@
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaFilter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.decision.placement.ReplicaSet;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /**
  * Picks the replica for a request by {@link PrefixPlacement}. Replicas that keep failing are passed
- * over while others are left.
+ * over while others are left; one that has said that it takes no new work is never picked.
  */
 public final class ReplicaChooser {
     private static final EjectionSettings EJECTION =
@@ -45,16 +47,19 @@
 
     private final FleetView mView;
     private final PrefixPlacement mPlacement;
+    private final ReplicaNotices mNotices;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
 
-    private ReplicaChooser(FleetView view, ReplicaLoads loads) {
+    private ReplicaChooser(FleetView view, ReplicaLoads loads, ReplicaNotices notices) {
         mView = view;
+        mNotices = notices;
         mPlacement = PrefixPlacement.create(loads);
     }
 
     /** Returns a chooser among the replicas of the view. */
-    public static ReplicaChooser create(FleetView view, ReplicaLoads loads) {
-        return new ReplicaChooser(view, loads);
+    public static ReplicaChooser create(
+            FleetView view, ReplicaLoads loads, ReplicaNotices notices) {
+        return new ReplicaChooser(view, loads, notices);
     }
 
     /**
@@ -65,7 +70,10 @@
     public Optional<Placed> choose(
             PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
         ReplicaSet set = mView.pool(pool);
-        ReplicaFilter fresh = replica -> !tried.contains(replica.node());
+        ReplicaFilter fresh =
+                replica ->
+                        !tried.contains(replica.node())
+                                && mNotices.takesWork(lifeOf(replica), nowNanos);
         ReplicaFilter sound = ejection(set).filter(affinity.key(), nowNanos).and(fresh);
         Optional<Replica> chosen = mPlacement.choose(set, affinity, sound, nowNanos);
         if (chosen.isEmpty()) {
@@ -75,6 +83,20 @@
                 .map(replica -> new Placed(replica, formerHome(replica, affinity, nowNanos)));
     }
 
+    /**
+     * Returns after which time the first replica of the pool takes work again; absent where one
+     * takes work now, or none ever will.
+     */
+    public Optional<Duration> opensIn(PoolId pool, long nowNanos) {
+        var lives = mView.pool(pool).replicas().stream().map(ReplicaChooser::lifeOf).toList();
+        return mNotices.opensIn(lives, nowNanos);
+    }
+
+    /** Replicas that are reached directly carry the start of their life as incarnation. */
+    private static AgentIncarnation lifeOf(Replica replica) {
+        return AgentIncarnation.of(replica.node(), replica.incarnation());
+    }
+
     /**
      * Returns the replica that the requests of this key went to before replicas came or left, or
      * before their load made one of them spill over; it may still hold their prompt.
@@ -90,7 +112,9 @@
         for (int index = ranking.next(); index >= 0; index = ranking.next()) {
             NodeId id = holders.replica(index).node();
             if (mView.isOlderThan(id, settled)) {
-                return mView.replica(id).filter(home -> !home.id().equals(chosen.id()));
+                return mView.replica(id)
+                        .filter(home -> !home.id().equals(chosen.id()))
+                        .filter(home -> !mNotices.isPaused(home.life(), nowNanos));
             }
         }
         return Optional.empty();
--- a/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
@@ -4,6 +4,7 @@
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 
 /**
  * What a replica has said of itself.
@@ -19,4 +20,9 @@
         FailureDomain domain,
         int slots,
         boolean leaving,
-        long startedAtMillis) {}
+        long startedAtMillis) {
+    /** Returns this life of the replica. */
+    public AgentIncarnation life() {
+        return AgentIncarnation.of(id, startedAtMillis);
+    }
+}
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -20,6 +20,7 @@
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.PlainDecoder;
@@ -42,7 +43,8 @@
     private final FleetView mView =
             FleetView.create(new PlainDecoder(), mLog, Duration.ofSeconds(2));
     private final ReplicaLoads mLoads = ReplicaLoads.create();
-    private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads);
+    private final ReplicaNotices mNotices = ReplicaNotices.create();
+    private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads, mNotices);
     private long mOffset;
 
     ReplicaChooserTest() {
