Admit to the replicas of a pool what can be begun in time, and refuse the rest at once

Cause: in an overload nothing held requests before full replicas. Limit by the time in which answers begin, scaled alike by all nodes, and by the load that replicas tell; by class with a share for each, by team, by what is due first; late work behind; refused at once with a time to come back. PatienceBook tells callers who return.

--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaLoads.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaLoads.java
@@ -30,6 +30,7 @@
         private long mToldAtNanos;
         private long mFullUntilNanos;
         private boolean mFull;
+        private boolean mTold;
     }
 
     private final Map<NodeId, Load> mLoads = new HashMap<>();
@@ -63,6 +64,7 @@
         Load load = load(replica);
         load.mOthers = Math.max(0, held - load.mOwn);
         load.mOwnWhenTold = load.mOwn;
+        load.mTold = true;
         load.mToldAtNanos = nowNanos;
     }
 
@@ -89,8 +91,39 @@
         if (load == null) {
             return 0;
         }
-        boolean old = load.mOwn == 0 && nowNanos - load.mToldAtNanos > REPORT_AGE.toNanos();
-        return load.mOwn + (old ? 0 : load.mOthers + sentByOthersSince(load));
+        return load.mOwn + (isOld(load, nowNanos) ? 0 : load.mOthers + sentByOthersSince(load));
+    }
+
+    /**
+     * Returns how many requests the replicas hold for each of their slots, by their own word and by
+     * what this node has sent and seen ended since, as the others will have done; 0 where replicas
+     * do not tell.
+     */
+    public double fill(ReplicaSet set, long nowNanos) {
+        double held = 0;
+        double slots = 0;
+        boolean told = false;
+        for (var replica : set.replicas()) {
+            slots += replica.weight();
+            Load load = mLoads.get(replica.node());
+            if (load != null) {
+                told |= load.mTold;
+                held += heldBySlots(load, nowNanos);
+            }
+        }
+        return told ? Math.max(0, held) / Math.max(1, slots) : 0;
+    }
+
+    private double heldBySlots(Load load, long nowNanos) {
+        if (isOld(load, nowNanos)) {
+            return 0;
+        }
+        double since = load.mOwn - load.mOwnWhenTold;
+        return load.mOwnWhenTold + load.mOthers + since * mNodes;
+    }
+
+    private static boolean isOld(Load load, long nowNanos) {
+        return load.mOwn == 0 && nowNanos - load.mToldAtNanos > REPORT_AGE.toNanos();
     }
 
     /**
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fescueport.internal.decision.admission.PatienceBook;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
@@ -25,6 +26,7 @@
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
+import org.fescueport.internal.direct.forward.PoolGates;
 import org.fescueport.internal.direct.forward.ReplicaLinks;
 import org.fescueport.internal.direct.forward.WireProtocol;
 import org.fescueport.internal.direct.log.EventLog;
@@ -86,6 +88,7 @@
 
     private DirectRouterSettings mSettings;
     private final RetryBudgets mBudgets;
+    private final PoolGates mGates;
     private final Parts mParts;
     private final FleetView mView;
     private final StateReader mReader;
@@ -124,6 +127,7 @@
                     loads.retain(present);
                     health.retain(present);
                 });
+        mGates = PoolGates.create(mView, loads);
         mBudgets =
                 RetryBudgets.create(
                         settings.retryShare(),
@@ -144,6 +148,8 @@
                         loads,
                         notices,
                         health,
+                        mGates,
+                        new PatienceBook<>(),
                         mBudgets,
                         crashes,
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
@@ -379,6 +385,7 @@
         public void onNodes(int nodes) {
             mBudgets.onNodes(nodes);
             mLoads.onNodes(nodes);
+            mGates.onNodes(nodes);
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.admission.Admission;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.poison.Fingerprint;
@@ -29,10 +30,13 @@
  * and the fleet's retry budget; a stream that may be resumed goes on behind the last event that was
  * passed on. Used by the event loop alone.
  */
-final class Exchange {
+final class Exchange implements PoolGates.Passenger {
     /** Connections that are tried for one sending before the request is refused. */
     private static final int MAX_UNSENT = 4;
 
+    /** A replica answers so that has no room. */
+    private static final int UNAVAILABLE = 503;
+
     /** Stands for callers on open routes. */
     private static final TeamId NO_TEAM = TeamId.of("");
 
@@ -53,6 +57,8 @@
     private boolean mMayHaveRun;
     private boolean mStuckTold;
     private Attempt mAttempt;
+    private Optional<PoolGates.Ticket> mTicket = Optional.empty();
+    private boolean mPieceSeen;
     private boolean mOver;
 
     private Exchange(
@@ -86,11 +92,43 @@
         if (exchange.isPoison()) {
             exchange.refuse("replicas have died of this request");
         } else {
-            exchange.sendToNext("first");
+            exchange.enter();
         }
         return exchange;
     }
 
+    private void enter() {
+        long now = mContext.nowNanos();
+        TeamId team = mTeam.map(Team::id).orElse(NO_TEAM);
+        mTicket = Optional.of(mContext.gates().ticket(mPool));
+        var offer = mTime.offer(mTicket.get().id(), team, priority(), waitedBefore(now));
+        switch (mContext.gates().enter(mTicket.get(), offer, this, now)) {
+            case Admission.Admitted admitted -> sendToNext("first");
+            case Admission.Queued queued -> logWaiting(queued);
+            case Admission.Refused refused ->
+                    onRefused(Duration.ofMillis(refused.retryAfterMillis()));
+        }
+    }
+
+    private Duration waitedBefore(long nowNanos) {
+        var patience = mRequest.patienceMillis();
+        return patience.isEmpty()
+                ? Duration.ZERO
+                : mContext.patience().waitedBefore(mRoute.name(), patience.getAsLong(), nowNanos);
+    }
+
+    @Override
+    public void onAdmitted() {
+        sendToNext("waited for room");
+    }
+
+    @Override
+    public void onRefused(Duration retryAfter) {
+        refuse(
+                "the replicas of " + mPool + " have no room in time",
+                RequestClock.spread(retryAfter, mContext.random()));
+    }
+
     boolean isOver() {
         return mOver;
     }
@@ -176,6 +214,14 @@
             content.release();
             return;
         }
+        if (!mPieceSeen && attempt.head().isSuccess()) {
+            mPieceSeen = true;
+            mTicket.ifPresent(
+                    ticket ->
+                            mContext.gates()
+                                    .onFirstPiece(
+                                            ticket, attempt.begunNanos(), mContext.nowNanos()));
+        }
         boolean first = !mRelay.hasBegun();
         mRelay.onContent(content);
         if (first && mRelay.hasBegun()) {
@@ -246,6 +292,9 @@
     private void onNotRun(Attempt attempt, AnswerHead head) {
         log("refused-by-replica", attempt, "status " + head.status());
         mContext.loads().onRefused(attempt.replica().id(), mContext.nowNanos());
+        if (head.status() == UNAVAILABLE) {
+            mTicket.ifPresent(ticket -> mContext.gates().onFull(ticket, mContext.nowNanos()));
+        }
         mRelay.dropHeld();
         if (mSends < mRoute.maxAttempts() && hasTimeLeft() && takeRetry()) {
             sendToNext("refused by a replica");
@@ -388,9 +437,12 @@
     }
 
     private void refuse(String message) {
-        Invariants.check(!mMayHaveRun, "request %s may have run and is refused", mRequest.id());
         var opensIn = mContext.chooser().opensIn(mPool, mContext.nowNanos());
-        var retryAfter = mTime.retryAfter(opensIn, mContext.random());
+        refuse(message, mTime.retryAfter(opensIn, mContext.random()));
+    }
+
+    private void refuse(String message, Duration retryAfter) {
+        Invariants.check(!mMayHaveRun, "request %s may have run and is refused", mRequest.id());
         mCaller.answer(
                 mContext.protocol()
                         .writeRefusal(Refusal.notRun(mRequest.id(), message, retryAfter)));
@@ -425,6 +477,18 @@
                 .with("sends", mSends)
                 .with("ms", mTime.elapsedNanos() / 1_000_000)
                 .write();
+        mTicket.ifPresent(ticket -> mContext.gates().leave(ticket, mContext.nowNanos()));
+    }
+
+    private void logWaiting(Admission.Queued queued) {
+        mContext.log()
+                .decision("waiting")
+                .with("request", mRequest.id())
+                .with("pool", mPool)
+                .with("expected_ms", queued.expectedWaitMillis())
+                .with("waiting", mContext.gates().waiting())
+                .with("left_ms", mTime.leftMillis())
+                .write();
     }
 
     private void log(String event, Attempt attempt, String reason) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -37,6 +37,7 @@
     /** Looks after the times of all requests; to be called every few tens of milliseconds. */
     public void check() {
         mConnections.check(mContext.nowNanos());
+        mContext.gates().pump(mContext.nowNanos());
     }
 
     /** Closes what has been idle for too long; to be called a few times a second. */
@@ -45,6 +46,7 @@
         mContext.links().sweep();
         mContext.view().expire(mContext.nowNanos());
         mContext.crashes().sweep(mContext.nowNanos());
+        mContext.gates().sweep();
     }
 
     /**
@@ -53,6 +55,7 @@
      */
     public void beginStop(long lateNanos, long endNanos) {
         mConnections.beginStop(lateNanos, endNanos);
+        mContext.gates().beginStop(mContext.nowNanos());
         sweep();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
+import org.fescueport.internal.decision.admission.PatienceBook;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
@@ -21,6 +22,8 @@
         ReplicaLoads loads,
         ReplicaNotices notices,
         ReplicaHealth health,
+        PoolGates gates,
+        PatienceBook<String> patience,
         RetryBudgets budgets,
         CrashWatch crashes,
         CallerQuota quota,
--- a/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -5,6 +5,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.admission.PoolOffer;
 import org.fescueport.internal.direct.config.RequestKind;
 import org.fescueport.internal.direct.config.Route;
 
@@ -73,6 +76,18 @@
         return Duration.ofNanos((long) (ANSWER_PART * mObjective.toNanos()));
     }
 
+    /** Returns an offer at the gate of a pool, for a caller who has waited this time elsewhere. */
+    PoolOffer offer(AttemptId id, TeamId team, int urgency, Duration waitedBefore) {
+        long objective = mObjective.toNanos();
+        long aim = mStartNanos + objective - waitedBefore.toNanos();
+        return new PoolOffer(id, team, urgency, aim, objective, mEndNanos);
+    }
+
+    /** Returns when to come back for who is told of a queue; later ones for the same time. */
+    static Duration spread(Duration earliest, RandomGenerator random) {
+        return Duration.ofNanos((long) (earliest.toNanos() * (1 + random.nextDouble())));
+    }
+
     /**
      * Returns when to come back, spread so that callers do not return all at once.
      *
--- a/src/main/java/org/fescueport/internal/load/experiment/ExperimentCommand.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/ExperimentCommand.java
@@ -13,6 +13,7 @@
 
     static {
         EXPERIMENTS.put("domain-loss", new DomainLossExperiment());
+        EXPERIMENTS.put("overload", new OverloadExperiment());
         EXPERIMENTS.put("placing", new PlacingExperiment());
         EXPERIMENTS.put("gossip", new GossipExperiment());
         EXPERIMENTS.put("surge", new SurgeExperiment());
--- a/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
@@ -121,10 +121,14 @@
                             mTime,
                             mRandom,
                             mTally,
-                            size.routers(),
-                            way.placer(),
-                            size.replicas(),
-                            this::newReplica);
+                            new ModelFleet.Plan(
+                                    size.routers(),
+                                    way.placer(),
+                                    false,
+                                    true,
+                                    size.service() ? SERVICE.slots() : ENGINE.slots(),
+                                    size.replicas(),
+                                    this::newReplica));
             for (int i = 1; i <= size.replicas() * SUBJECTS_FOR_EACH_ENGINE; i++) {
                 mPopularity += Math.pow(i, -ZIPF);
                 mSubjects.put(mPopularity, i);
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Backend.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Backend.java
@@ -14,6 +14,9 @@
     /** Returns whether the call was taken; else nothing of it runs. */
     boolean offer(Call call, Listener listener);
 
+    /** Returns how many calls it works on. */
+    int running();
+
     /** Returns how many calls it holds, also those that wait. */
     int held();
 }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Call.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Call.java
@@ -63,6 +63,21 @@
         return mUrgency;
     }
 
+    /** Returns the time from arrival to the first token of an answer in time. */
+    long aimNanos() {
+        return mAimNanos;
+    }
+
+    /** Returns when the first token of an answer in time is due. */
+    long aimAtNanos() {
+        return mArrivedNanos + mAimNanos;
+    }
+
+    /** Returns from when on nobody waits any more. */
+    public long endAtNanos() {
+        return mArrivedNanos + mDeadlineNanos;
+    }
+
     /** Returns the time from its arrival until now. */
     public long waitedNanos(long nowNanos) {
         return nowNanos - mArrivedNanos;
--- a/src/main/java/org/fescueport/internal/load/experiment/model/EngineModel.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/EngineModel.java
@@ -94,6 +94,11 @@
         return true;
     }
 
+    @Override
+    public int running() {
+        return mRunning.size();
+    }
+
     @Override
     public int held() {
         return mRunning.size() + mWaiting.size();
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
@@ -8,11 +8,19 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.fescueport.internal.decision.AttemptId;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.RequestId;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.admission.Admission;
+import org.fescueport.internal.decision.admission.PoolAdmission;
+import org.fescueport.internal.decision.admission.PoolOffer;
+import org.fescueport.internal.decision.admission.PoolStep;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
@@ -27,118 +35,243 @@
     /** Replicas that a call is offered to before it is refused. */
     private static final int MAX_OFFERS = 2;
 
-    private record Router(ReplicaLoads loads, Placer placer) {}
+    /** How often a router looks after the calls that wait at it. */
+    private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    private static final TeamId NO_TEAM = TeamId.of("");
+
+    /** Told what becomes of a call. */
+    public interface Caller {
+        /** Returns one who does not listen. */
+        static Caller deaf() {
+            return new Caller() {};
+        }
+
+        /** The answer begins. */
+        default void onFirst(Call call) {}
+
+        /** The call was not run; there may be room after this time. */
+        default void onRefused(Call call, long retryAfterMillis) {}
+    }
+
+    /** Sizes and ways of a fleet. */
+    public record Plan(
+            int routers,
+            Function<ReplicaLoads, Placer> placer,
+            boolean admits,
+            boolean tellsLoad,
+            int slots,
+            int replicas,
+            Supplier<Backend> backend) {}
+
+    private record Asked(AttemptId id, Call call, Affinity affinity, TeamId team, Caller caller) {}
+
+    private static final class Router {
+        private final ReplicaLoads mLoads;
+        private final Placer mPlacer;
+        private final Optional<PoolAdmission> mAdmission;
+        private final Map<AttemptId, Asked> mWaiting = new HashMap<>();
+        private boolean mPumping;
+
+        Router(ReplicaLoads loads, Placer placer, Optional<PoolAdmission> admission) {
+            mLoads = loads;
+            mPlacer = placer;
+            mAdmission = admission;
+        }
+    }
 
     private final VirtualTime mTime;
     private final Random mRandom;
     private final ModelTally mTally;
+    private final Plan mPlan;
     private final List<Router> mRouters = new ArrayList<>();
     private final Map<NodeId, Backend> mBackends = new HashMap<>();
     private final ReplicaSet mSet;
+    private long mNextId;
+    private long mSent;
+    private long mRejected;
 
-    private ModelFleet(
-            VirtualTime time,
-            Random random,
-            ModelTally tally,
-            int replicas,
-            Supplier<Backend> backends) {
+    private ModelFleet(VirtualTime time, Random random, ModelTally tally, Plan plan) {
         mTime = time;
         mRandom = random;
         mTally = tally;
+        mPlan = plan;
         List<Replica> all = new ArrayList<>();
-        for (int i = 0; i < replicas; i++) {
+        for (int i = 0; i < plan.replicas(); i++) {
             var node = NodeId.of("replica-" + i);
-            all.add(Replica.of(node, FailureDomain.of("domain"), ""));
-            mBackends.put(node, backends.get());
+            all.add(new Replica(node, FailureDomain.of("domain"), "", plan.slots(), 0));
+            mBackends.put(node, plan.backend().get());
         }
         mSet = ReplicaSet.of(PoolId.of("pool"), all);
     }
 
-    /**
-     * Returns a fleet of idle replicas.
-     *
-     * @param placers one for each router, by what that router knows of loads
-     */
-    public static ModelFleet create(
-            VirtualTime time,
-            Random random,
-            ModelTally tally,
-            int routers,
-            Function<ReplicaLoads, Placer> placers,
-            int replicas,
-            Supplier<Backend> backends) {
-        var fleet = new ModelFleet(time, random, tally, replicas, backends);
-        for (int i = 0; i < routers; i++) {
-            var loads = ReplicaLoads.create();
-            loads.onNodes(routers);
-            fleet.mRouters.add(new Router(loads, placers.apply(loads)));
+    /** Returns a fleet of idle replicas. */
+    public static ModelFleet create(VirtualTime time, Random random, ModelTally tally, Plan plan) {
+        var fleet = new ModelFleet(time, random, tally, plan);
+        for (int i = 0; i < plan.routers(); i++) {
+            fleet.mRouters.add(fleet.newRouter());
+        }
+        if (plan.admits()) {
+            time.every(POLL_NANOS, () -> fleet.mRouters.forEach(fleet::pump));
         }
         return fleet;
     }
 
+    private Router newRouter() {
+        var loads = ReplicaLoads.create();
+        loads.onNodes(mPlan.routers());
+        Optional<PoolAdmission> admission =
+                mPlan.admits() ? Optional.of(PoolAdmission.create(0)) : Optional.empty();
+        admission.ifPresent(
+                each -> each.onFleet(mPlan.slots() * mPlan.replicas(), mPlan.routers()));
+        return new Router(loads, mPlan.placer().apply(loads), admission);
+    }
+
     /** Sends a call through any of the routers. */
     public void submit(Call call, Affinity affinity) {
+        submit(call, affinity, NO_TEAM, Caller.deaf());
+    }
+
+    /** Sends a call through any of the routers; it may be one that was refused before. */
+    public void submit(Call call, Affinity affinity, TeamId team, Caller caller) {
         var router = mRouters.get(mRandom.nextInt(mRouters.size()));
         mTally.onArrived(call);
+        var id = AttemptId.of(RequestId.of(0, mNextId++), 1);
+        var asked = new Asked(id, call, affinity, team, caller);
+        if (router.mAdmission.isEmpty()) {
+            send(router, asked);
+            return;
+        }
+        var offer =
+                new PoolOffer(
+                        id,
+                        team,
+                        call.urgency(),
+                        call.aimAtNanos(),
+                        call.aimNanos(),
+                        call.endAtNanos());
+        router.mAdmission.get().onFill(router.mLoads.fill(mSet, mTime.now()));
+        switch (router.mAdmission.get().offer(offer, mTime.now())) {
+            case Admission.Admitted admitted -> send(router, asked);
+            case Admission.Queued queued -> router.mWaiting.put(id, asked);
+            case Admission.Refused refused -> refuse(asked, refused.retryAfterMillis());
+        }
+    }
+
+    /** Returns how many calls each replica holds. */
+    public List<Integer> held() {
+        return mBackends.values().stream().map(Backend::held).toList();
+    }
+
+    /** Returns which part of all sendings the replicas turned away. */
+    public double rejectedPart() {
+        return mRejected / (double) Math.max(1, mSent);
+    }
+
+    /** Lets go what may be sent now. */
+    private void pump(Router router) {
+        if (router.mPumping) {
+            return;
+        }
+        router.mPumping = true;
+        var admission = router.mAdmission.get();
+        var step = poll(router, admission);
+        while (!step.started().isEmpty() || !step.givenUp().isEmpty()) {
+            step.started().forEach(offer -> send(router, router.mWaiting.remove(offer.id())));
+            step.givenUp()
+                    .forEach(
+                            over ->
+                                    refuse(
+                                            router.mWaiting.remove(over.offer().id()),
+                                            over.retryAfterMillis()));
+            step = poll(router, admission);
+        }
+        router.mPumping = false;
+    }
+
+    private PoolStep poll(Router router, PoolAdmission admission) {
+        admission.onFill(router.mLoads.fill(mSet, mTime.now()));
+        return admission.poll(mTime.now());
+    }
+
+    private void send(Router router, Asked asked) {
         Set<NodeId> tried = new HashSet<>();
         for (int i = 0; i < MAX_OFFERS; i++) {
             Optional<Replica> chosen =
-                    router.placer()
-                            .choose(
-                                    mSet,
-                                    affinity,
-                                    replica -> !tried.contains(replica.node()),
-                                    mTime.now());
+                    router.mPlacer.choose(
+                            mSet,
+                            asked.affinity(),
+                            replica -> !tried.contains(replica.node()),
+                            mTime.now());
             if (chosen.isEmpty()) {
                 break;
             }
             NodeId node = chosen.get().node();
             tried.add(node);
-            if (offer(call, router, node)) {
+            if (offer(asked, router, node)) {
                 return;
             }
         }
-        mTally.onRefused();
+        router.mAdmission.ifPresent(each -> each.onEnded(asked.id(), mTime.now()));
+        refuse(asked, 0);
     }
 
-    /** Returns how many calls each replica holds. */
-    public List<Integer> held() {
-        return mBackends.values().stream().map(Backend::held).toList();
+    private void refuse(Asked asked, long retryAfterMillis) {
+        mTally.onRefused();
+        asked.caller().onRefused(asked.call(), retryAfterMillis);
     }
 
-    private boolean offer(Call call, Router router, NodeId node) {
+    private boolean offer(Asked asked, Router router, NodeId node) {
         Backend backend = mBackends.get(node);
-        router.loads().onSent(node);
-        if (backend.offer(call, new Answer(router, node, backend))) {
+        router.mLoads.onSent(node);
+        mSent++;
+        if (backend.offer(asked.call(), new Answer(asked, router, node, backend, mTime.now()))) {
             return true;
         }
-        router.loads().onEnded(node);
-        router.loads().onRefused(node, mTime.now());
+        mRejected++;
+        router.mLoads.onEnded(node);
+        router.mLoads.onRefused(node, mTime.now());
+        router.mAdmission.ifPresent(PoolAdmission::onFull);
         return false;
     }
 
     /** What the router hears of one call. */
     private final class Answer implements Backend.Listener {
+        private final Asked mAsked;
         private final Router mRouter;
         private final NodeId mNode;
         private final Backend mBackend;
+        private final long mSentNanos;
 
-        Answer(Router router, NodeId node, Backend backend) {
+        Answer(Asked asked, Router router, NodeId node, Backend backend, long sentNanos) {
+            mAsked = asked;
             mRouter = router;
             mNode = node;
             mBackend = backend;
+            mSentNanos = sentNanos;
         }
 
         @Override
         public void onFirst(Call call) {
-            mRouter.loads().onTold(mNode, mBackend.held(), mTime.now());
-            mTally.onFirst(call, mTime.now());
+            long now = mTime.now();
+            if (mPlan.tellsLoad()) {
+                mRouter.mLoads.onTold(mNode, mBackend.held(), now);
+            }
+            mTally.onFirst(call, now);
+            mAsked.caller().onFirst(call);
+            mRouter.mAdmission.ifPresent(
+                    admission -> admission.onFirstPiece(mAsked.id(), mSentNanos, now));
         }
 
         @Override
         public void onEnded(Call call, boolean complete) {
-            mRouter.loads().onEnded(mNode);
+            mRouter.mLoads.onEnded(mNode);
             mTally.onEnded(complete);
+            mRouter.mAdmission.ifPresent(
+                    admission -> {
+                        admission.onEnded(mAsked.id(), mTime.now());
+                        mTime.after(0, () -> pump(mRouter));
+                    });
         }
     }
 }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ServiceModel.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ServiceModel.java
@@ -44,6 +44,11 @@
         return true;
     }
 
+    @Override
+    public int running() {
+        return mRunning;
+    }
+
     @Override
     public int held() {
         return mRunning + mWaiting.size();
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/decision/admission/PoolAdmissionTest.java
@@ -0,0 +1,260 @@
+package org.fescueport.internal.decision.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.micrometer.core.instrument.MockClock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.RequestId;
+import org.fescueport.internal.decision.TeamId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PoolAdmissionTest {
+    private static final Duration OBJECTIVE = Duration.ofMillis(800);
+    private static final Duration PATIENCE = Duration.ofSeconds(12);
+    private static final int SLOTS = 10;
+    private static final double FULL = 1.5;
+
+    private final MockClock mClock = new MockClock();
+    private final PoolAdmission mAdmission = PoolAdmission.create(now());
+    private long mNextId;
+
+    PoolAdmissionTest() {
+        mAdmission.onFleet(SLOTS, 1);
+    }
+
+    private long now() {
+        return mClock.monotonicTime();
+    }
+
+    private PoolOffer offer(String team, int urgency) {
+        return offer(team, urgency, Duration.ZERO);
+    }
+
+    private PoolOffer offer(String team, int urgency, Duration waitedBefore) {
+        var id = AttemptId.of(RequestId.of(0, mNextId++), 1);
+        long aim = now() + OBJECTIVE.minus(waitedBefore).toNanos();
+        long end = now() + PATIENCE.minus(waitedBefore).toNanos();
+        return new PoolOffer(id, TeamId.of(team), urgency, aim, OBJECTIVE.toNanos(), end);
+    }
+
+    private Admission offered(PoolOffer offer) {
+        return mAdmission.offer(offer, now());
+    }
+
+    /** Fills the part of the slots that a node may use in any case. */
+    private List<PoolOffer> fillUp() {
+        mAdmission.onFill(FULL);
+        List<PoolOffer> running = new ArrayList<>();
+        for (var next = offer("a", 0); ; next = offer("a", 0)) {
+            if (!(offered(next) instanceof Admission.Admitted)) {
+                mAdmission.cancel(next.id());
+                return running;
+            }
+            running.add(next);
+        }
+    }
+
+    @Test
+    void shouldSendEverythingWhileReplicasHaveRoom() {
+        for (int i = 0; i < 500; i++) {
+            assertThat(offered(offer("a", 2)), is(new Admission.Admitted()));
+        }
+        assertThat(mAdmission.isLimited(), is(false));
+    }
+
+    @Test
+    void shouldHoldWhatCanStillBeInTimeWhileReplicasAreFull() {
+        fillUp();
+        assertThat(offered(offer("a", 0)), instanceOf(Admission.Queued.class));
+        assertThat(mAdmission.poll(now()).started(), is(empty()));
+    }
+
+    @Test
+    void shouldSendAsSoonAsAPlaceIsFree() {
+        var running = fillUp();
+        var waiting = offer("a", 0);
+        offered(waiting);
+        mAdmission.onEnded(running.getFirst().id(), now());
+        assertThat(mAdmission.poll(now()).started(), is(List.of(waiting)));
+    }
+
+    @Test
+    void shouldGiveEveryNodeAPartOfTheSlotsHoweverFullReplicasAre() {
+        assertThat(fillUp().size(), is(greaterThanOrEqualTo(1)));
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhatHasNoProspectWithATimeToComeBack() {
+        fillUp();
+        Admission last = null;
+        for (int i = 0; i < 200; i++) {
+            last = offered(offer("a", 0));
+        }
+        assertThat(last, instanceOf(Admission.Refused.class));
+        long millis = ((Admission.Refused) last).retryAfterMillis();
+        assertThat(millis, is(greaterThanOrEqualTo(100L)));
+        assertThat(millis, is(lessThanOrEqualTo(4_000L)));
+    }
+
+    @Test
+    void shouldTellTheCallerOnceAWaitIsInVain() {
+        fillUp();
+        var waiting = offer("a", 0);
+        offered(waiting);
+        List<PoolStep.GivenUp> givenUp = new ArrayList<>();
+        for (int i = 0; i < 100 && givenUp.isEmpty(); i++) {
+            mClock.add(Duration.ofMillis(50));
+            givenUp.addAll(mAdmission.poll(now()).givenUp());
+        }
+        assertThat(givenUp.getFirst().offer(), is(waiting));
+        long waited = waiting.aimNanos() - now();
+        assertThat(waited, is(greaterThan(-3 * OBJECTIVE.toNanos())));
+    }
+
+    @Test
+    void shouldPutWhatIsLateBehindAllThatCanBeInTime() {
+        var running = fillUp();
+        var late = offer("a", 0, Duration.ofSeconds(2));
+        var inTime = offer("a", 2);
+        offered(late);
+        offered(inTime);
+        mAdmission.onEnded(running.getFirst().id(), now());
+        assertThat(mAdmission.poll(now()).started(), is(List.of(inTime)));
+    }
+
+    @Test
+    void shouldServeLateWorkOnceThereIsRoom() {
+        fillUp();
+        var late = offer("a", 0, Duration.ofSeconds(2));
+        assertThat(offered(late), instanceOf(Admission.Queued.class));
+        mAdmission.onFill(0);
+        assertThat(mAdmission.poll(now()).started(), is(List.of(late)));
+    }
+
+    @Test
+    void shouldSendFirstWhatIsDueFirst() {
+        var running = fillUp();
+        var fresh = offer("a", 0);
+        var returned = offer("a", 0, Duration.ofMillis(200));
+        offered(fresh);
+        offered(returned);
+        mAdmission.onEnded(running.getFirst().id(), now());
+        assertThat(mAdmission.poll(now()).started(), is(List.of(returned)));
+    }
+
+    @Test
+    void shouldLetNothingWaitLateOnceItLeaves() {
+        fillUp();
+        var late = offer("a", 0, Duration.ofSeconds(2));
+        offered(late);
+        mAdmission.leave();
+        assertThat(mAdmission.poll(now()).givenUp().getFirst().offer(), is(late));
+        assertThat(
+                offered(offer("a", 0, Duration.ofSeconds(2))), instanceOf(Admission.Refused.class));
+    }
+
+    @Test
+    void shouldForgetARequestWhoseCallerLeft() {
+        fillUp();
+        var waiting = offer("a", 0);
+        offered(waiting);
+        assertThat(mAdmission.cancel(waiting.id()), is(true));
+        assertThat(mAdmission.cancel(waiting.id()), is(false));
+        mAdmission.onFill(0);
+        assertThat(mAdmission.poll(now()).started(), is(empty()));
+    }
+
+    @Test
+    void shouldSendLessWhenAnswersBeginTooLateAndMoreWhenTheyDoNot() {
+        for (int i = 0; i < 100; i++) {
+            var slow = offer("a", 0);
+            offered(slow);
+        }
+        answerAll(Duration.ofSeconds(3), 100);
+        assertThat(mAdmission.isLimited(), is(true));
+    }
+
+    private void answerAll(Duration time, int answers) {
+        long sent = now();
+        mClock.add(time);
+        for (int i = 0; i < answers; i++) {
+            var id = AttemptId.of(RequestId.of(0, i), 1);
+            mAdmission.onFirstPiece(id, sent, now());
+        }
+    }
+
+    /** Twice as much is offered as one replica can do; each holds its place for 200 ms. */
+    private Map<String, Integer> sentOf(Random random, int millis, List<PoolOffer> kinds) {
+        Map<String, Integer> sent = new TreeMap<>();
+        Map<AttemptId, Long> ends = new HashMap<>();
+        for (int at = 0; at < millis; at += 5) {
+            mClock.add(5, TimeUnit.MILLISECONDS);
+            mAdmission.onFill(ends.size() / (double) SLOTS);
+            ends.entrySet()
+                    .removeIf(
+                            entry -> {
+                                boolean over = entry.getValue() <= now();
+                                if (over) {
+                                    mAdmission.onEnded(entry.getKey(), now());
+                                }
+                                return over;
+                            });
+            var like = kinds.get(random.nextInt(kinds.size()));
+            var next = offer(like.team().name(), like.urgency());
+            if (at % 10 == 0 && offered(next) instanceof Admission.Admitted) {
+                start(next, sent, ends);
+            }
+            mAdmission.onFill(ends.size() / (double) SLOTS);
+            for (var started : mAdmission.poll(now()).started()) {
+                start(started, sent, ends);
+            }
+        }
+        return sent;
+    }
+
+    private void start(PoolOffer offer, Map<String, Integer> sent, Map<AttemptId, Long> ends) {
+        ends.put(offer.id(), now() + Duration.ofMillis(200).toNanos());
+        sent.merge(offer.team().name() + offer.urgency(), 1, Integer::sum);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void shouldKeepNoKindUnderAThirdOfTheBestInAnOverload(long seed) {
+        var kinds = List.of(offer("a", 0), offer("a", 1), offer("a", 2));
+        var sent = sentOf(new Random(seed), 20_000, kinds);
+        double most = sent.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
+        for (var kind : List.of("a0", "a1", "a2")) {
+            assertThat(kind, sent.getOrDefault(kind, 0) / most, is(greaterThan(1.0 / 3)));
+        }
+        assertThat(sent.get("a0"), is(greaterThan(sent.get("a2"))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void shouldNotLetASurgeOfOneTeamTakeTheSlotsOfOthers(long seed) {
+        List<PoolOffer> kinds = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            kinds.add(offer("loud", 0));
+        }
+        kinds.add(offer("quiet", 0));
+        var sent = sentOf(new Random(seed), 20_000, kinds);
+        double offered = 2_000 / 21.0;
+        assertThat(sent.get("quiet0") / offered, is(greaterThan(0.8)));
+    }
+}
