Wait for the line that a replica's notice leaves in the log

Change: the test waits for the line, within the limit of all such waits. No class of the product changed.

--- a/src/test/java/org/fescueport/platform/ReplicaNoticeTest.java
+++ b/src/test/java/org/fescueport/platform/ReplicaNoticeTest.java
@@ -67,7 +67,9 @@
             fleet.replica("api-1").script(LEAVING);
             askUntilReached(fleet, "api-1");
             assertThat(arrivalsAfter(fleet, "api-1", 40), is(0));
-            assertThat(fleet.router().lines().contains("replica-notice"), is(true));
+            Await.until(
+                    "the notice is logged",
+                    () -> fleet.router().lines().contains("replica-notice"));
         }
     }
 
