Ask until a replica's new life is used, and wait until its entry has been read

Its neighbour could pass before the entry that says ready had been read. Change: the one asks, with changing ids, within the limit of all waits; the other waits 2 s. No class of the product changed.

--- a/src/test/java/org/fescueport/platform/ReplicaNoticeTest.java
+++ b/src/test/java/org/fescueport/platform/ReplicaNoticeTest.java
@@ -24,6 +24,11 @@
 class ReplicaNoticeTest {
     private static final byte[] NOTHING = new byte[0];
 
+    /** A node reads the list of replicas at least this often. */
+    private static final long LIST_READ_MS = 1_000;
+
+    private int mAsked;
+
     /** Answers well and says that it leaves. */
     private static final Script LEAVING =
             (request, wire) ->
@@ -81,7 +86,7 @@
             fleet.store().remove("keyed.servers", "api-1");
             Await.pause(300);
             fleet.replica("api-1").register(fleet.store(), "ready");
-            Await.pause(600);
+            Await.pause(2 * LIST_READ_MS);
             assertThat(arrivalsAfter(fleet, "api-1", 40), is(0));
         }
     }
@@ -93,8 +98,15 @@
             askUntilReached(fleet, "api-1");
             fleet.replica("api-1").crash();
             fleet.replica("api-1").startAgain(fleet.store(), GOOD);
-            Await.pause(600);
-            assertThat(arrivalsAfter(fleet, "api-1", 40), is(greaterThan(0)));
+            int before = fleet.replica("api-1").requests().size();
+            Await.until(
+                    "the new life is used",
+                    () -> {
+                        // The id decides where a request without a prompt goes.
+                        String text = request("GET", "/safe/x", "again-" + mAsked++, "");
+                        RawCaller.statusOf(fleet.router().callers(), text);
+                        return fleet.replica("api-1").requests().size() > before;
+                    });
         }
     }
 
