--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -37,6 +37,8 @@
 import org.fescueport.internal.direct.place.ReplicaHealth;
 import org.fescueport.internal.direct.place.RetryBudgets;
 import org.fescueport.internal.direct.state.Announcer;
+import org.fescueport.internal.direct.state.EraMeters;
+import org.fescueport.internal.direct.state.EraWatch;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateDecoder;
@@ -68,12 +70,16 @@
     /** Left of the time to stop for the process to end by itself. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
+    /** For peers to tell a node that starts what is in force; they may all be gone. */
+    private static final Duration LONGEST_CATCH_UP = Duration.ofMillis(1_500);
+
     /** Nodes that share the retry allowance while it is not known how many there are. */
     private static final int UNKNOWN_NODES = 8;
 
     /**
      * What a router works with.
      *
+     * @param eras what the store and peers tell of the store's era
      * @param counters text of all meters of the registry
      */
     public record Parts(
@@ -81,6 +87,7 @@
             Clock clock,
             EventLog log,
             StateStore store,
+            EraWatch eras,
             StateDecoder decoder,
             WireProtocol protocol,
             MeterRegistry registry,
@@ -93,12 +100,16 @@
     private final FleetView mView;
     private final StateReader mReader;
     private final PeerGroup mPeers;
+    private final Announcer mAnnouncer;
+    private final SplittableRandom mRandom;
     private final Forwarder mForwarder;
     private final ReplicaLinks mLinks;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
     private Channel mListener;
     private long mStopSinceNanos;
     private boolean mStopping;
+    private long mBegunNanos;
+    private boolean mCaughtUp;
     private long mLastCheckNanos;
     private long mWallMinusSteadyMillis;
 
@@ -106,15 +117,36 @@
         mSettings = settings;
         mParts = parts;
         mView = FleetView.create(parts.decoder(), parts.log(), settings.leaveBound());
-        mPeers = PeerGroup.create(settings.node(), mView, parts.loop(), parts.clock(), parts.log());
+        mPeers =
+                PeerGroup.create(
+                        settings.node(),
+                        mView,
+                        parts.eras(),
+                        parts.loop(),
+                        parts.clock(),
+                        parts.log());
         mReader =
                 StateReader.create(
                         parts.store(),
+                        parts.eras(),
                         mView,
                         new Reading(),
                         parts.loop(),
                         parts.clock(),
                         parts.log());
+        mRandom = new SplittableRandom(settings.node().hashCode());
+        mAnnouncer =
+                Announcer.create(
+                        parts.store(),
+                        parts.decoder(),
+                        parts.loop(),
+                        parts.log(),
+                        mRandom,
+                        settings.node(),
+                        settings.peers(),
+                        mPeers::onMembers);
+        parts.eras().listen(this::onNewEra);
+        EraMeters.register(parts.registry(), parts.eras());
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
@@ -155,7 +187,7 @@
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
-                        new SplittableRandom(settings.node().hashCode()));
+                        mRandom);
         mForwarder = Forwarder.create(context);
     }
 
@@ -192,26 +224,37 @@
 
     /** Returns whether this node wants new connections. */
     public boolean isReady() {
-        return !mStopping && mView.isComplete();
+        return !mStopping && mView.isComplete() && isCaughtUp();
+    }
+
+    /** Where the store may come back from a copy, peers are asked first what is in force. */
+    private boolean isCaughtUp() {
+        if (mCaughtUp || mParts.eras().current() == 0) {
+            return true;
+        }
+        long waited = mParts.clock().monotonicTime() - mBegunNanos;
+        mCaughtUp = waited > LONGEST_CATCH_UP.toNanos() || mPeers.isCaughtUp();
+        return mCaughtUp;
     }
 
     private void begin() {
+        mBegunNanos = mParts.clock().monotonicTime();
         useSeeds();
         mReader.start();
-        Announcer.announce(
-                mParts.store(),
-                mParts.decoder(),
-                mParts.loop(),
-                mParts.log(),
-                mSettings.node(),
-                mSettings.peers(),
-                mPeers::onMembers);
+        mAnnouncer.start();
         mLastCheckNanos = mParts.clock().monotonicTime();
         mWallMinusSteadyMillis = wallMinusSteadyMillis();
         every(CHECK_INTERVAL, this::check);
         every(SWEEP_INTERVAL, this::sweep);
     }
 
+    /** What is believed stays in use until the new era's list has been read. */
+    private void onNewEra() {
+        mView.onStoreRegained(mParts.clock().monotonicTime());
+        mReader.refresh();
+        mAnnouncer.onNewEra();
+    }
+
     /** Takes changed settings; those of addresses count from the next start. */
     public void reload(DirectRouterSettings settings) {
         mParts.loop().execute(() -> use(settings));
--- a/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
@@ -39,7 +39,7 @@
 
     void onMembers(List<NodeEntry> before) {
         List<NodeEntry> sorted = new ArrayList<>(before);
-        sorted.sort(Comparator.comparingLong(NodeEntry::rank));
+        sorted.sort(Comparator.comparing(NodeEntry::rank));
         mMembers = sorted.stream().map(entry -> new Candidate(entry.address())).distinct().toList();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -2,10 +2,13 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BinaryOperator;
 import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerHello;
 import org.fescueport.internal.wire.generated.PeerMessage;
 
@@ -13,7 +16,7 @@
 final class PeerConnection extends SimpleChannelInboundHandler<PeerMessage> {
     private final PeerGroup mGroup;
     private final boolean mOutbound;
-    private final Map<StateTopic, Long> mKnownEnds = new EnumMap<>(StateTopic.class);
+    private final Map<StateTopic, StorePosition> mKnownEnds = new EnumMap<>(StateTopic.class);
     private ChannelHandlerContext mContext;
     private Optional<PeerHello> mHello = Optional.empty();
     private boolean mReading;
@@ -63,8 +66,8 @@
 
     void onHello(PeerHello hello) {
         mHello = Optional.of(hello);
-        mKnownEnds.put(StateTopic.CONFIGURATION, hello.getNextConfiguration());
-        mKnownEnds.put(StateTopic.REPLICAS, hello.getNextReplica());
+        var next = StorePosition.of(hello.getNextReplicaEra(), hello.getNextReplica());
+        mKnownEnds.put(StateTopic.REPLICAS, next);
     }
 
     void onPulse(boolean reading, long nowNanos) {
@@ -83,13 +86,19 @@
         return nowNanos - since;
     }
 
-    /** Returns the offset up to which the other side knows a topic. */
-    long knownEnd(StateTopic topic) {
-        return mKnownEnds.getOrDefault(topic, 0L);
+    /** Returns the place of the other side's first record; absent while it has none. */
+    Optional<StorePosition> rank() {
+        return mHello.filter(hello -> hello.getRank() != 0)
+                .map(hello -> StorePosition.of(hello.getRankEra(), hello.getRank() - 1));
     }
 
-    void onKnown(StateTopic topic, long end) {
-        mKnownEnds.merge(topic, end, Math::max);
+    /** Returns the place up to which the other side knows a topic. */
+    StorePosition knownEnd(StateTopic topic) {
+        return mKnownEnds.getOrDefault(topic, StorePosition.START);
+    }
+
+    void onKnown(StateTopic topic, StorePosition end) {
+        mKnownEnds.merge(topic, end, BinaryOperator.maxBy(Comparator.naturalOrder()));
     }
 
     void send(PeerMessage message) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -14,16 +14,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
+import org.fescueport.internal.direct.state.EraWatch;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.NodeEntry;
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerHello;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
@@ -74,6 +77,7 @@
 
     private final String mNode;
     private final FleetView mView;
+    private final EraWatch mEras;
     private final Clock mClock;
     private final EventLog mLog;
     private final Bootstrap mBootstrap;
@@ -83,13 +87,20 @@
     private Optional<PeerConnection> mHub = Optional.empty();
     private Optional<Candidates.Candidate> mHubCandidate = Optional.empty();
     private Optional<Trial> mTrial = Optional.empty();
-    private long mRank;
+    private Optional<StorePosition> mRank = Optional.empty();
     private boolean mConnecting;
     private boolean mStopped;
 
-    private PeerGroup(String node, FleetView view, EventLoopGroup loop, Clock clock, EventLog log) {
+    private PeerGroup(
+            String node,
+            FleetView view,
+            EraWatch eras,
+            EventLoopGroup loop,
+            Clock clock,
+            EventLog log) {
         mNode = node;
         mView = view;
+        mEras = eras;
         mClock = clock;
         mLog = log;
         mCandidates = new Candidates(clock);
@@ -98,8 +109,13 @@
 
     /** Returns a group that knows no other node. */
     public static PeerGroup create(
-            String node, FleetView view, EventLoopGroup loop, Clock clock, EventLog log) {
-        return new PeerGroup(node, view, loop, clock, log);
+            String node,
+            FleetView view,
+            EraWatch eras,
+            EventLoopGroup loop,
+            Clock clock,
+            EventLog log) {
+        return new PeerGroup(node, view, eras, loop, clock, log);
     }
 
     /** Sets who is told what comes from peers. */
@@ -123,10 +139,12 @@
      * @param rank of this node
      * @param entries of all nodes, also of those that are gone
      */
-    public void onMembers(long rank, List<NodeEntry> entries) {
-        mRank = rank;
+    public void onMembers(StorePosition rank, List<NodeEntry> entries) {
+        mRank = Optional.of(rank);
         mCandidates.onMembers(
-                entries.stream().filter(e -> e.rank() < rank && !e.node().equals(mNode)).toList());
+                entries.stream()
+                        .filter(e -> e.rank().isBefore(rank) && !e.node().equals(mNode))
+                        .toList());
         mLog.change("ranked").with("rank", rank).with("before", mCandidates.size()).write();
         mOpen.forEach(this::sendHello);
     }
@@ -138,6 +156,22 @@
                 .isPresent();
     }
 
+    /**
+     * Returns whether this node knows the configuration that the nodes before it have in force, or
+     * is the first one. The store may just have come back from a copy with an older one.
+     */
+    public boolean isCaughtUp() {
+        if (mRank.isEmpty()) {
+            return false;
+        }
+        if (mCandidates.size() == 0) {
+            return true;
+        }
+        return mOpen.stream()
+                .flatMap(peer -> peer.hello().stream())
+                .anyMatch(h -> !isAhead(h.hasConfigurationVersion(), h.getConfigurationVersion()));
+    }
+
     /**
      * Looks after the connection to the first node before this one that answers.
      *
@@ -162,7 +196,12 @@
     /** Tells the nodes that rely on this one how its reading goes. */
     public void pulse(boolean reading) {
         int nodes = nodes();
-        var pulse = PeerPulse.newBuilder().setReading(reading).setNodes(nodes);
+        var pulse =
+                PeerPulse.newBuilder()
+                        .setReading(reading)
+                        .setNodes(nodes)
+                        .setStoreEra(mEras.current());
+        mView.configurationVersion().ifPresent(pulse::setConfigurationVersion);
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
         sendToAll(message, peer -> !peer.isOutbound());
         mListener.onNodes(nodes);
@@ -173,13 +212,13 @@
      * them now notices the gap at the next news, and asks.
      */
     public void spread(StateTopic topic, List<StateRecord> news, Optional<PeerOrigin> origin) {
-        long end = mView.nextOffset(topic);
-        Map<Long, PeerFrame> frames = new HashMap<>();
+        StorePosition end = mView.next(topic);
+        Map<StorePosition, PeerFrame> frames = new HashMap<>();
         for (var peer : mOpen) {
-            if (origin.filter(o -> o.mConnection == peer).isPresent()) {
-                peer.onKnown(topic, end);
-            } else if (!news.isEmpty() && peer.hello().isPresent() && peer.isWritable()) {
-                long from = peer.knownEnd(topic);
+            boolean came = origin.filter(o -> o.mConnection == peer).isPresent();
+            boolean takes = peer.hello().isPresent() && peer.isWritable();
+            if (!came && takes && !news.isEmpty()) {
+                StorePosition from = peer.knownEnd(topic);
                 frames.computeIfAbsent(from, f -> frame(RecordBatch.news(topic, f, end, news)));
                 peer.send(frames.get(from));
                 peer.onKnown(topic, end);
@@ -237,13 +276,31 @@
     private void onHello(PeerConnection peer, PeerHello hello) {
         peer.onHello(hello);
         mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
-        for (var topic : List.of(StateTopic.CONFIGURATION, StateTopic.REPLICAS)) {
-            if (peer.knownEnd(topic) < mView.nextOffset(topic)) {
-                sendMissing(peer, topic);
-            }
+        mEras.onPeer(hello.getStoreEra());
+        if (isBehind(hello.hasConfigurationVersion(), hello.getConfigurationVersion())) {
+            send(peer, mView.snapshot(StateTopic.CONFIGURATION));
+        }
+        if (peer.knownEnd(StateTopic.REPLICAS).isBefore(mView.next(StateTopic.REPLICAS))) {
+            send(peer, mView.replicasSince(peer.knownEnd(StateTopic.REPLICAS)));
+        }
+        RecordBatch departed = mView.departedButListed(peer.knownEnd(StateTopic.REPLICAS));
+        if (!departed.records().isEmpty()) {
+            send(peer, departed);
         }
     }
 
+    /** Returns whether a node with this version lacks the configuration in force here. */
+    private boolean isBehind(boolean known, long version) {
+        OptionalLong own = mView.configurationVersion();
+        return own.isPresent() && (!known || version < own.getAsLong());
+    }
+
+    /** Returns whether a node with this version has a newer configuration than this one. */
+    private boolean isAhead(boolean known, long version) {
+        OptionalLong own = mView.configurationVersion();
+        return known && (own.isEmpty() || version > own.getAsLong());
+    }
+
     private void onRecords(PeerConnection peer, PeerRecords records) {
         RecordBatch batch;
         try {
@@ -265,6 +322,10 @@
 
     private void onPulse(PeerConnection peer, PeerPulse pulse) {
         peer.onPulse(pulse.getReading(), nowNanos());
+        mEras.onPeer(pulse.getStoreEra());
+        if (isAhead(pulse.hasConfigurationVersion(), pulse.getConfigurationVersion())) {
+            sendHello(peer);
+        }
         if (mHub.filter(hub -> hub == peer).isPresent()) {
             mListener.onNodes(pulse.getNodes());
         }
@@ -286,8 +347,11 @@
 
     /** Two nodes never rely on each other, as only one of them comes before the other. */
     private boolean precedes(PeerConnection peer) {
-        long rank = peer.hello().map(PeerHello::getRank).orElse(0L);
-        return rank != 0 && (mRank == 0 || rank < mRank);
+        return peer.rank().filter(this::isBeforeOwn).isPresent();
+    }
+
+    private boolean isBeforeOwn(StorePosition rank) {
+        return mRank.map(rank::isBefore).orElse(true);
     }
 
     private void connect(Candidates.Candidate candidate) {
@@ -320,7 +384,7 @@
     private void judge(Trial trial) {
         if (precedes(trial.peer())) {
             promote(trial);
-        } else if (mRank != 0 && trial.peer().hello().map(PeerHello::getRank).orElse(0L) != 0) {
+        } else if (mRank.isPresent() && trial.peer().rank().isPresent()) {
             mCandidates.onLaterLife(trial.candidate());
         }
     }
@@ -347,18 +411,20 @@
         var hello =
                 PeerHello.newBuilder()
                         .setNode(mNode)
-                        .setRank(mRank)
-                        .setNextConfiguration(mView.nextOffset(StateTopic.CONFIGURATION))
-                        .setNextReplica(mView.nextOffset(StateTopic.REPLICAS));
+                        .setNextReplica(mView.next(StateTopic.REPLICAS).offset())
+                        .setNextReplicaEra(mView.next(StateTopic.REPLICAS).era())
+                        .setStoreEra(mEras.current());
+        mView.configurationVersion().ifPresent(hello::setConfigurationVersion);
+        // Offsets begin at 0, which stands for a rank that is not known.
+        mRank.ifPresent(rank -> hello.setRank(rank.offset() + 1).setRankEra(rank.era()));
         peer.send(PeerMessage.newBuilder().setHello(hello).build());
     }
 
-    private void sendMissing(PeerConnection peer, StateTopic topic) {
-        RecordBatch batch = mView.changesSince(topic, peer.knownEnd(topic));
+    private void send(PeerConnection peer, RecordBatch batch) {
         try (var frame = frame(batch)) {
             peer.send(frame);
         }
-        peer.onKnown(topic, batch.end());
+        peer.onKnown(batch.topic(), batch.end());
     }
 
     private void sendToAll(PeerMessage message, Predicate<PeerConnection> told) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
@@ -8,6 +8,7 @@
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
+import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerRecord;
 import org.fescueport.internal.wire.generated.PeerRecords;
@@ -20,14 +21,17 @@
         var records =
                 PeerRecords.newBuilder()
                         .setReplicas(batch.topic() == StateTopic.REPLICAS)
-                        .setFrom(batch.from())
-                        .setEnd(batch.end())
+                        .setFrom(batch.from().offset())
+                        .setFromEra(batch.from().era())
+                        .setEnd(batch.end().offset())
+                        .setEndEra(batch.end().era())
                         .setWhole(batch.whole())
                         .setLapseGraceMs((int) lapseGrace.toMillis());
         for (var record : batch.records()) {
             var entry =
                     PeerRecord.newBuilder()
-                            .setOffset(record.offset())
+                            .setOffset(record.position().offset())
+                            .setEra(record.position().era())
                             .setKey(record.key())
                             .setRemoved(record.value().isEmpty());
             record.value().ifPresent(value -> setValue(entry, value));
@@ -52,14 +56,19 @@
     static RecordBatch decode(PeerRecords records) throws DataFormatException {
         List<StateRecord> entries = new ArrayList<>();
         for (var entry : records.getEntriesList()) {
+            var position = StorePosition.of(entry.getEra(), entry.getOffset());
             entries.add(
                     entry.getRemoved()
-                            ? StateRecord.removed(entry.getOffset(), entry.getKey())
-                            : StateRecord.set(entry.getOffset(), entry.getKey(), value(entry)));
+                            ? StateRecord.removed(position, entry.getKey())
+                            : StateRecord.set(position, entry.getKey(), value(entry)));
         }
         StateTopic topic = records.getReplicas() ? StateTopic.REPLICAS : StateTopic.CONFIGURATION;
         return new RecordBatch(
-                topic, records.getFrom(), records.getEnd(), records.getWhole(), entries);
+                topic,
+                StorePosition.of(records.getFromEra(), records.getFrom()),
+                StorePosition.of(records.getEndEra(), records.getEnd()),
+                records.getWhole(),
+                entries);
     }
 
     private static byte[] value(PeerRecord entry) throws DataFormatException {
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -5,9 +5,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
@@ -19,9 +21,10 @@
 /**
  * What this node believes of the configuration and of the replicas.
  *
- * <p>Versions and offsets only go forward, whichever way a record came. A replica whose entry
- * lapsed around an outage of the store is kept until its heartbeat has had time to come back. Used
- * by the event loop alone.
+ * <p>Versions and places only go forward, whichever way a record came, also when the store has come
+ * back from an older copy: a replica that is known to have left stays gone until it speaks anew. A
+ * replica whose entry lapsed around an outage, or is missing from the copy, is kept until its
+ * heartbeat has had time to come back. Used by the event loop alone.
  */
 public final class FleetView {
     /** Time after the store's return within which lapsed entries of live replicas are back. */
@@ -32,6 +35,9 @@
 
     private static final Duration LONG_AGO = Duration.ofHours(1);
 
+    /** Replicas that are remembered after they have gone; a day's worth of a large fleet. */
+    private static final int MOST_DEPARTED = 1_000;
+
     /** Told when the believed replicas have changed. */
     @FunctionalInterface
     public interface ReplicaListener {
@@ -42,12 +48,37 @@
     /**
      * A replica's newest record.
      *
-     * @param changedOffset offset of the first record that said the same
+     * @param changed place of the first record that said the same
      */
     private record Known(
-            ReplicaEntry entry, StateRecord record, long changedOffset, long joinedNanos) {
-        long offset() {
-            return record.offset();
+            ReplicaEntry entry,
+            StateRecord record,
+            StorePosition changed,
+            long joinedNanos,
+            ReplicaWord word) {
+        StorePosition position() {
+            return record.position();
+        }
+
+        /** Returns the same belief, which a later record has not changed. */
+        Known at(StorePosition position) {
+            return new Known(entry, record.at(position), changed, joinedNanos, word);
+        }
+    }
+
+    /**
+     * A replica that is gone.
+     *
+     * @param last the newest record of it, where one was known
+     */
+    private record Departed(StorePosition position, Optional<Known> last) {
+        /** Returns whether its entry stands in the store again, as a copy brought it back. */
+        boolean isListed() {
+            return last.filter(k -> k.word().era() < position.era()).isPresent();
+        }
+
+        boolean covers(ReplicaEntry entry, StateRecord record) {
+            return last.filter(k -> k.word().covers(entry, record.position().era())).isPresent();
         }
     }
 
@@ -56,18 +87,18 @@
     private final Duration mLapseGrace;
     private final Map<NodeId, Known> mReplicas = new HashMap<>();
     private final Map<NodeId, Long> mLapsedUntil = new HashMap<>();
-    private final Map<NodeId, Long> mRemovedAt = new HashMap<>();
+    private final LinkedHashMap<NodeId, Departed> mDeparted = new LinkedHashMap<>();
     private Map<PoolId, ReplicaSet> mPools = Map.of();
     private Map<PoolId, ReplicaSet> mCacheHolders = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private boolean mReplicasKnown;
 
-    /** Offset from which on all removals of replicas are known. */
-    private long mRemovalsFrom;
+    /** Place from which on all removals of replicas are known. */
+    private StorePosition mRemovalsFrom = StorePosition.START;
 
-    private long mNextConfiguration;
-    private long mNextReplica;
+    private StorePosition mNextConfiguration = StorePosition.START;
+    private StorePosition mNextReplica = StorePosition.START;
     private Optional<Long> mLapseGraceEndNanos = Optional.empty();
     private ReplicaListener mListener = () -> {};
 
@@ -137,12 +168,17 @@
         return Optional.ofNullable(mReplicas.get(id)).map(Known::entry);
     }
 
-    /** Returns the offset of the next record to read of a topic. */
-    public long nextOffset(StateTopic topic) {
+    /** Returns the version of the configuration in force, once one is known. */
+    public OptionalLong configurationVersion() {
+        return mConfiguration.stream().mapToLong(FleetConfiguration::version).findFirst();
+    }
+
+    /** Returns the place of the next record to read of a topic. */
+    public StorePosition next(StateTopic topic) {
         return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mNextReplica;
     }
 
-    /** Notes that the store has just answered again after it had not. */
+    /** Notes that the store has just answered again after it had not, or in a new era. */
     public void onStoreRegained(long nowNanos) {
         mLapseGraceEndNanos = Optional.of(nowNanos + mLapseGrace.toNanos());
     }
@@ -160,21 +196,29 @@
         }
     }
 
-    /** Returns whether this batch can be taken, so that no record before it is missed. */
+    /**
+     * Returns whether this batch can be taken, so that no record before it is missed. A record of
+     * the configuration is complete in itself.
+     */
     public boolean follows(RecordBatch batch) {
-        return batch.whole() || batch.from() <= nextOffset(batch.topic());
+        return batch.topic() == StateTopic.CONFIGURATION
+                || batch.whole()
+                || !next(batch.topic()).isBefore(batch.from());
     }
 
     /** Takes records in; returns those that changed something, from whichever source they came. */
     public List<StateRecord> take(RecordBatch batch, long nowNanos) {
         List<StateRecord> news = new ArrayList<>();
+        boolean replicas = batch.topic() == StateTopic.REPLICAS;
+        if (replicas && batch.end().era() < mNextReplica.era()) {
+            return news;
+        }
         boolean changed = false;
         for (var record : batch.records()) {
             changed |= apply(batch.topic(), record, nowNanos, news);
         }
-        boolean replicas = batch.topic() == StateTopic.REPLICAS;
-        if (replicas && batch.whole() && batch.end() >= mNextReplica) {
-            if (!mReplicasKnown) {
+        if (replicas && batch.whole() && !batch.end().isBefore(mNextReplica)) {
+            if (!mReplicasKnown || batch.end().era() > mRemovalsFrom.era()) {
                 mReplicasKnown = true;
                 mRemovalsFrom = batch.end();
             }
@@ -192,45 +236,65 @@
         List<StateRecord> records =
                 topic == StateTopic.CONFIGURATION
                         ? mConfigurationRecord.stream().toList()
-                        : mReplicas.values().stream().map(Known::record).toList();
-        return new RecordBatch(topic, 0, nextOffset(topic), true, records);
+                        : presentRecords();
+        return new RecordBatch(topic, StorePosition.START, next(topic), true, records);
+    }
+
+    /** Entries that have lapsed stand in no store; who knows them is told so by their absence. */
+    private List<StateRecord> presentRecords() {
+        return mReplicas.entrySet().stream()
+                .filter(entry -> !mLapsedUntil.containsKey(entry.getKey()))
+                .map(entry -> entry.getValue().record())
+                .toList();
     }
 
     /**
-     * Returns what somebody lacks who knows all before this offset: the few records that have
+     * Returns what somebody lacks who knows all before this place: the few records that have
      * changed something since, or a snapshot where those are not known.
      */
-    public RecordBatch changesSince(StateTopic topic, long from) {
-        boolean known = topic != StateTopic.REPLICAS || from >= mRemovalsFrom;
-        if (from == 0 || !known) {
-            return snapshot(topic);
+    public RecordBatch replicasSince(StorePosition from) {
+        if (from.equals(StorePosition.START) || from.isBefore(mRemovalsFrom)) {
+            return snapshot(StateTopic.REPLICAS);
         }
-        List<StateRecord> records =
-                topic == StateTopic.CONFIGURATION
-                        ? mConfigurationRecord.stream().toList()
-                        : replicaChanges(from);
-        return RecordBatch.news(
-                topic,
-                from,
-                nextOffset(topic),
-                records.stream().filter(record -> record.offset() >= from).toList());
+        return RecordBatch.news(StateTopic.REPLICAS, from, mNextReplica, replicaChanges(from));
+    }
+
+    /**
+     * Returns the replicas that are gone although the store lists them since it came back, for
+     * somebody who may have begun after they went.
+     *
+     * @param known what that node has told that it knows
+     */
+    public RecordBatch departedButListed(StorePosition known) {
+        List<StateRecord> records = new ArrayList<>();
+        mDeparted.forEach(
+                (id, departed) -> {
+                    if (departed.isListed() && !mReplicas.containsKey(id)) {
+                        records.add(StateRecord.removed(departed.position(), id.name()));
+                    }
+                });
+        return RecordBatch.news(StateTopic.REPLICAS, known, known, records);
     }
 
-    private List<StateRecord> replicaChanges(long from) {
+    private List<StateRecord> replicaChanges(StorePosition from) {
         List<StateRecord> changes = new ArrayList<>();
         mReplicas.forEach(
                 (id, known) -> {
-                    if (known.changedOffset() >= from && !mLapsedUntil.containsKey(id)) {
+                    boolean since = !known.changed().isBefore(from);
+                    if (since && !mLapsedUntil.containsKey(id)) {
                         changes.add(known.record());
                     }
                 });
-        mRemovedAt.forEach(
-                (id, offset) -> {
-                    if (!mReplicas.containsKey(id) || mLapsedUntil.containsKey(id)) {
-                        changes.add(StateRecord.removed(offset, id.name()));
+        mDeparted.forEach(
+                (id, departed) -> {
+                    boolean since = !departed.position().isBefore(from);
+                    boolean gone = !mReplicas.containsKey(id) || mLapsedUntil.containsKey(id);
+                    if (since && gone) {
+                        departed.last().ifPresent(last -> changes.add(last.record()));
+                        changes.add(StateRecord.removed(departed.position(), id.name()));
                     }
                 });
-        changes.sort(Comparator.comparingLong(StateRecord::offset));
+        changes.sort(Comparator.comparing(StateRecord::position));
         return changes;
     }
 
@@ -276,12 +340,12 @@
             mConfigurationRecord = Optional.of(record);
             mLog.change("configuration-in-force")
                     .with("version", configuration.version())
-                    .with("offset", record.offset())
+                    .with("position", record.position())
                     .write();
             return true;
         } catch (StateDecoder.UnusableRecordException e) {
             mLog.change("configuration-unusable")
-                    .with("offset", record.offset())
+                    .with("position", record.position())
                     .with("reason", e.getMessage())
                     .write();
             return false;
@@ -292,30 +356,34 @@
     private boolean applyReplica(StateRecord record, long nowNanos, List<StateRecord> news) {
         NodeId id = NodeId.of(record.key());
         Known known = mReplicas.get(id);
-        long newest = known == null ? mRemovedAt.getOrDefault(id, -1L) : known.offset();
-        if (record.offset() <= newest) {
+        Departed departed = mDeparted.get(id);
+        if (isHeard(record, known, departed)) {
             return false;
         }
         if (record.value().isEmpty()) {
-            mRemovedAt.put(id, record.offset());
-            if (known != null) {
-                news.add(record);
-            }
+            depart(id, known, record.position(), news);
             return known != null && remove(id, known, nowNanos);
         }
         Optional<ReplicaEntry> entry = decode(record);
         if (entry.isEmpty()) {
-            mRemovedAt.put(id, record.offset());
-            if (known != null) {
-                news.add(StateRecord.removed(record.offset(), record.key()));
-            }
+            depart(id, known, record.position(), news);
             return known != null && forget(id, "unusable");
         }
+        if (known == null && departed != null && departed.covers(entry.get(), record)) {
+            mDeparted.put(id, new Departed(record.position(), departed.last()));
+            news.add(StateRecord.removed(record.position(), record.key()));
+            return false;
+        }
         boolean lapsed = mLapsedUntil.remove(id) != null;
-        boolean same = known != null && known.entry().equals(entry.get()) && !lapsed;
-        long changed = same ? known.changedOffset() : record.offset();
+        if (known != null && known.word().covers(entry.get(), record.position().era())) {
+            mReplicas.put(id, known.at(record.position()));
+            return false;
+        }
+        boolean same = known != null && known.entry().saysTheSameAs(entry.get()) && !lapsed;
+        StorePosition changed = same ? known.changed() : record.position();
         long joined = joined(known, entry.get(), nowNanos);
-        mReplicas.put(id, new Known(entry.get(), record, changed, joined));
+        var word = ReplicaWord.of(entry.get(), record.position().era());
+        mReplicas.put(id, new Known(entry.get(), record, changed, joined, word));
         if (same) {
             return false;
         }
@@ -324,6 +392,40 @@
         return true;
     }
 
+    /** An entry at the place of a removal is one that a copy of the store has brought back. */
+    private static boolean isHeard(StateRecord record, Known known, Departed departed) {
+        if (known != null) {
+            int order = known.position().compareTo(record.position());
+            return record.value().isPresent() ? order >= 0 : order > 0;
+        }
+        return departed != null && !departed.position().isBefore(record.position());
+    }
+
+    /**
+     * Notes that an entry has gone away. Peers that have not heard all words of the replica are
+     * told the last one with it, so that they too know what comes out of an older copy.
+     */
+    private void depart(NodeId id, Known known, StorePosition position, List<StateRecord> news) {
+        Optional<Known> last =
+                known != null
+                        ? Optional.of(known)
+                        : Optional.ofNullable(mDeparted.get(id)).flatMap(Departed::last);
+        mDeparted.put(id, new Departed(position, last));
+        forgetOldestDeparted();
+        if (known != null) {
+            news.add(known.record());
+            news.add(StateRecord.removed(position, id.name()));
+        }
+    }
+
+    private void forgetOldestDeparted() {
+        if (mDeparted.size() > MOST_DEPARTED) {
+            var eldest = mDeparted.pollFirstEntry();
+            StorePosition behind = eldest.getValue().position().plus(1);
+            mRemovalsFrom = mRemovalsFrom.isBefore(behind) ? behind : mRemovalsFrom;
+        }
+    }
+
     /** Replicas of the first list have been there for as long as anybody can tell. */
     private long joined(Known known, ReplicaEntry entry, long nowNanos) {
         if (known != null && known.entry().startedAtMillis() == entry.startedAtMillis()) {
@@ -349,7 +451,7 @@
                 .with("replica", entry.id())
                 .with("pool", entry.pool())
                 .with("address", entry.address())
-                .with("offset", record.offset())
+                .with("position", record.position())
                 .write();
     }
 
@@ -377,22 +479,22 @@
         boolean changed = false;
         for (var id : List.copyOf(mReplicas.keySet())) {
             Known known = mReplicas.get(id);
-            if (!present.contains(id.name()) && known.offset() < batch.end()) {
+            if (!present.contains(id.name()) && known.position().isBefore(batch.end())) {
                 // The removal stood somewhere before the end of the batch.
-                long offset = batch.end() - 1;
-                mRemovedAt.put(id, offset);
-                news.add(StateRecord.removed(offset, id.name()));
+                depart(id, known, batch.end().plus(-1), news);
                 changed |= remove(id, known, nowNanos);
             }
         }
         return changed;
     }
 
-    private void advance(StateTopic topic, long end) {
-        if (topic == StateTopic.CONFIGURATION) {
-            mNextConfiguration = Math.max(mNextConfiguration, end);
-        } else if (topic == StateTopic.REPLICAS) {
-            mNextReplica = Math.max(mNextReplica, end);
+    private void advance(StateTopic topic, StorePosition end) {
+        if (next(topic).isBefore(end)) {
+            switch (topic) {
+                case CONFIGURATION -> mNextConfiguration = end;
+                case REPLICAS -> mNextReplica = end;
+                case NODES -> throw new IllegalArgumentException("nodes are not kept here");
+            }
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
@@ -12,6 +12,7 @@
  * @param slots requests that it works on at once
  * @param leaving whether it takes no new work
  * @param startedAtMillis tells two lives under one id apart; 0 when it does not say
+ * @param beat rises with each word of one life; 0 when it does not say
  */
 public record ReplicaEntry(
         NodeId id,
@@ -20,7 +21,17 @@
         FailureDomain domain,
         int slots,
         boolean leaving,
-        long startedAtMillis) {
+        long startedAtMillis,
+        long beat) {
+    /** Returns whether another word of the replica says the same; words may be repeated. */
+    public boolean saysTheSameAs(ReplicaEntry other) {
+        return withoutBeat().equals(other.withoutBeat());
+    }
+
+    private ReplicaEntry withoutBeat() {
+        return new ReplicaEntry(id, pool, address, domain, slots, leaving, startedAtMillis, 0);
+    }
+
     /** Returns this life of the replica. */
     public AgentIncarnation life() {
         return AgentIncarnation.of(id, startedAtMillis);
--- a/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
@@ -1,6 +1,5 @@
 package org.fescueport.internal.direct.state;
 
-import java.net.InetSocketAddress;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 
 /** Turns the store's records into what they say. */
@@ -25,8 +24,8 @@
     /** Reads a configuration. */
     FleetConfiguration configuration(byte[] value) throws UnusableRecordException;
 
-    /** Reads where a node is reached. */
-    InetSocketAddress node(byte[] value) throws UnusableRecordException;
+    /** Reads what a node says of itself. */
+    NodeRecord node(byte[] value) throws UnusableRecordException;
 
     /** Reads what a replica says of itself. */
     ReplicaEntry replica(String key, byte[] value) throws UnusableRecordException;
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -23,6 +24,9 @@
      */
     private static final Duration CONFIGURATION_WAIT = Duration.ofMillis(1_000);
 
+    /** Before a waiting read is repeated that came back at once without a record. */
+    private static final Duration EMPTY_PAUSE = Duration.ofMillis(250);
+
     private static final Duration FIRST_RETRY = Duration.ofMillis(150);
     private static final Duration LONGEST_RETRY = Duration.ofMillis(600);
 
@@ -36,6 +40,7 @@
     }
 
     private final StateStore mStore;
+    private final EraWatch mEras;
     private final FleetView mView;
     private final Listener mListener;
     private final ScheduledExecutorService mLoop;
@@ -49,12 +54,14 @@
 
     private StateReader(
             StateStore store,
+            EraWatch eras,
             FleetView view,
             Listener listener,
             ScheduledExecutorService loop,
             Clock clock,
             EventLog log) {
         mStore = store;
+        mEras = eras;
         mView = view;
         mListener = listener;
         mLoop = loop;
@@ -65,12 +72,13 @@
     /** Returns a reader that has not begun. */
     public static StateReader create(
             StateStore store,
+            EraWatch eras,
             FleetView view,
             Listener listener,
             ScheduledExecutorService loop,
             Clock clock,
             EventLog log) {
-        return new StateReader(store, view, listener, loop, clock, log);
+        return new StateReader(store, eras, view, listener, loop, clock, log);
     }
 
     /** Begins to read. */
@@ -137,8 +145,8 @@
     private final class Tail {
         private final StateTopic mTopic;
         private int mFailures;
+        private int mGone;
         private long mTurn;
-        private long mRounds;
 
         Tail(StateTopic topic) {
             mTopic = topic;
@@ -149,7 +157,8 @@
          */
         void restart() {
             mTurn++;
-            if (mView.nextOffset(mTopic) == 0) {
+            StorePosition next = mView.next(mTopic);
+            if (next.offset() == 0 || next.era() != mEras.current()) {
                 readNewest();
             } else {
                 readOn();
@@ -161,52 +170,91 @@
             mStore.newest(mTopic)
                     .whenComplete(
                             (page, failure) -> {
-                                if (failure == null) {
-                                    onAnswered();
-                                    mListener.onBatch(RecordBatch.whole(mTopic, page));
+                                Optional<StoreException> lost = asStoreException(failure);
+                                if (lost.isEmpty()) {
+                                    lost = take(RecordBatch.whole(mTopic, page));
                                 }
-                                follow(turn, failure, this::readNewest);
+                                follow(turn, lost, pace(), this::readNewest);
                             });
         }
 
         private void readOn() {
             long turn = mTurn;
-            long from = mView.nextOffset(mTopic);
+            StorePosition from = mView.next(mTopic);
             Duration wait = mTopic == StateTopic.CONFIGURATION ? CONFIGURATION_WAIT : Duration.ZERO;
+            long begun = mClock.monotonicTime();
             mStore.read(mTopic, from, wait)
                     .whenComplete(
                             (page, failure) -> {
-                                if (failure == null) {
-                                    onAnswered();
-                                    mListener.onBatch(RecordBatch.following(mTopic, from, page));
+                                Optional<StoreException> lost = asStoreException(failure);
+                                Duration pause = pace();
+                                if (lost.isEmpty()) {
+                                    lost = take(RecordBatch.following(mTopic, from, page));
+                                    pause = pauseBehind(page, begun);
+                                    mGone = 0;
                                 }
-                                follow(turn, failure, this::readOn);
+                                follow(turn, lost, pause, this::readOn);
                             });
         }
 
-        private void follow(long turn, Throwable failure, Runnable again) {
+        /** Takes a batch in; returns why it can't be. */
+        private Optional<StoreException> take(RecordBatch batch) {
+            if (batch.end().era() != mEras.current()) {
+                return Optional.of(
+                        StoreException.of(
+                                StoreException.Cause.FORMER_ERA, "an answer of a former era"));
+            }
+            if (!batch.whole() && batch.from().era() != batch.end().era()) {
+                return Optional.of(
+                        StoreException.of(
+                                StoreException.Cause.HISTORY_GONE, "offsets of a former era"));
+            }
+            onAnswered();
+            mListener.onBatch(batch);
+            return Optional.empty();
+        }
+
+        private Duration pace() {
+            return mTopic == StateTopic.REPLICAS ? REPLICA_INTERVAL : Duration.ZERO;
+        }
+
+        /** A store that does not wait although it has nothing new must not be asked in a loop. */
+        private Duration pauseBehind(StateStore.Page page, long begunNanos) {
+            boolean atOnce = mClock.monotonicTime() - begunNanos < CONFIGURATION_WAIT.toNanos() / 2;
+            boolean idle = mTopic == StateTopic.CONFIGURATION && page.records().isEmpty();
+            return idle && atOnce ? EMPTY_PAUSE : pace();
+        }
+
+        private void follow(
+                long turn, Optional<StoreException> failure, Duration pause, Runnable again) {
             if (mStopped || turn != mTurn) {
                 return;
             }
             if (mTopic == StateTopic.REPLICAS) {
-                mRounds++;
-                mListener.onRound(failure == null);
+                mListener.onRound(failure.isEmpty());
             }
-            if (failure == null) {
+            if (failure.isEmpty()) {
                 mFailures = 0;
-                boolean paced = mTopic == StateTopic.REPLICAS;
-                schedule(turn, paced ? REPLICA_INTERVAL : Duration.ZERO, this::readOn);
+                schedule(turn, pause, this::readOn);
                 return;
             }
-            StoreException cause = asStoreException(failure);
-            if (cause.reason() == StoreException.Cause.HISTORY_GONE) {
-                schedule(turn, Duration.ZERO, this::readNewest);
+            if (failure.get().reason() == StoreException.Cause.HISTORY_GONE) {
+                mGone++;
+                schedule(turn, retryPause(mGone - 1), this::readNewest);
                 return;
             }
-            onFailure(mTopic, cause);
+            onFailure(mTopic, failure.get());
             mFailures++;
-            Duration pause = FIRST_RETRY.multipliedBy(1L << Math.min(mFailures - 1, 2));
-            schedule(turn, pause.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : pause, again);
+            schedule(turn, retryPause(mFailures), again);
+        }
+
+        /** Returns how long to wait before a call that failed so many times in a row. */
+        private static Duration retryPause(int failures) {
+            if (failures == 0) {
+                return Duration.ZERO;
+            }
+            Duration pause = FIRST_RETRY.multipliedBy(1L << Math.min(failures - 1, 2));
+            return pause.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : pause;
         }
 
         private void schedule(long turn, Duration pause, Runnable task) {
@@ -220,10 +268,13 @@
         }
     }
 
-    private static StoreException asStoreException(Throwable failure) {
+    private static Optional<StoreException> asStoreException(Throwable failure) {
+        if (failure == null) {
+            return Optional.empty();
+        }
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (cause instanceof StoreException known) {
-            return known;
+            return Optional.of(known);
         }
         throw new IllegalStateException("the store client failed in an unexpected way", cause);
     }
--- a/src/main/java/org/fescueport/internal/direct/state/StateStore.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateStore.java
@@ -1,6 +1,5 @@
 package org.fescueport.internal.direct.state;
 
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -18,21 +17,21 @@
     /**
      * Part of a topic.
      *
-     * @param records in the order of their offsets
-     * @param end the offset that the next record will get
+     * @param records in the order of their places
+     * @param end the place that the next record will get; its era is that of the answer
      */
-    record Page(List<StateRecord> records, long end) {}
+    record Page(List<StateRecord> records, StorePosition end) {}
 
     /** Reads the newest record of each key. */
     CompletableFuture<Page> newest(StateTopic topic);
 
     /**
-     * Reads the records from an offset on.
+     * Reads the records from a place on. The answer may be of another era than the place.
      *
      * @param patience how long the store may wait for a record when there is none; 0 for no wait
      */
-    CompletableFuture<Page> read(StateTopic topic, long from, Duration patience);
+    CompletableFuture<Page> read(StateTopic topic, StorePosition from, Duration patience);
 
-    /** Tells where a node is reached; returns the offset of the record. */
-    CompletableFuture<Long> announce(String node, InetSocketAddress address);
+    /** Tells where a node is reached; returns the place of the record. */
+    CompletableFuture<StorePosition> announce(String node, NodeRecord record);
 }
--- a/src/main/java/org/fescueport/internal/direct/state/StoreException.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StoreException.java
@@ -10,6 +10,8 @@
     public enum Cause {
         /** The records asked for have expired; the newest ones must be read instead. */
         HISTORY_GONE,
+        /** The answer is of a time before the store came back from a copy. */
+        FORMER_ERA,
         /** The store refused the call; nothing was done. */
         TURNED_AWAY,
         /** No answer came; a write may have been done, or may still be. */
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
@@ -0,0 +1,430 @@
+package org.fescueport.internal.direct.state;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import io.micrometer.core.instrument.MockClock;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.direct.log.EventLog;
+import org.jmock.lib.concurrent.DeterministicScheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Many nodes before one store that comes back from copies, on the paused clock. The first node
+ * reads for the others, as it does in the fleet; some are cut from the store, or from the first.
+ */
+class EraModelTest {
+    private static final int SEEDS = Integer.getInteger("era.model.seeds", 50);
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final Duration HEARTBEAT = Duration.ofMillis(1_200);
+    private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
+
+    /** From a replica's record in the store until all nodes use it. */
+    private static final Duration USE_BOUND = Duration.ofMillis(2_500);
+
+    /** Calls a second that the stores of small and large fleets take. */
+    private static final long MOST_WRITES = 400;
+
+    private static final long MOST_READS = 2_000;
+    private static final long MOST_READS_LARGE = 16_000;
+    private static final int SMALL_FLEET = 40;
+
+    private static final int REPLICAS = 5;
+
+    private final MockClock mClock = new MockClock();
+    private final DeterministicScheduler mScheduler = new DeterministicScheduler();
+    private final EventLog mLog =
+            EventLog.start(OutputStream.nullOutputStream(), mClock, "test", 1);
+    private final ModelStore mStore = new ModelStore(mScheduler);
+    private final List<Node> mNodes = new ArrayList<>();
+    private final Map<String, Speaker> mReplicas = new HashMap<>();
+    private final Set<String> mDeparted = new HashSet<>();
+    private long mVersion = 10;
+    private long mNowMillis;
+    private boolean mStarted;
+    private final LastSecond mCallsASecond = new LastSecond();
+    private final LastSecond mWritesASecond = new LastSecond();
+
+    @AfterEach
+    void closeLog() {
+        mLog.close();
+    }
+
+    /** Adds up what came in the steps of the last second. */
+    private static final class LastSecond {
+        private final Deque<Long> mSteps = new ArrayDeque<>();
+        private long mSum;
+
+        void add(long count) {
+            mSteps.addLast(count);
+            mSum += count;
+            if (mSteps.size() > Duration.ofSeconds(1).dividedBy(STEP)) {
+                mSum -= mSteps.removeFirst();
+            }
+        }
+
+        long sum() {
+            return mSum;
+        }
+    }
+
+    /** A replica that writes its words until it leaves. */
+    private final class Speaker {
+        private final String mId;
+        private final long mLife;
+        private int mBeat;
+        private long mNextMillis;
+        private long mWrittenMillis;
+
+        Speaker(String id, long life) {
+            mId = id;
+            mLife = life;
+        }
+
+        void speak() {
+            mBeat++;
+            mWrittenMillis = mNowMillis;
+            mNextMillis = mNowMillis + HEARTBEAT.toMillis();
+            write("ready " + mBeat + " " + mLife);
+        }
+
+        private void write(String words) {
+            byte[] value = words.getBytes(StandardCharsets.UTF_8);
+            mStore.append(StateTopic.REPLICAS, mId, Optional.of(value));
+        }
+    }
+
+    /** One node with all that it uses to follow the store. */
+    private final class Node {
+        private final EraWatch mEras = EraWatch.create(mClock, mLog);
+        private final FleetView mView = FleetView.create(new WordDecoder(), mLog, LEAVE_BOUND);
+        private final StateReader mReader;
+        private final Announcer mAnnouncer;
+        private ModelStore.Mode mMode = ModelStore.Mode.GOOD;
+        private Optional<StorePosition> mRank = Optional.empty();
+        private OptionalLong mShownVersion = OptionalLong.empty();
+        private boolean mAlone;
+
+        Node(int number, SplittableRandom random) {
+            var store = mStore.forNode(mEras, () -> mMode);
+            var listener = new Listener();
+            mReader = StateReader.create(store, mEras, mView, listener, mScheduler, mClock, mLog);
+            mAnnouncer =
+                    Announcer.create(
+                            store,
+                            new WordDecoder(),
+                            mScheduler,
+                            mLog,
+                            random,
+                            "node-" + number,
+                            InetSocketAddress.createUnresolved("node-" + number, 80),
+                            (rank, entries) -> mRank = Optional.of(rank));
+            mEras.listen(this::onNewEra);
+            mReader.start();
+            mAnnouncer.start();
+        }
+
+        private void onNewEra() {
+            mView.onStoreRegained(mClock.monotonicTime());
+            mReader.refresh();
+            mAnnouncer.onNewEra();
+        }
+
+        private boolean isFirst() {
+            return mNodes.getFirst() == this;
+        }
+
+        /** Takes over what another node knows, as peers tell each other. */
+        private void hearFrom(Node other) {
+            long now = mClock.monotonicTime();
+            mEras.onPeer(other.mEras.current());
+            mView.onLapseGrace(other.mView.lapseGrace(now), now);
+            if (version(other) > version(this)) {
+                mView.take(other.mView.snapshot(StateTopic.CONFIGURATION), now);
+            }
+            StorePosition next = mView.next(StateTopic.REPLICAS);
+            if (next.isBefore(other.mView.next(StateTopic.REPLICAS))) {
+                mView.take(other.mView.replicasSince(next), now);
+            }
+            mView.take(other.mView.departedButListed(mView.next(StateTopic.REPLICAS)), now);
+        }
+
+        private final class Listener implements StateReader.Listener {
+            @Override
+            public void onBatch(RecordBatch batch) {
+                mView.take(batch, mClock.monotonicTime());
+            }
+
+            @Override
+            public void onRound(boolean answered) {
+                if (isFirst() && answered) {
+                    mNodes.stream()
+                            .filter(node -> !node.isFirst() && !node.mAlone)
+                            .forEach(node -> node.hearFrom(Node.this));
+                }
+            }
+        }
+    }
+
+    private static long version(Node node) {
+        return node.mView.configurationVersion().orElse(-1);
+    }
+
+    private void configure() {
+        byte[] value = Long.toString(mVersion).getBytes(StandardCharsets.UTF_8);
+        mStore.append(StateTopic.CONFIGURATION, "config", Optional.of(value));
+    }
+
+    private void start(int nodes, SplittableRandom random) {
+        configure();
+        for (int i = 0; i < REPLICAS; i++) {
+            addReplica("r" + i, 7);
+        }
+        for (int i = 0; i < nodes; i++) {
+            mNodes.add(new Node(i, random.split()));
+        }
+        run(Duration.ofSeconds(3));
+        rely();
+        run(Duration.ofSeconds(2));
+        mStarted = true;
+    }
+
+    /** All but the first leave the reading to it, unless they are cut from it. */
+    private void rely() {
+        for (var node : mNodes) {
+            node.mReader.setActive(node.isFirst() || node.mAlone);
+        }
+    }
+
+    private void addReplica(String id, long life) {
+        var speaker = new Speaker(id, life);
+        mReplicas.put(id, speaker);
+        speaker.speak();
+    }
+
+    private void depart(String id) {
+        mReplicas.remove(id);
+        mDeparted.add(id);
+        mStore.append(StateTopic.REPLICAS, id, Optional.empty());
+    }
+
+    private void run(Duration time) {
+        long end = mNowMillis + time.toMillis();
+        while (mNowMillis < end) {
+            mNowMillis += STEP.toMillis();
+            mClock.add(STEP);
+            long before = mStore.calls();
+            long writesBefore = mStore.writes();
+            mScheduler.tick(STEP.toMillis(), TimeUnit.MILLISECONDS);
+            mReplicas.values().stream()
+                    .filter(replica -> replica.mNextMillis <= mNowMillis)
+                    .forEach(Speaker::speak);
+            for (var node : mNodes) {
+                node.mView.expire(mClock.monotonicTime());
+                assertThat(version(node), greaterThanOrEqualTo(node.mShownVersion.orElse(-1)));
+                node.mShownVersion = OptionalLong.of(version(node));
+            }
+            mCallsASecond.add(mStore.calls() - before);
+            mWritesASecond.add(mStore.writes() - writesBefore);
+            if (mStarted) {
+                assertThat(mWritesASecond.sum(), lessThanOrEqualTo(MOST_WRITES));
+                long reads = mCallsASecond.sum() - mWritesASecond.sum();
+                boolean many = mNodes.size() > SMALL_FLEET;
+                assertThat(reads, lessThanOrEqualTo(many ? MOST_READS_LARGE : MOST_READS));
+            }
+        }
+    }
+
+    private boolean uses(Node node, String id) {
+        return node.mView.replica(NodeId.of(id)).filter(e -> !e.leaving()).isPresent();
+    }
+
+    private void assertThatNoneUsesADepartedReplica() {
+        for (var node : mNodes) {
+            mDeparted.forEach(id -> assertThat(id, uses(node, id), is(false)));
+        }
+    }
+
+    private void assertThatAllUseThoseThatAreThere() {
+        for (var node : mNodes) {
+            mReplicas.keySet().forEach(id -> assertThat(id, uses(node, id), is(true)));
+        }
+    }
+
+    private void assertThatRanksDiffer() {
+        Set<StorePosition> ranks = new HashSet<>();
+        mNodes.forEach(node -> assertThat(ranks.add(node.mRank.orElseThrow()), is(true)));
+    }
+
+    /** How a drill finds the fleet. */
+    enum Scene {
+        CALM,
+        IN_AN_OUTAGE,
+        TWICE,
+        HALF_OF_THE_NODES_CUT_FROM_THE_STORE,
+        SOME_NODES_CUT_FROM_THE_FIRST,
+        GROWN_PAST_THE_OLD_OFFSET,
+        AT_A_START
+    }
+
+    @ParameterizedTest
+    @EnumSource(Scene.class)
+    void shouldKeepItsPromisesThroughADrillWithFourNodes(Scene scene) {
+        playAll(scene, 4, SEEDS);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Scene.class)
+    void shouldKeepItsPromisesThroughADrillWithThirtyThreeNodes(Scene scene) {
+        playAll(scene, 33, Math.max(1, SEEDS / 10));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Scene.class)
+    void shouldKeepItsPromisesThroughADrillWithThreeHundredAndThirtyNodes(Scene scene) {
+        playAll(scene, 330, 1);
+    }
+
+    private void playAll(Scene scene, int nodes, int seeds) {
+        for (int seed = 1; seed <= seeds; seed++) {
+            var one = new EraModelTest();
+            try {
+                one.play(scene, nodes, new SplittableRandom(seed));
+            } catch (AssertionError e) {
+                throw new AssertionError("scene " + scene + ", seed " + seed, e);
+            } finally {
+                one.closeLog();
+            }
+        }
+    }
+
+    private void play(Scene scene, int nodes, SplittableRandom random) {
+        start(nodes, random);
+        if (scene == Scene.SOME_NODES_CUT_FROM_THE_FIRST) {
+            mNodes.subList(nodes / 2, nodes).forEach(node -> node.mAlone = true);
+            rely();
+        }
+        run(Duration.ofSeconds(4));
+        var copy = mStore.sizes();
+        run(Duration.ofMillis(500 + random.nextInt(6_000)));
+        mVersion++;
+        configure();
+        depart("r0");
+        addReplica("new", 7);
+        run(LEAVE_BOUND);
+        assertThatNoneUsesADepartedReplica();
+        drill(scene, copy, random);
+        rewrite(random);
+        // Departed replicas' entries stand in the copy until the platform takes them away again.
+        run(HEARTBEAT.multipliedBy(3));
+        assertThatNoneUsesADepartedReplica();
+        mDeparted.forEach(id -> mStore.append(StateTopic.REPLICAS, id, Optional.empty()));
+        mNodes.forEach(node -> node.mMode = ModelStore.Mode.GOOD);
+        addReplica("newest", 7);
+        run(USE_BOUND);
+        assertThatNoneUsesADepartedReplica();
+        assertThatAllUseThoseThatAreThere();
+        assertThatRanksDiffer();
+        mNodes.forEach(node -> assertThat(version(node), is(mVersion)));
+    }
+
+    private void drill(Scene scene, Map<StateTopic, Integer> copy, SplittableRandom random) {
+        switch (scene) {
+            case IN_AN_OUTAGE -> {
+                mStore.mode(ModelStore.Mode.SILENT);
+                run(Duration.ofMillis(500 + random.nextInt(3_000)));
+                mStore.comeBack(copy);
+                mStore.mode(ModelStore.Mode.GOOD);
+            }
+            case TWICE -> {
+                mStore.comeBack(copy);
+                run(Duration.ofMillis(50 + random.nextInt(1_900)));
+                mStore.comeBack(copy);
+            }
+            case HALF_OF_THE_NODES_CUT_FROM_THE_STORE -> {
+                mNodes.subList(mNodes.size() / 2, mNodes.size())
+                        .forEach(node -> node.mMode = ModelStore.Mode.TURNED_AWAY);
+                mStore.comeBack(copy);
+            }
+            case GROWN_PAST_THE_OLD_OFFSET -> {
+                mStore.comeBack(copy);
+                for (int i = 0; i < 40; i++) {
+                    mReplicas.values().forEach(Speaker::speak);
+                }
+            }
+            case AT_A_START -> {
+                mStore.comeBack(copy);
+                mNodes.add(new Node(mNodes.size(), random.split()));
+                mNodes.getLast().hearFrom(mNodes.getFirst());
+            }
+            case CALM, SOME_NODES_CUT_FROM_THE_FIRST -> mStore.comeBack(copy);
+            default -> throw new IllegalStateException("scene " + scene);
+        }
+    }
+
+    /** The operator and the replicas write again, at their own pace. */
+    private void rewrite(SplittableRandom random) {
+        List<Speaker> speakers = new ArrayList<>(mReplicas.values());
+        int pause = random.nextInt(2_000);
+        if (random.nextBoolean()) {
+            configure();
+        }
+        for (var speaker : speakers) {
+            run(Duration.ofMillis(pause / speakers.size() / STEP.toMillis() * STEP.toMillis()));
+            speaker.speak();
+        }
+        configure();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GONE, 40", "TURNED_AWAY, 40", "SILENT, 40", "GOOD, 4"})
+    void shouldNotCallWithoutPauseWhateverTheStoreAnswers(ModelStore.Mode mode, int most) {
+        start(1, new SplittableRandom(1));
+        mStore.mode(mode);
+        run(Duration.ofSeconds(2));
+        long before = mStore.calls();
+        run(Duration.ofSeconds(60));
+        assertThat((mStore.calls() - before) / 60, lessThanOrEqualTo((long) most));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"4", "33", "330"})
+    void shouldSpreadWhatAllNodesWriteAgain(int nodes) {
+        start(nodes, new SplittableRandom(1));
+        var copy = mStore.sizes();
+        run(Duration.ofSeconds(2));
+        long written = mStore.writes();
+        mStore.comeBack(copy);
+        long most = 0;
+        for (int i = 0; i < 30; i++) {
+            long before = mStore.writes();
+            run(Duration.ofMillis(100));
+            most = Math.max(most, mStore.writes() - before);
+        }
+        assertThat(mStore.writes() - written, is((long) nodes));
+        // The store takes 400 writing calls a second.
+        assertThat(most, lessThanOrEqualTo(40L));
+        assertThatRanksDiffer();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/direct/state/WordDecoder.java
@@ -0,0 +1,58 @@
+package org.fescueport.internal.direct.state;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.direct.config.FleetConfiguration;
+
+/** A replica is its state, the count of its word and its life; all else is as plain as can be. */
+final class WordDecoder implements StateDecoder {
+    private static final int SLOTS = 8;
+
+    private final PlainDecoder mPlain = new PlainDecoder();
+
+    @Override
+    public boolean isConfiguration(String key) {
+        return mPlain.isConfiguration(key);
+    }
+
+    @Override
+    public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
+        return mPlain.configuration(value);
+    }
+
+    @Override
+    public NodeRecord node(byte[] value) {
+        String[] words = words(value);
+        var address = InetSocketAddress.createUnresolved(words[0], 80);
+        if (words.length == 1) {
+            return NodeRecord.first(address);
+        }
+        long era = Long.parseLong(words[1]);
+        return NodeRecord.again(address, StorePosition.of(era, Long.parseLong(words[2])));
+    }
+
+    static byte[] nodeRecord(NodeRecord node) {
+        String rank = node.rank().map(r -> " " + r.era() + " " + r.offset()).orElse("");
+        return (node.address().getHostString() + rank).getBytes(StandardCharsets.UTF_8);
+    }
+
+    @Override
+    public ReplicaEntry replica(String key, byte[] value) {
+        String[] words = words(value);
+        return new ReplicaEntry(
+                NodeId.of(key),
+                PlainDecoder.POOL,
+                new InetSocketAddress(80),
+                FailureDomain.of("north"),
+                SLOTS,
+                words[0].equals("leaving"),
+                Long.parseLong(words[2]),
+                Long.parseLong(words[1]));
+    }
+
+    private static String[] words(byte[] value) {
+        return new String(value, StandardCharsets.UTF_8).split(" ");
+    }
+}
