Take the number of sockets from the settings, and tell callers over the limit when to come back

Cause: MachineLimits read the open files from the process's own table, which on the users' machines has nothing to do with what the machine allows; on further a node took 614 callers (0.6 of 1,024) where 4,200 descriptors are there, then closed connections without an answer: an idle one, found again and again while it was closing, and often one on which a caller had just sent. Ruled out: replicas and links (the log has too-many-callers for each cut). Change: the settings' max_fds, less 200 for files, is the number of sockets; one line tells limits and source. Beyond the limit a connection that was idle for a second ends; where there is none, the new one is taken only to hear 503 and when to return, before its body is read; the rest of a refused request is read for half a second so that the answer is not lost to a reset. Only beyond 1.25 of the limit a connection is closed at once.

--- a/src/main/java/org/fescueport/internal/direct/MachineLimits.java
+++ b/src/main/java/org/fescueport/internal/direct/MachineLimits.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -12,7 +13,7 @@
  * What callers may take of this process, so that neither descriptors nor memory run out.
  *
  * <pre>{@code
- * var limits = MachineLimits.ofThisProcess(log);
+ * var limits = MachineLimits.of(settings.sockets(), log);
  * }</pre>
  *
  * @param callers connections of callers at a time
@@ -31,10 +32,23 @@
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final Pattern FILES = Pattern.compile("Max open files +([0-9]+) .*");
 
-    /** Returns the limits that follow from the heap and from the open files of this process. */
-    public static MachineLimits ofThisProcess(EventLog log) {
+    /**
+     * Returns the limits that follow from the heap and from the sockets of this process.
+     *
+     * @param sockets as the settings tell; where they do not, this process's own limit of open
+     *     files holds
+     */
+    public static MachineLimits of(OptionalInt sockets, EventLog log) {
         long bodies = (long) (BODIES_PART * Runtime.getRuntime().maxMemory());
-        return new MachineLimits((int) (CALLERS_PART * openFiles(log)), bodies);
+        long most = sockets.isPresent() ? sockets.getAsInt() : openFiles(log);
+        var limits = new MachineLimits((int) (CALLERS_PART * most), bodies);
+        log.change("machine-limits")
+                .with("source", sockets.isPresent() ? "settings" : "process")
+                .with("sockets", most)
+                .with("callers", limits.callers())
+                .with("body_bytes", limits.bodyBytes())
+                .write();
+        return limits;
     }
 
     /** Where the limit can't be read the least one that is usual holds. */
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -43,6 +43,9 @@
     /** For a caller that has just connected to a node that stops; longer than requests travel. */
     private static final Duration STOPPING_IDLE_TIME = Duration.ofSeconds(1);
 
+    /** For the rest of a request that was refused before its end. */
+    private static final Duration LINGER_TIME = Duration.ofMillis(500);
+
     private final ForwardingContext mContext;
     private final CallerConnections mConnections;
     private final Deque<Object> mEarly = new ArrayDeque<>();
@@ -54,6 +57,8 @@
     private boolean mClosesAfterAnswer;
     private boolean mDiscardsBody;
     private boolean mHasAsked;
+    private boolean mSurplus;
+    private boolean mLingering;
     private long mSinceNanos;
     private OptionalLong mHeaderSinceNanos = OptionalLong.empty();
     private long mHeldBytes;
@@ -95,6 +100,13 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mLingering) {
+            ReferenceCountUtil.release(message);
+            if (message instanceof LastHttpContent) {
+                context.close();
+            }
+            return;
+        }
         if (mAnswering) {
             mEarly.add(message);
             context.channel().config().setAutoRead(false);
@@ -127,6 +139,11 @@
         return nowNanos - mSinceNanos;
     }
 
+    /** This node has no room for the connection: its request is refused, and it ends. */
+    void refuseNext() {
+        mSurplus = true;
+    }
+
     /** Ends the connection at once. */
     void close() {
         mChannel.close();
@@ -134,6 +151,10 @@
 
     /** Closes a connection that has been idle, or has sent its request slowly, for too long. */
     void sweep(long nowNanos, boolean stopping) {
+        if (mLingering && waitedNanos(nowNanos) > LINGER_TIME.toNanos()) {
+            mChannel.close();
+            return;
+        }
         if (mAnswering) {
             return;
         }
@@ -156,6 +177,9 @@
     }
 
     private Duration idleTime(CallerLimits limits, boolean stopping) {
+        if (mSurplus) {
+            return STOPPING_IDLE_TIME;
+        }
         if (!stopping) {
             return limits.idleTime();
         }
@@ -193,6 +217,10 @@
             refuse(Refusal.Reason.BAD_REQUEST, e.getMessage());
             return;
         }
+        if (mSurplus) {
+            refuse(Refusal.Reason.NOT_RUN, "this node has too many connections");
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request)) {
             mChannel.writeAndFlush(CONTINUE);
         }
@@ -310,6 +338,13 @@
         mExchange = null;
         mSinceNanos = mContext.nowNanos();
         releaseHeld();
+        if (mDiscardsBody) {
+            // What is left of the request is read, as a connection that is closed with bytes unread
+            // is reset, and the answer is lost with it.
+            mLingering = true;
+            mChannel.channel().config().setAutoRead(true);
+            return;
+        }
         if (mClosesAfterAnswer) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.direct.forward;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,8 @@
 
 /** All connections of callers to this node. */
 final class CallerConnections {
+    private static final Duration LEAST_IDLE = Duration.ofSeconds(1);
+
     private final ForwardingContext mContext;
     private final Set<CallerConnection> mOpen = new HashSet<>();
     private boolean mStopping;
@@ -29,24 +32,41 @@
                 .orElseGet(CallerLimits::standard);
     }
 
-    /** Takes a connection in; when there are too many, the one that has been idle longest ends. */
+    /**
+     * Takes a connection in. When there are too many, the one that has been idle longest ends;
+     * where none has been idle for a while, the new one is only told when to come back.
+     */
     void onOpened(CallerConnection connection) {
         if (mContext.quota().isExceededBy(mOpen.size() + 1)) {
-            Optional<CallerConnection> idle = longestIdle();
-            mContext.log()
-                    .decision("too-many-callers")
-                    .with("open", mOpen.size())
-                    .with("ends", idle.isPresent() ? "an idle one" : "the new one")
-                    .write();
-            idle.orElse(connection).close();
+            makeRoomFor(connection);
         }
         mOpen.add(connection);
     }
 
+    private void makeRoomFor(CallerConnection connection) {
+        Optional<CallerConnection> idle = longestIdle();
+        boolean far = mContext.quota().isFarExceededBy(mOpen.size() + 1);
+        mContext.log()
+                .decision("too-many-callers")
+                .with("open", mOpen.size())
+                .with("ends", idle.isPresent() ? "an idle one" : far ? "the new one" : "none")
+                .write();
+        if (idle.isPresent()) {
+            mOpen.remove(idle.get());
+            idle.get().close();
+        } else if (far) {
+            connection.close();
+        } else {
+            connection.refuseNext();
+        }
+    }
+
+    /** On a connection that has just been answered the next request may be under way. */
     private Optional<CallerConnection> longestIdle() {
         long now = mContext.nowNanos();
         return mOpen.stream()
                 .filter(CallerConnection::isIdle)
+                .filter(idle -> idle.waitedNanos(now) > LEAST_IDLE.toNanos())
                 .max(Comparator.comparingLong(idle -> idle.waitedNanos(now)));
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerQuota.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerQuota.java
@@ -6,6 +6,9 @@
  * <p>Used by the event loop alone.
  */
 public final class CallerQuota {
+    /** Connections beyond the limit are taken to be refused with when to come back. */
+    private static final double REFUSED_FACTOR = 1.25;
+
     private final int mMaxConnections;
     private final long mMaxBodyBytes;
     private long mBodyBytes;
@@ -20,11 +23,16 @@
         return new CallerQuota(maxConnections, maxBodyBytes);
     }
 
-    /** Returns whether this many connections are too many. */
+    /** Returns whether this many connections are too many to be served. */
     boolean isExceededBy(int connections) {
         return connections > mMaxConnections;
     }
 
+    /** Returns whether this many are too many even to be told so. */
+    boolean isFarExceededBy(int connections) {
+        return connections > REFUSED_FACTOR * mMaxConnections;
+    }
+
     /** Takes bytes of a body; false when there is no room for them. */
     boolean tryHold(int bytes) {
         if (mBodyBytes + bytes > mMaxBodyBytes) {
--- a/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
@@ -21,6 +21,7 @@
              "listen":{"frontend":"10.0.0.1:8227","ready":"10.0.0.1:8220",
               "control":"10.0.0.1:8229"},
              "seeds":["10.0.0.1:8229","10.0.0.2:8229"],"data_dir":null,
+             "limits":{"cores":1,"max_fds":4100},
              "bounds":{"grace_s":8,"drain_ms":2000,"retry_budget_ratio":0.2,"budget_slack":56,
               "budget_window_s":10},
              "platform":{"address":"10.200.1.7:8223","form":"log"}}""";
@@ -37,6 +38,7 @@
         assertThat(settings.grace().toSeconds(), is(8L));
         assertThat(settings.leaveBound().toMillis(), is(2_000L));
         assertThat(settings.retryRatio(), is(0.2));
+        assertThat(settings.sockets().getAsInt(), is(3_900));
     }
 
     @Test
@@ -47,6 +49,13 @@
         assertThat(PlatformSettings.read(file).leaveBound().toSeconds(), is(2L));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'\"limits\":{\"cores\":1,\"max_fds\":4100},'", "',\"max_fds\":4100'"})
+    void shouldGoByItsOwnLimitWhereNoneIsStated(String left) throws Exception {
+        Path file = Files.writeString(mFolder.resolve("boot"), SETTINGS.replace(left, ""));
+        assertThat(PlatformSettings.read(file).sockets().isEmpty(), is(true));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
@@ -54,6 +63,8 @@
                 "\"node_name\":\"edge-1\", | '' | node_name",
                 "\"node_name\":\"edge-1\" | \"node_name\":1 | node_name",
                 "\"drain_ms\":2000 | \"drain_ms\":\"soon\" | drain_ms",
+                "\"max_fds\":4100 | \"max_fds\":\"many\" | max_fds",
+                "\"max_fds\":4100 | \"max_fds\":210 | max_fds",
                 "\"grace_s\":8 | \"grace_s\":\"long\" | grace_s",
                 "10.200.1.7:8223 | store:8223 | store:8223",
                 "\"listen\": | \"listens\": | listen",
