Send nothing to failure domains that the operator has drained

Ruled out: a filter in the chooser (retries, streams that go on and waiting requests would each need one); the pool itself leaves out what is drained, as it does what is leaving. Change: DrainedDomains keeps the operator's words by era and offset beside the configuration; peers tell how far they know them in hello and pulse. A copy of the store that lacks a draining does not end it before the operator has had time to say so again. Replicas there still count as holders of prompts.

--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -200,7 +200,9 @@
                 PeerPulse.newBuilder()
                         .setReading(reading)
                         .setNodes(nodes)
-                        .setStoreEra(mEras.current());
+                        .setStoreEra(mEras.current())
+                        .setDrainedEra(mView.drainedEnd().era())
+                        .setDrainedEnd(mView.drainedEnd().offset());
         mView.configurationVersion().ifPresent(pulse::setConfigurationVersion);
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
         sendToAll(message, peer -> !peer.isOutbound());
@@ -277,7 +279,9 @@
         peer.onHello(hello);
         mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
         mEras.onPeer(hello.getStoreEra());
-        if (isBehind(hello.hasConfigurationVersion(), hello.getConfigurationVersion())) {
+        var drained = StorePosition.of(hello.getDrainedEra(), hello.getDrainedEnd());
+        if (isBehind(hello.hasConfigurationVersion(), hello.getConfigurationVersion())
+                || drained.isBefore(mView.drainedEnd())) {
             send(peer, mView.snapshot(StateTopic.CONFIGURATION));
         }
         if (peer.knownEnd(StateTopic.REPLICAS).isBefore(mView.next(StateTopic.REPLICAS))) {
@@ -323,7 +327,9 @@
     private void onPulse(PeerConnection peer, PeerPulse pulse) {
         peer.onPulse(pulse.getReading(), nowNanos());
         mEras.onPeer(pulse.getStoreEra());
-        if (isAhead(pulse.hasConfigurationVersion(), pulse.getConfigurationVersion())) {
+        var drained = StorePosition.of(pulse.getDrainedEra(), pulse.getDrainedEnd());
+        if (isAhead(pulse.hasConfigurationVersion(), pulse.getConfigurationVersion())
+                || mView.drainedEnd().isBefore(drained)) {
             sendHello(peer);
         }
         if (mHub.filter(hub -> hub == peer).isPresent()) {
@@ -413,7 +419,9 @@
                         .setNode(mNode)
                         .setNextReplica(mView.next(StateTopic.REPLICAS).offset())
                         .setNextReplicaEra(mView.next(StateTopic.REPLICAS).era())
-                        .setStoreEra(mEras.current());
+                        .setStoreEra(mEras.current())
+                        .setDrainedEra(mView.drainedEnd().era())
+                        .setDrainedEnd(mView.drainedEnd().offset());
         mView.configurationVersion().ifPresent(hello::setConfigurationVersion);
         // Offsets begin at 0, which stands for a rank that is not known.
         mRank.ifPresent(rank -> hello.setRank(rank.offset() + 1).setRankEra(rank.era()));
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.placement.Replica;
@@ -92,6 +93,7 @@
     private Map<PoolId, ReplicaSet> mCacheHolders = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
+    private final DrainedDomains mDrained = new DrainedDomains();
     private boolean mReplicasKnown;
 
     /** Place from which on all removals of replicas are known. */
@@ -173,6 +175,11 @@
         return mConfiguration.stream().mapToLong(FleetConfiguration::version).findFirst();
     }
 
+    /** Returns the place behind all that is known of drained failure domains. */
+    public StorePosition drainedEnd() {
+        return mDrained.end();
+    }
+
     /** Returns the place of the next record to read of a topic. */
     public StorePosition next(StateTopic topic) {
         return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mNextReplica;
@@ -224,6 +231,9 @@
             }
             changed |= removeMissing(batch, nowNanos, news);
         }
+        if (!replicas && batch.whole() && !batch.end().isBefore(mNextConfiguration)) {
+            changed |= restoreMissing(batch, nowNanos);
+        }
         advance(batch.topic(), batch.end());
         if (changed) {
             publish();
@@ -234,12 +244,16 @@
     /** Returns the newest record of every key that is known. */
     public RecordBatch snapshot(StateTopic topic) {
         List<StateRecord> records =
-                topic == StateTopic.CONFIGURATION
-                        ? mConfigurationRecord.stream().toList()
-                        : presentRecords();
+                topic == StateTopic.CONFIGURATION ? configurationRecords() : presentRecords();
         return new RecordBatch(topic, StorePosition.START, next(topic), true, records);
     }
 
+    private List<StateRecord> configurationRecords() {
+        List<StateRecord> records = new ArrayList<>(mDrained.records());
+        mConfigurationRecord.ifPresent(records::add);
+        return records;
+    }
+
     /** Entries that have lapsed stand in no store; who knows them is told so by their absence. */
     private List<StateRecord> presentRecords() {
         return mReplicas.entrySet().stream()
@@ -307,6 +321,10 @@
                 changed |= forget(entry.getKey(), "lapsed");
             }
         }
+        if (mDrained.expire(nowNanos)) {
+            logDrained();
+            changed = true;
+        }
         if (changed) {
             publish();
         }
@@ -316,16 +334,47 @@
             StateTopic topic, StateRecord record, long nowNanos, List<StateRecord> news) {
         return switch (topic) {
             case CONFIGURATION -> {
-                if (applyConfiguration(record)) {
+                Optional<FailureDomain> drained = mDecoder.drainedDomain(record.key());
+                boolean known =
+                        drained.isPresent()
+                                ? !applyDrained(drained.get(), record)
+                                : !applyConfiguration(record);
+                if (!known) {
                     news.add(record);
                 }
-                yield false;
+                yield !known && drained.isPresent();
             }
             case REPLICAS -> applyReplica(record, nowNanos, news);
             case NODES -> false;
         };
     }
 
+    private boolean applyDrained(FailureDomain domain, StateRecord record) {
+        if (!mDrained.take(domain, record)) {
+            return false;
+        }
+        logDrained();
+        return true;
+    }
+
+    private void logDrained() {
+        mLog.change("drained-domains").with("domains", mDrained).write();
+    }
+
+    /** Ends the draining of domains that a whole list does not name. */
+    private boolean restoreMissing(RecordBatch batch, long nowNanos) {
+        Set<FailureDomain> listed = new HashSet<>();
+        for (var record : batch.records()) {
+            mDecoder.drainedDomain(record.key()).ifPresent(listed::add);
+        }
+        long until = nowNanos + USUAL_RETURN.toNanos();
+        boolean changed = mDrained.retain(listed, batch.end(), until);
+        if (changed) {
+            logDrained();
+        }
+        return changed;
+    }
+
     private boolean applyConfiguration(StateRecord record) {
         if (record.value().isEmpty() || !mDecoder.isConfiguration(record.key())) {
             return false;
@@ -508,7 +557,8 @@
         Map<PoolId, List<Replica>> replicas = new HashMap<>();
         for (var known : mReplicas.values()) {
             ReplicaEntry entry = known.entry();
-            if (withLeaving || !entry.leaving()) {
+            boolean takesWork = !entry.leaving() && !mDrained.contains(entry.domain());
+            if (withLeaving || takesWork) {
                 replicas.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
                         .add(replicaOf(entry));
             }
--- a/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
@@ -1,5 +1,7 @@
 package org.fescueport.internal.direct.state;
 
+import java.util.Optional;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 
 /** Turns the store's records into what they say. */
@@ -21,6 +23,9 @@
     /** Returns whether the record of this key is the configuration in force. */
     boolean isConfiguration(String key);
 
+    /** Returns the failure domain that the record of this key drains while it is there. */
+    Optional<FailureDomain> drainedDomain(String key);
+
     /** Reads a configuration. */
     FleetConfiguration configuration(byte[] value) throws UnusableRecordException;
 
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewEraTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewEraTest.java
@@ -190,6 +190,80 @@
         assertThat(peer.next(StateTopic.REPLICAS), is(StorePosition.of(2, 6)));
     }
 
+    private static RecordBatch listed(long era, long end, StateRecord... records) {
+        return new RecordBatch(
+                StateTopic.CONFIGURATION,
+                StorePosition.START,
+                StorePosition.of(era, end),
+                true,
+                List.of(records));
+    }
+
+    private boolean takesWork() {
+        return mView.pool(PlainDecoder.POOL).size() == 1;
+    }
+
+    @Test
+    void shouldSendNothingToADrainedDomainUntilItIsTakenBack() {
+        take(whole(1, 5, record(1, 4, "a", "ready 1 7")));
+        mView.take(listed(1, 1, record(1, 0, "drain-south", "{}")), 0);
+        assertThat(takesWork(), is(true));
+        mView.take(listed(1, 2, record(1, 1, "drain-north", "{}")), 0);
+        assertThat(takesWork(), is(false));
+        assertThat(mView.cacheHolders(PlainDecoder.POOL).size(), is(1));
+        var back = removed(1, 2, "drain-north");
+        mView.take(
+                RecordBatch.news(
+                        StateTopic.CONFIGURATION,
+                        back.position(),
+                        back.position().plus(1),
+                        List.of(back)),
+                0);
+        assertThat(takesWork(), is(true));
+    }
+
+    @Test
+    void shouldUseADomainAgainThatAWholeListDoesNotNameAnyMore() {
+        take(whole(1, 5, record(1, 4, "a", "ready 1 7")));
+        mView.take(listed(1, 2, record(1, 1, "drain-north", "{}")), 0);
+        mView.take(listed(1, 9), 0);
+        assertThat(takesWork(), is(true));
+    }
+
+    @Test
+    void shouldKeepADomainDrainedThatACopyLacksUntilTheOperatorHadTime() {
+        take(whole(1, 5, record(1, 4, "a", "ready 1 7")));
+        mView.take(listed(1, 2, record(1, 1, "drain-north", "{}")), 0);
+        mView.take(listed(2, 1), 0);
+        assertThat(takesWork(), is(false));
+        mView.expire(SECOND);
+        assertThat(takesWork(), is(false));
+        mView.expire(3 * SECOND);
+        assertThat(takesWork(), is(true));
+    }
+
+    @Test
+    void shouldKeepADomainDrainedThatTheOperatorNamesAgainAfterTheCopy() {
+        take(whole(1, 5, record(1, 4, "a", "ready 1 7")));
+        mView.take(listed(1, 2, record(1, 1, "drain-north", "{}")), 0);
+        mView.take(listed(2, 1), 0);
+        mView.take(listed(2, 2, record(2, 1, "drain-north", "{}")), 0);
+        mView.expire(3 * SECOND);
+        assertThat(takesWork(), is(false));
+    }
+
+    @Test
+    void shouldTellAPeerOfDrainedDomains() {
+        var peer = newView();
+        take(whole(1, 5, record(1, 4, "a", "ready 1 7")));
+        mView.take(listed(1, 2, record(1, 1, "drain-north", "{}")), 0);
+        assertThat(peer.drainedEnd().isBefore(mView.drainedEnd()), is(true));
+        peer.take(mView.snapshot(StateTopic.REPLICAS), 0);
+        peer.take(mView.snapshot(StateTopic.CONFIGURATION), 0);
+        assertThat(peer.pool(PlainDecoder.POOL).size(), is(0));
+        assertThat(peer.drainedEnd(), is(mView.drainedEnd()));
+    }
+
     @Test
     void shouldNotGoBackToAConfigurationOfTheCopy() {
         mView.take(configuration(1, 7, "12"), 0);
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
@@ -21,6 +22,13 @@
         return key.equals("config");
     }
 
+    @Override
+    public Optional<FailureDomain> drainedDomain(String key) {
+        return key.startsWith("drain-")
+                ? Optional.of(FailureDomain.of(key.substring("drain-".length())))
+                : Optional.empty();
+    }
+
     @Override
     public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
         try {
--- a/src/test/java/org/fescueport/internal/direct/state/WordDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/WordDecoder.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.direct.config.FleetConfiguration;
@@ -17,6 +18,11 @@
         return mPlain.isConfiguration(key);
     }
 
+    @Override
+    public Optional<FailureDomain> drainedDomain(String key) {
+        return mPlain.drainedDomain(key);
+    }
+
     @Override
     public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
         return mPlain.configuration(value);
