Bound what a server sends without end

Cause (by reading, then EndlessTest): an event without a line's end was gathered without bound; a held answer in many small pieces became a chain of as many buffers; interim answers, and bodies that go to nobody (of another request, of a replica's refusal), were read for as long as they came; a failure's body was held up to 64 KB and then begun, though another replica could have answered; a peer's frame had no longest length. Ruled out: heads, chunk sizes, extensions and trailers (the codec's limits hold; shown now); the store's answers (4 MB, its call's time); bytes on resting connections (closed; shown now). What the head of a refusal has told counts, whatever its body does. Shows: EndlessTest, 45 cases (12 kinds fast and slow, and towards what may run once; resting connection, event, half of the replicas, 60,000 pieces, store, peer). On the code before, the class did not come to its end within ten minutes and was ended: its cases were not told apart there. Not done: the program as a process with its memory as deployed, p99 of others.

--- a/src/main/java/org/fescueport/internal/direct/forward/AnswerRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AnswerRelay.java
@@ -76,6 +76,16 @@
         return !mBegun || mCutter.lastId().isPresent();
     }
 
+    /** Returns whether an event goes on for longer than any may be. */
+    boolean isEventOverlong() {
+        return mCutter.isOverlong();
+    }
+
+    /** Returns whether with these bytes more is there than is held; it is passed on then. */
+    boolean isTooLongToHold(ByteBuf content) {
+        return !mBegun && mHeld.readableBytes() + content.readableBytes() > MAX_HELD;
+    }
+
     /** Returns whether the last event has begun and not ended. */
     boolean isInsideEvent() {
         return mCutter.isInsideEvent();
@@ -93,8 +103,13 @@
         }
     }
 
+    /** Copies, as very many small pieces would make a chain of as many buffers. */
     private void hold(ByteBuf content) {
-        mHeld = mHeld.isReadable() ? Unpooled.wrappedBuffer(mHeld, content) : content;
+        if (mHeld == Unpooled.EMPTY_BUFFER) {
+            mHeld = Unpooled.buffer(content.readableBytes());
+        }
+        mHeld.writeBytes(content);
+        content.release();
         if (mHeld.readableBytes() > MAX_HELD) {
             begin();
         }
--- a/src/main/java/org/fescueport/internal/direct/forward/EventCutter.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/EventCutter.java
@@ -12,6 +12,7 @@
  * behind the last whole one.
  */
 final class EventCutter {
+    private static final int MAX_EVENT_BYTES = 262_144;
     private static final byte NEW_LINE = '\n';
     private static final byte RETURN = '\r';
     private static final String ID_FIELD = "id:";
@@ -42,6 +43,11 @@
         return events;
     }
 
+    /** Returns whether the event that has begun is longer than any that is passed on. */
+    boolean isOverlong() {
+        return mPending.readableBytes() > MAX_EVENT_BYTES;
+    }
+
     /** Returns the id of the last whole event that had one. */
     Optional<String> lastId() {
         return mLastId;
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -37,6 +37,9 @@
     /** A replica answers so that has no room. */
     private static final int UNAVAILABLE = 503;
 
+    /** From this status on an answer is a failure of the replica. */
+    private static final int SERVER_FAILURE = 500;
+
     /** Stands for callers on open routes. */
     private static final TeamId NO_TEAM = TeamId.of("");
 
@@ -223,7 +226,19 @@
                                             ticket, attempt.begunNanos(), mContext.nowNanos()));
         }
         boolean first = !mRelay.hasBegun();
+        boolean failure = attempt.head().status() >= SERVER_FAILURE;
+        if (failure && mRelay.isTooLongToHold(content) && mayRepeat()) {
+            content.release();
+            attempt.giveUp();
+            onLost(attempt, "a failure too long to be held");
+            return;
+        }
         mRelay.onContent(content);
+        if (mRelay.isEventOverlong()) {
+            attempt.giveUp();
+            onLost(attempt, "an event without end");
+            return;
+        }
         if (first && mRelay.hasBegun()) {
             mContext.metrics().onFirstByte(mTime.elapsedNanos());
         }
@@ -248,7 +263,7 @@
             onLost(attempt, "the stream ended inside an event");
             return;
         }
-        if (head.status() >= 500 || head.promisesNotRun()) {
+        if (head.status() >= SERVER_FAILURE || head.promisesNotRun()) {
             onFailedAnswer(attempt, head);
             return;
         }
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -24,6 +24,12 @@
     /** Answers to other requests that are passed over before the connection is given up. */
     private static final int MAX_FOREIGN = 2;
 
+    /** Interim answers to one request. */
+    private static final int MAX_INTERIM = 8;
+
+    /** Bytes of answers that go to nobody; one that is longer may have no end. */
+    private static final int MAX_UNUSED_BYTES = 65_536;
+
     private enum Reading {
         NOTHING,
         HEAD,
@@ -42,6 +48,8 @@
     private boolean mRequestWritten;
     private boolean mKeep;
     private int mForeign;
+    private int mInterim;
+    private long mUnusedBytes;
     private long mIdleSinceNanos;
     private long mIdleLimitNanos;
     private boolean mBecomesIdle;
@@ -64,6 +72,8 @@
         mHead = null;
         mKeep = true;
         mForeign = 0;
+        mInterim = 0;
+        mUnusedBytes = 0;
         mRequestWritten = false;
         // A former caller may have taken its answer slowly.
         setReading(true);
@@ -160,6 +170,10 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mReading = Reading.INTERIM;
+            mInterim++;
+            if (mInterim > MAX_INTERIM) {
+                lose("interim answers without end");
+            }
             return;
         }
         AnswerHead head = mProtocol.readAnswer(response);
@@ -185,6 +199,9 @@
             return;
         }
         boolean last = content instanceof LastHttpContent;
+        if (isUnused()) {
+            mUnusedBytes += content.content().readableBytes();
+        }
         if (mReading == Reading.BODY && mListener != null && content.content().isReadable()) {
             ByteBuf bytes = content.content();
             mListener.onContent(bytes);
@@ -193,6 +210,24 @@
         }
         if (last) {
             onMessageEnd();
+        } else if (mUnusedBytes > MAX_UNUSED_BYTES) {
+            onTooMuchUnused();
+        }
+    }
+
+    /** Returns whether what comes is passed over, or stands for an answer of this node's own. */
+    private boolean isUnused() {
+        return mReading == Reading.FOREIGN
+                || (mReading == Reading.BODY && mHead != null && !mHead.isPassedOn());
+    }
+
+    /** What the head has told counts, however its body ends. */
+    private void onTooMuchUnused() {
+        if (mReading == Reading.BODY) {
+            mKeep = false;
+            complete();
+        } else {
+            lose("an answer to another request without end");
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -471,7 +470,7 @@
         channel.config()
                 .setWriteBufferWaterMark(
                         new WriteBufferWaterMark(HIGH_WATER_BYTES / 2, HIGH_WATER_BYTES));
-        channel.pipeline().addLast(new ProtobufVarint32FrameDecoder());
+        channel.pipeline().addLast(new PeerFrameDecoder());
         channel.pipeline().addLast(new ProtobufDecoder(PeerMessage.getDefaultInstance()));
         channel.pipeline().addLast(handler);
     }
