Build no text for a line of the log that is left out

Cause: each line was put together before the budget was asked; in an overload 100 to 500 lines a second are left out on a node of 0.27 cores, three or more for each request. Change: a line asks the budget when it begins; without one it takes nothing in. Conclusion: stays, as it is fewer steps for the same lines; EventLogTest holds.

--- a/src/main/java/org/fescueport/internal/direct/log/LogLine.java
+++ b/src/main/java/org/fescueport/internal/direct/log/LogLine.java
@@ -4,13 +4,20 @@
 
 /** A line under construction; made by {@link EventLog}. */
 public final class LogLine {
+    private static final int TYPICAL_LENGTH = 160;
+
     private final EventLog mLog;
-    private final StringBuilder mText = new StringBuilder(160);
-    private final boolean mChange;
+    private final boolean mTaken;
+    private final StringBuilder mText;
 
     LogLine(EventLog log, String event, boolean change) {
         mLog = log;
-        mChange = change;
+        mTaken = log.take(change);
+        // A line that is left out costs no more than being counted.
+        mText = new StringBuilder(mTaken ? TYPICAL_LENGTH : 0);
+        if (!mTaken) {
+            return;
+        }
         mText.append("{\"at\":").append(log.wallMillis());
         with("node", log.node());
         with("event", event);
@@ -18,21 +25,25 @@
 
     /** Adds a text. */
     public LogLine with(String name, Object value) {
-        name(name).append('"');
-        escape(Objects.toString(value));
-        mText.append('"');
+        if (mTaken) {
+            name(name).append('"');
+            escape(Objects.toString(value));
+            mText.append('"');
+        }
         return this;
     }
 
     /** Adds a number. */
     public LogLine with(String name, long value) {
-        name(name).append(value);
+        if (mTaken) {
+            name(name).append(value);
+        }
         return this;
     }
 
-    /** Hands the line to the writer if the budget of this second allows it. */
+    /** Hands the line to the writer if the budget of the second in which it began allows it. */
     public void write() {
-        if (mLog.take(mChange)) {
+        if (mTaken) {
             mLog.add(text());
         }
     }
