Order requests by team and kind, hold a class while a more urgent one misses more, and guess no more who returns

PatienceBook took a caller whose deadline is shorter than the longest of its kind for one who had waited; callers' deadlines differ by a fifth from the start (10.4 to 15 s seen), the objective is 0.4 s, and a return differs from a first try by less. So the most urgent kind waited behind all others and was refused first. Besides, a team's priority took the place of the route's, so all kinds of a team were one class. Urgency is the team's priority, then the route's. No class may expect less than 0.4.

--- a/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -18,9 +19,11 @@
  * <p>Answers an overload: more arrives than the replicas can begin in time. What is sent then is
  * what replicas have room for, so that all of it is in time; the others wait here for as long as
  * they can still be in time, by urgency, fairly over teams and by what is due first. A class that
- * would fall far behind a more urgent one goes first. What is late already goes behind all that can
- * be in time, and what has no prospect is refused at once with when there is room. While replicas
- * have room everything is sent. Not safe for use by several threads.
+ * would fall far behind a more urgent one goes first; one of which a larger part is sent than of a
+ * more urgent one is held, so that short work does not crowd out long work that matters more. What
+ * is late already goes behind all that can be in time, and what has no prospect is refused at once
+ * with when there is room. While replicas have room everything is sent. Not safe for use by several
+ * threads.
  *
  * <pre>{@code
  * switch (admission.offer(offer, now)) {
@@ -35,6 +38,12 @@
     /** Part of what a class is sent, beside the next more urgent one. */
     private static final double LESS_URGENT_PART = 0.85;
 
+    /** A class of which this part is not sent is held for no other one any more. */
+    private static final double MOST_HELD_PART = 0.6;
+
+    /** No class may expect less than this, however many come before it. */
+    private static final double LEAST_EXPECTED = 0.4;
+
     /** Part of the time until the latest start for which a request may be expected to wait. */
     private static final double SAFE_PART = 0.8;
 
@@ -191,8 +200,8 @@
                     .forEach(each -> giveUp(each, true, nowNanos, givenUp));
         }
         expire(nowNanos, givenUp);
-        while (maySendNext()) {
-            started.add(startNext(nowNanos));
+        for (var queue = nextQueue(nowNanos); queue.isPresent(); queue = nextQueue(nowNanos)) {
+            started.add(startFrom(queue.get(), nowNanos));
         }
         return new PoolStep(started, givenUp);
     }
@@ -200,17 +209,35 @@
     private boolean isRoomFor(PoolOffer offer, UrgencyClass urgency, long nowNanos) {
         int inFlight = mInFlight.size();
         boolean late = latestInTimeStart(offer, urgency) - nowNanos < 0;
-        return mInTime.isEmpty()
+        return !isOutranked(offer.urgency())
                 && mLimit.admits(inFlight)
+                && !isHeld(urgency, nowNanos)
                 && (!late || (mLate.isEmpty() && mLimit.admitsLate(inFlight)));
     }
 
-    private boolean maySendNext() {
-        int inFlight = mInFlight.size();
-        if (!mLimit.admits(inFlight)) {
+    /** Returns whether something as urgent waits that can be in time. */
+    private boolean isOutranked(int urgency) {
+        return mClasses.headMap(urgency, true).values().stream().anyMatch(c -> !c.mQueue.isEmpty());
+    }
+
+    /** Returns whether of a more urgent class a smaller part was sent lately. */
+    private boolean isHeld(UrgencyClass urgency, long nowNanos) {
+        if (!mLimit.isSet()) {
+            return false;
+        }
+        double missed = urgency.missedPart(nowNanos);
+        if (missed >= MOST_HELD_PART) {
             return false;
         }
-        return !mInTime.isEmpty() || (!mLate.isEmpty() && mLimit.admitsLate(inFlight));
+        for (var other : mClasses.values()) {
+            if (other == urgency) {
+                return false;
+            }
+            if (missed < other.missedPart(nowNanos)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean isKnown(AttemptId id) {
@@ -264,7 +291,7 @@
             double offered = expected * each.offeredPerSecond(nowNanos);
             all += offered;
             own = each == urgency ? offered : own;
-            expected *= LESS_URGENT_PART;
+            expected = Math.max(LEAST_EXPECTED, expected * LESS_URGENT_PART);
         }
         return pacePerSecond(nowNanos) * own / Math.max(1, all);
     }
@@ -355,29 +382,39 @@
         }
     }
 
-    private PoolOffer startNext(long nowNanos) {
-        boolean lateTurn = ++mTurn % LATE_TURN == 0 && !mLate.isEmpty();
-        boolean late = lateTurn || mInTime.isEmpty();
-        FairQueue queue = late ? mLate : mostBehind(nowNanos).mQueue;
+    /** Returns where the next request comes from; absent while none may be sent. */
+    private Optional<FairQueue> nextQueue(long nowNanos) {
+        int inFlight = mInFlight.size();
+        if (!mLimit.admits(inFlight)) {
+            return Optional.empty();
+        }
+        boolean roomForLate = !mLate.isEmpty() && mLimit.admitsLate(inFlight);
+        boolean lateTurn = !mLate.isEmpty() && !mInTime.isEmpty() && (mTurn + 1) % LATE_TURN == 0;
+        Optional<FairQueue> inTime = mostBehind(nowNanos).map(urgency -> urgency.mQueue);
+        return lateTurn || (inTime.isEmpty() && roomForLate) ? Optional.of(mLate) : inTime;
+    }
+
+    private PoolOffer startFrom(FairQueue queue, long nowNanos) {
+        mTurn++;
         PoolOffer offer = forgetWaiting(queue.take(team -> true));
         send(offer, mTeams.get(offer.team()), nowNanos);
         return offer;
     }
 
     /** Returns the waiting class that was sent the smallest part, beside what it may expect. */
-    private UrgencyClass mostBehind(long nowNanos) {
+    private Optional<UrgencyClass> mostBehind(long nowNanos) {
         UrgencyClass next = null;
         double least = Double.POSITIVE_INFINITY;
         double expected = 1;
         for (var urgency : mClasses.values()) {
             double part = urgency.sentPart(nowNanos) / expected;
-            if (!urgency.mQueue.isEmpty() && part < least) {
+            if (!urgency.mQueue.isEmpty() && part < least && !isHeld(urgency, nowNanos)) {
                 least = part;
                 next = urgency;
             }
-            expected *= LESS_URGENT_PART;
+            expected = Math.max(LEAST_EXPECTED, expected * LESS_URGENT_PART);
         }
-        return next;
+        return Optional.ofNullable(next);
     }
 
     private void send(PoolOffer offer, TeamState team, long nowNanos) {
--- a/src/main/java/org/fescueport/internal/decision/admission/PoolOffer.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolOffer.java
@@ -6,7 +6,7 @@
 /**
  * A request that asks to be sent to one of the replicas of a pool.
  *
- * @param urgency 0 is the most urgent
+ * @param urgency as {@link Urgency} tells it; 0 is the most urgent
  * @param aimNanos time until which its first piece is worth most
  * @param objectiveNanos from sending to the first piece of an answer that is worth most
  * @param endNanos time after which nobody waits for it
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -17,7 +17,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.fescueport.internal.decision.admission.PatienceBook;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
@@ -181,7 +180,6 @@
                         notices,
                         health,
                         mGates,
-                        new PatienceBook<>(),
                         mBudgets,
                         crashes,
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -49,6 +49,7 @@
     private final ByteBuf mBody;
     private final Route mRoute;
     private final Optional<Team> mTeam;
+    private final Verdict.Admitted mAdmitted;
     private final FleetConfiguration mConfiguration;
     private final Affinity mAffinity;
     private final PoolId mPool;
@@ -77,6 +78,7 @@
         mConfiguration = admitted.configuration();
         mRoute = admitted.route();
         mTeam = admitted.team();
+        mAdmitted = admitted;
         mAffinity = Affinities.of(request.id(), request.prompt());
         mPool = mRoute.poolFor(mAffinity.key());
         mTime = RequestClock.start(context.clock(), mRoute, request.patienceMillis());
@@ -104,7 +106,7 @@
         long now = mContext.nowNanos();
         TeamId team = mTeam.map(Team::id).orElse(NO_TEAM);
         mTicket = Optional.of(mContext.gates().ticket(mPool));
-        var offer = mTime.offer(mTicket.get().id(), team, priority(), waitedBefore(now));
+        var offer = mTime.offer(mTicket.get().id(), team, mAdmitted.urgency());
         switch (mContext.gates().enter(mTicket.get(), offer, this, now)) {
             case Admission.Admitted admitted -> sendToNext("first");
             case Admission.Queued queued -> logWaiting(queued);
@@ -113,13 +115,6 @@
         }
     }
 
-    private Duration waitedBefore(long nowNanos) {
-        var patience = mRequest.patienceMillis();
-        return patience.isEmpty()
-                ? Duration.ZERO
-                : mContext.patience().waitedBefore(mRoute.name(), patience.getAsLong(), nowNanos);
-    }
-
     @Override
     public void onAdmitted() {
         sendToNext("waited for room");
@@ -346,7 +341,7 @@
                         replica,
                         mTeam.map(Team::id),
                         mTime.leftMillis(),
-                        priority(),
+                        mAdmitted.priority(),
                         chosen.get().cacheHolder(),
                         mRelay.lastEventId().or(mRequest::resumeAfter));
         var message = mContext.protocol().writeRequest(mRequest, mBody, dispatch);
@@ -446,11 +441,6 @@
         return head.requestId().isPresent() && (head.signed() || !head.isSuccess());
     }
 
-    private int priority() {
-        return mTeam.flatMap(team -> team.priority().stream().boxed().findFirst())
-                .orElse(mRoute.priority());
-    }
-
     private void refuse(String message) {
         var opensIn = mContext.chooser().opensIn(mPool, mContext.nowNanos());
         refuse(message, mTime.retryAfter(opensIn, mContext.random()));
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -2,7 +2,6 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
-import org.fescueport.internal.decision.admission.PatienceBook;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
@@ -23,7 +22,6 @@
         ReplicaNotices notices,
         ReplicaHealth health,
         PoolGates gates,
-        PatienceBook<String> patience,
         RetryBudgets budgets,
         CrashWatch crashes,
         CallerQuota quota,
--- a/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -76,10 +76,10 @@
         return Duration.ofNanos((long) (ANSWER_PART * mObjective.toNanos()));
     }
 
-    /** Returns an offer at the gate of a pool, for a caller who has waited this time elsewhere. */
-    PoolOffer offer(AttemptId id, TeamId team, int urgency, Duration waitedBefore) {
+    /** Returns an offer at the gate of a pool. */
+    PoolOffer offer(AttemptId id, TeamId team, int urgency) {
         long objective = mObjective.toNanos();
-        long aim = mStartNanos + objective - waitedBefore.toNanos();
+        long aim = mStartNanos + objective;
         return new PoolOffer(id, team, urgency, aim, objective, mEndNanos);
     }
 
