--- a/src/test/java/org/fescueport/platform/LogStoreTest.java
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -137,7 +137,7 @@
         assertThat(newest.reason(), is(cause));
         assertThat((System.nanoTime() - begun) / 1_000_000, lessThan(1_500L));
         mStandIn.mode(Mode.GOOD);
-        assertThat(read(0).end(), is(0L));
+        assertThat(read(0).end(), is(at(0)));
     }
 
     @Test
@@ -179,7 +179,7 @@
         byte[] bytes = new byte[page.position()];
         page.flip().get(bytes);
         var read = LogStore.readPage(bytes, 5, 0);
-        assertThat(read.end(), is(8L));
+        assertThat(read.end(), is(at(8)));
         assertThat(read.records().size(), is(1));
         assertThat(read.records().getFirst().position(), is(at(7)));
     }
