Let an experiment switch off single mechanisms of the decisions

Cause: the account has no ablation; no mechanism can be switched off without changing code. Ruled out: flags for each mechanism (fifteen settings that no operator may use), builds of changed code (what is measured would not be what is deployed).

--- a/src/main/java/org/fescueport/internal/decision/admission/FlowLimit.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/FlowLimit.java
@@ -1,5 +1,8 @@
 package org.fescueport.internal.decision.admission;
 
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.Mechanisms;
+
 /**
  * How many requests this node may have at the replicas of a pool at once.
  *
@@ -46,6 +49,7 @@
     /** Part of the room that late work may use, so that it does not fill what opens at once. */
     private static final double LATE_PART = 0.8;
 
+    private final Mechanisms mMechanisms;
     private double mLimit = Double.POSITIVE_INFINITY;
     private double mFactor = LARGEST_FACTOR;
     private double mFloor = 1;
@@ -53,6 +57,10 @@
     private double mFillOfOne;
     private double mDither;
 
+    FlowLimit(Mechanisms mechanisms) {
+        mMechanisms = mechanisms;
+    }
+
     /** Takes in the slots of all replicas and how many nodes there are. */
     void onFleet(double slots, int nodes) {
         mFloor = Math.max(1, FLOOR_PART * slots / nodes);
@@ -61,7 +69,7 @@
 
     /** Takes in how many requests the replicas hold for each of their slots. */
     void onFill(double heldPerSlot) {
-        mFill = heldPerSlot;
+        mFill = mMechanisms.has(Mechanism.TOLD_LOAD_LIMIT) ? heldPerSlot : 0;
     }
 
     /** Takes in the time that a replica took to begin its answer. */
@@ -105,6 +113,9 @@
     }
 
     private void apply(double told, int inFlight, boolean waits) {
+        if (!mMechanisms.has(Mechanism.ANSWER_TIME_LIMIT)) {
+            return;
+        }
         double factor = Math.clamp(told, LEAST_FACTOR, LARGEST_FACTOR);
         double weight = factor < 1 ? SMOOTHING_DOWN : SMOOTHING_UP;
         mFactor += weight * (factor - mFactor);
--- a/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.AttemptId;
 import org.fescueport.internal.decision.Invariants;
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.Work;
 
@@ -67,7 +69,8 @@
 
     private record Sent(PoolOffer offer, long atNanos) {}
 
-    private final FlowLimit mLimit = new FlowLimit();
+    private final Mechanisms mMechanisms;
+    private final FlowLimit mLimit;
     private final TreeMap<Integer, UrgencyClass> mClasses = new TreeMap<>();
     private final FairQueue mLate = new FairQueue();
     private final TeamRegistry mTeams = new TeamRegistry(this::forget);
@@ -82,14 +85,21 @@
     private int mTurn;
     private boolean mLeaving;
 
-    private PoolAdmission(long nowNanos) {
+    private PoolAdmission(Mechanisms mechanisms, long nowNanos) {
+        mMechanisms = mechanisms;
+        mLimit = new FlowLimit(mechanisms);
         mEnds = new DecayingRate(PACE_MEMORY_SECONDS, nowNanos);
         mStarts = new DecayingRate(PACE_MEMORY_SECONDS, nowNanos);
     }
 
     /** Returns an admission before idle replicas. */
     public static PoolAdmission create(long nowNanos) {
-        return new PoolAdmission(nowNanos);
+        return create(Mechanisms.all(), nowNanos);
+    }
+
+    /** Returns one that uses these mechanisms only. */
+    public static PoolAdmission create(Mechanisms mechanisms, long nowNanos) {
+        return new PoolAdmission(mechanisms, nowNanos);
     }
 
     /** Takes in the slots of all replicas and how many nodes send to them. */
@@ -222,7 +232,7 @@
 
     /** Returns whether of a more urgent class a smaller part was sent lately. */
     private boolean isHeld(UrgencyClass urgency, long nowNanos) {
-        if (!mLimit.isSet()) {
+        if (!mLimit.isSet() || !mMechanisms.has(Mechanism.HELD_CLASS)) {
             return false;
         }
         double missed = urgency.missedPart(nowNanos);
@@ -255,6 +265,9 @@
         if (mLeaving) {
             return new Admission.Refused(RefusalReason.LEAVING, millis);
         }
+        if (!mMechanisms.has(Mechanism.LATE_QUEUE)) {
+            return new Admission.Refused(RefusalReason.DEADLINE, millis);
+        }
         long latest = latestLateStart(offer, urgency, nowNanos);
         long wait = lateWaitNanos(nowNanos);
         if (nowNanos + wait - latest > 0) {
--- a/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
@@ -1,6 +1,8 @@
 package org.fescueport.internal.decision.placement;
 
 import java.util.Optional;
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.Mechanisms;
 
 /**
  * Ties requests that share a prompt prefix to as few replicas as their load needs.
@@ -24,20 +26,27 @@
     private static final int SPILL_FLOOR = 3;
 
     private final ReplicaLoads mLoads;
+    private final Mechanisms mMechanisms;
 
-    private PrefixPlacement(ReplicaLoads loads) {
+    private PrefixPlacement(ReplicaLoads loads, Mechanisms mechanisms) {
         mLoads = loads;
+        mMechanisms = mechanisms;
     }
 
     /** Returns a placement by these loads. */
     public static PrefixPlacement create(ReplicaLoads loads) {
-        return new PrefixPlacement(loads);
+        return create(loads, Mechanisms.all());
+    }
+
+    /** Returns a placement by these loads that uses these mechanisms only. */
+    public static PrefixPlacement create(ReplicaLoads loads, Mechanisms mechanisms) {
+        return new PrefixPlacement(loads, mechanisms);
     }
 
     /** Returns the replica for a request, or nothing when the filter allows none. */
     public Optional<Replica> choose(
             ReplicaSet set, Affinity affinity, ReplicaFilter filter, long nowNanos) {
-        if (affinity.cacheable()) {
+        if (affinity.cacheable() && mMechanisms.has(Mechanism.PROMPT_PLACING)) {
             ReplicaFilter level = belowSpillLimit(set, nowNanos);
             int index =
                     walk(set, affinity, filter, level.and(freeSlots(nowNanos)), nowNanos).next();
@@ -70,10 +79,16 @@
 
     /** A replica that works on as much as it can begins later than one that has to read first. */
     private ReplicaFilter freeSlots(long nowNanos) {
+        if (!mMechanisms.has(Mechanism.FREE_SLOTS_FIRST)) {
+            return replica -> true;
+        }
         return replica -> mLoads.held(replica.node(), nowNanos) < replica.weight();
     }
 
     private ReplicaFilter belowSpillLimit(ReplicaSet set, long nowNanos) {
+        if (!mMechanisms.has(Mechanism.SPILL)) {
+            return replica -> true;
+        }
         long all = 0;
         double weights = 0;
         for (var replica : set.replicas()) {
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
@@ -80,6 +81,7 @@
      *
      * @param eras what the store and peers tell of the store's era
      * @param counters text of all meters of the registry
+     * @param mechanisms all of them but in an experiment
      */
     public record Parts(
             EventLoopGroup loop,
@@ -90,7 +92,8 @@
             StateDecoder decoder,
             WireProtocol protocol,
             MeterRegistry registry,
-            Supplier<String> counters) {}
+            Supplier<String> counters,
+            Mechanisms mechanisms) {}
 
     private DirectRouterSettings mSettings;
     private final RetryBudgets mBudgets;
@@ -125,7 +128,7 @@
         mLinks = ReplicaLinks.create(parts.loop(), parts.protocol(), parts.clock());
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
-        var chooser = ReplicaChooser.create(mView, loads, notices);
+        var chooser = ReplicaChooser.create(mView, loads, notices, parts.mechanisms());
         var health = ReplicaHealth.create();
         mView.listen(
                 () -> {
@@ -134,7 +137,7 @@
                     loads.retain(present);
                     health.retain(present);
                 });
-        mGates = PoolGates.create(mView, loads);
+        mGates = PoolGates.create(mView, loads, parts.mechanisms());
         mBudgets =
                 RetryBudgets.create(
                         settings.retryShare(),
@@ -161,6 +164,7 @@
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
+                        parts.mechanisms(),
                         mRandom);
         mForwarder = Forwarder.create(context);
     }
@@ -220,6 +224,7 @@
                 .change("started")
                 .with("callers", mSettings.callers())
                 .with("admin", mSettings.admin())
+                .with("without", mParts.mechanisms())
                 .write();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.decision.Invariants;
+import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
@@ -392,7 +393,8 @@
 
     private boolean isStuck(long nowNanos) {
         Attempt attempt = mAttempt;
-        if (!mRoute.kind().isRepeatable() || !mCaller.isWritable()) {
+        boolean movesOn = mContext.mechanisms().has(Mechanism.MOVING_ON);
+        if (!movesOn || !mRoute.kind().isRepeatable() || !mCaller.isWritable()) {
             return false;
         }
         Duration patience = mTime.silenceLimit(mRoute.kind(), mRelay.hasBegun());
@@ -405,7 +407,9 @@
 
     private boolean isPoison() {
         var crashes = mContext.crashes();
-        return crashes.isAnyHeld() && crashes.isPoison(fingerprint(), mContext.nowNanos());
+        return mContext.mechanisms().has(Mechanism.POISON)
+                && crashes.isAnyHeld()
+                && crashes.isPoison(fingerprint(), mContext.nowNanos());
     }
 
     /** Names the request however often and wherever its caller sends it. */
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
@@ -27,6 +28,7 @@
         CallerQuota quota,
         ForwardingMetrics metrics,
         EventLog log,
+        Mechanisms mechanisms,
         RandomGenerator random) {
     /** Returns the steady time. */
     public long nowNanos() {
--- a/src/main/java/org/fescueport/internal/direct/forward/PoolGates.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/PoolGates.java
@@ -5,8 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import org.fescueport.internal.decision.AttemptId;
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.RequestId;
+import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.admission.Admission;
 import org.fescueport.internal.decision.admission.PoolAdmission;
 import org.fescueport.internal.decision.admission.PoolOffer;
@@ -28,6 +31,8 @@
         void onRefused(Duration retryAfter);
     }
 
+    private static final TeamId ONE_TEAM = TeamId.of("");
+
     /** Names a request at its gate. */
     record Ticket(PoolId pool, AttemptId id) {}
 
@@ -42,20 +47,22 @@
 
     private final FleetView mView;
     private final ReplicaLoads mLoads;
+    private final Mechanisms mMechanisms;
     private final Map<PoolId, Gate> mGates = new HashMap<>();
     private int mNodes = 1;
     private long mNextId;
     private boolean mPumping;
     private boolean mLeaving;
 
-    private PoolGates(FleetView view, ReplicaLoads loads) {
+    private PoolGates(FleetView view, ReplicaLoads loads, Mechanisms mechanisms) {
         mView = view;
         mLoads = loads;
+        mMechanisms = mechanisms;
     }
 
     /** Returns gates before the replicas of the view. */
-    public static PoolGates create(FleetView view, ReplicaLoads loads) {
-        return new PoolGates(view, loads);
+    public static PoolGates create(FleetView view, ReplicaLoads loads, Mechanisms mechanisms) {
+        return new PoolGates(view, loads, mechanisms);
     }
 
     /** Notes how many nodes there are that send to the same replicas, with this one. */
@@ -70,15 +77,29 @@
 
     /** Decides about a request; its passenger is told later where it has to wait. */
     Admission enter(Ticket ticket, PoolOffer offer, Passenger passenger, long nowNanos) {
+        if (!mMechanisms.has(Mechanism.ADMISSION)) {
+            return new Admission.Admitted();
+        }
         Gate gate = gate(ticket.pool(), nowNanos);
         measure(ticket.pool(), gate, nowNanos);
-        Admission decision = gate.mAdmission.offer(offer, nowNanos);
+        Admission decision = gate.mAdmission.offer(seenAlike(offer), nowNanos);
         if (decision instanceof Admission.Queued) {
             gate.mWaiting.put(ticket.id(), passenger);
         }
         return decision;
     }
 
+    /** Where an experiment tells requests of some kind not apart, they are alike here. */
+    private PoolOffer seenAlike(PoolOffer offer) {
+        return new PoolOffer(
+                offer.id(),
+                mMechanisms.has(Mechanism.FAIR_TEAMS) ? offer.team() : ONE_TEAM,
+                mMechanisms.has(Mechanism.URGENCY) ? offer.urgency() : 0,
+                offer.aimNanos(),
+                offer.objectiveNanos(),
+                offer.endNanos());
+    }
+
     /** Notes the first piece of a replica's answer. */
     void onFirstPiece(Ticket ticket, long sentNanos, long nowNanos) {
         gate(ticket.pool(), nowNanos).mAdmission.onFirstPiece(ticket.id(), sentNanos, nowNanos);
@@ -164,7 +185,7 @@
         return mGates.computeIfAbsent(
                 pool,
                 key -> {
-                    var admission = PoolAdmission.create(nowNanos);
+                    var admission = PoolAdmission.create(mMechanisms, nowNanos);
                     if (mLeaving) {
                         admission.leave();
                     }
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
@@ -48,18 +50,27 @@
     private final FleetView mView;
     private final PrefixPlacement mPlacement;
     private final ReplicaNotices mNotices;
+    private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
 
-    private ReplicaChooser(FleetView view, ReplicaLoads loads, ReplicaNotices notices) {
+    private ReplicaChooser(
+            FleetView view, ReplicaLoads loads, ReplicaNotices notices, Mechanisms mechanisms) {
         mView = view;
         mNotices = notices;
-        mPlacement = PrefixPlacement.create(loads);
+        mMechanisms = mechanisms;
+        mPlacement = PrefixPlacement.create(loads, mechanisms);
     }
 
     /** Returns a chooser among the replicas of the view. */
     public static ReplicaChooser create(
             FleetView view, ReplicaLoads loads, ReplicaNotices notices) {
-        return new ReplicaChooser(view, loads, notices);
+        return create(view, loads, notices, Mechanisms.all());
+    }
+
+    /** Returns a chooser that uses these mechanisms only. */
+    public static ReplicaChooser create(
+            FleetView view, ReplicaLoads loads, ReplicaNotices notices, Mechanisms mechanisms) {
+        return new ReplicaChooser(view, loads, notices, mechanisms);
     }
 
     /**
@@ -71,10 +82,11 @@
             PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
         ReplicaSet set = mView.pool(pool);
         ReplicaFilter fresh =
-                replica ->
-                        !tried.contains(replica.node())
-                                && mNotices.takesWork(lifeOf(replica), nowNanos);
-        ReplicaFilter sound = ejection(set).filter(affinity.key(), nowNanos).and(fresh);
+                replica -> !tried.contains(replica.node()) && takesWork(replica, nowNanos);
+        ReplicaFilter sound =
+                mMechanisms.has(Mechanism.EJECTION)
+                        ? ejection(set).filter(affinity.key(), nowNanos).and(fresh)
+                        : fresh;
         Optional<Replica> chosen = mPlacement.choose(set, affinity, sound, nowNanos);
         if (chosen.isEmpty()) {
             chosen = mPlacement.choose(set, affinity, fresh, nowNanos);
@@ -92,6 +104,10 @@
         return mNotices.opensIn(lives, nowNanos);
     }
 
+    private boolean takesWork(Replica replica, long nowNanos) {
+        return !mMechanisms.has(Mechanism.NOTICES) || mNotices.takesWork(lifeOf(replica), nowNanos);
+    }
+
     /** Replicas that are reached directly carry the start of their life as incarnation. */
     private static AgentIncarnation lifeOf(Replica replica) {
         return AgentIncarnation.of(replica.node(), replica.incarnation());
@@ -103,7 +119,7 @@
      */
     private Optional<ReplicaEntry> formerHome(
             ReplicaEntry chosen, Affinity affinity, long nowNanos) {
-        if (!affinity.cacheable()) {
+        if (!affinity.cacheable() || !mMechanisms.has(Mechanism.FORMER_HOME)) {
             return Optional.empty();
         }
         ReplicaSet holders = mView.cacheHolders(chosen.pool());
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.direct.DirectRouter;
 import org.fescueport.internal.direct.DirectRouterSettings;
 import org.fescueport.internal.direct.MachineLimits;
@@ -87,7 +88,8 @@
                         new RecordDecoder(),
                         new HeaderProtocol(),
                         registry,
-                        () -> MetersText.of(registry));
+                        () -> MetersText.of(registry),
+                        Mechanisms.all());
         var router = DirectRouter.create(settings, parts);
         router.start();
         return new TestRouter(router, settings, loop, log, lines);
