Send replicas that have not warmed up no more than they bear from all nodes together

Ruled out: turns by rank and wall clock (a node knows only those that started before it, and clocks differ); saved-up shares (26 nodes that each have one saved send 26 at once); probing for Fescueport-Cold-Ms (priced, and nodes would have to tell one another). Change: ColdTurns (decision/placement): for each slot of 100 ms a node draws whether it may send one request, with 0.6 of what the replica bears divided by the most nodes ever counted, 330 until told. Entries decode to ColdTime; a time that is negative or above ten minutes counts as warm and is told in the replica's line. A word that prolongs the cold time is news for peers, one that only counts down is not. Choosing passes over cold replicas when it is not this node's turn; where only such are left the request is refused at once.

--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -13,6 +13,7 @@
 import org.fescueport.internal.decision.ejection.EjectionSettings;
 import org.fescueport.internal.decision.ejection.OutlierEjection;
 import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.ColdTurns;
 import org.fescueport.internal.decision.placement.PrefixPlacement;
 import org.fescueport.internal.decision.placement.Ranking;
 import org.fescueport.internal.decision.placement.Replica;
@@ -25,7 +26,8 @@
 
 /**
  * Picks the replica for a request by {@link PrefixPlacement}. Replicas that keep failing are passed
- * over while others are left; one that has said that it takes no new work is never picked.
+ * over while others are left; one that has said that it takes no new work is never picked, and one
+ * that has not warmed up no more often than it bears.
  */
 public final class ReplicaChooser {
     private static final EjectionSettings EJECTION =
@@ -50,12 +52,18 @@
     private final FleetView mView;
     private final PrefixPlacement mPlacement;
     private final ReplicaNotices mNotices;
+    private final ColdTurns mColdTurns;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
 
     private ReplicaChooser(
-            FleetView view, ReplicaLoads loads, ReplicaNotices notices, Mechanisms mechanisms) {
+            FleetView view,
+            ReplicaLoads loads,
+            ReplicaNotices notices,
+            ColdTurns coldTurns,
+            Mechanisms mechanisms) {
         mView = view;
+        mColdTurns = coldTurns;
         mNotices = notices;
         mMechanisms = mechanisms;
         mPlacement = PrefixPlacement.create(loads, mechanisms);
@@ -63,14 +71,12 @@
 
     /** Returns a chooser among the replicas of the view. */
     public static ReplicaChooser create(
-            FleetView view, ReplicaLoads loads, ReplicaNotices notices) {
-        return create(view, loads, notices, Mechanisms.all());
-    }
-
-    /** Returns a chooser that uses these mechanisms only. */
-    public static ReplicaChooser create(
-            FleetView view, ReplicaLoads loads, ReplicaNotices notices, Mechanisms mechanisms) {
-        return new ReplicaChooser(view, loads, notices, mechanisms);
+            FleetView view,
+            ReplicaLoads loads,
+            ReplicaNotices notices,
+            ColdTurns coldTurns,
+            Mechanisms mechanisms) {
+        return new ReplicaChooser(view, loads, notices, coldTurns, mechanisms);
     }
 
     /**
@@ -81,8 +87,12 @@
     public Optional<Placed> choose(
             PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
         ReplicaSet set = mView.pool(pool);
+        double coldRate = coldRate(pool);
         ReplicaFilter fresh =
-                replica -> !tried.contains(replica.node()) && takesWork(replica, nowNanos);
+                replica ->
+                        !tried.contains(replica.node())
+                                && takesWork(replica, nowNanos)
+                                && isWarmEnough(replica, coldRate, nowNanos);
         ReplicaFilter sound =
                 mMechanisms.has(Mechanism.EJECTION)
                         ? ejection(set).filter(affinity.key(), nowNanos).and(fresh)
@@ -91,6 +101,8 @@
         if (chosen.isEmpty()) {
             chosen = mPlacement.choose(set, affinity, fresh, nowNanos);
         }
+        chosen.filter(replica -> isLimited(replica, coldRate, nowNanos))
+                .ifPresent(replica -> mColdTurns.onSent(lifeOf(replica)));
         return chosen.flatMap(replica -> mView.replica(replica.node()))
                 .map(replica -> new Placed(replica, formerHome(replica, affinity, nowNanos)));
     }
@@ -108,6 +120,21 @@
         return !mMechanisms.has(Mechanism.NOTICES) || mNotices.takesWork(lifeOf(replica), nowNanos);
     }
 
+    private boolean isWarmEnough(Replica replica, double coldRate, long nowNanos) {
+        return !isLimited(replica, coldRate, nowNanos)
+                || mColdTurns.isMine(lifeOf(replica), coldRate, nowNanos);
+    }
+
+    /** Returns whether a replica bears few requests only for now. */
+    private boolean isLimited(Replica replica, double coldRate, long nowNanos) {
+        return coldRate > 0 && mView.isCold(replica.node(), nowNanos);
+    }
+
+    /** Returns 0 where there is no bound. */
+    private double coldRate(PoolId pool) {
+        return mView.configuration().map(c -> c.coldRates().getOrDefault(pool, 0.0)).orElse(0.0);
+    }
+
     /** Replicas that are reached directly carry the start of their life as incarnation. */
     private static AgentIncarnation lifeOf(Replica replica) {
         return AgentIncarnation.of(replica.node(), replica.incarnation());
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -50,12 +50,14 @@
      * A replica's newest record.
      *
      * @param changed place of the first record that said the same
+     * @param coldUntilNanos time until which it bears few requests only
      */
     private record Known(
             ReplicaEntry entry,
             StateRecord record,
             StorePosition changed,
             long joinedNanos,
+            long coldUntilNanos,
             ReplicaWord word) {
         StorePosition position() {
             return record.position();
@@ -63,7 +65,8 @@
 
         /** Returns the same belief, which a later record has not changed. */
         Known at(StorePosition position) {
-            return new Known(entry, record.at(position), changed, joinedNanos, word);
+            return new Known(
+                    entry, record.at(position), changed, joinedNanos, coldUntilNanos, word);
         }
     }
 
@@ -155,6 +158,12 @@
         return known != null && known.joinedNanos() - nanos < 0;
     }
 
+    /** Returns whether a replica has not warmed up, by its own word. */
+    public boolean isCold(NodeId id, long nowNanos) {
+        Known known = mReplicas.get(id);
+        return known != null && nowNanos - known.coldUntilNanos() < 0;
+    }
+
     /** Returns the pools that have a replica which takes new work. */
     public Set<PoolId> pools() {
         return mPools.keySet();
@@ -432,7 +441,8 @@
         StorePosition changed = same ? known.changed() : record.position();
         long joined = joined(known, entry.get(), nowNanos);
         var word = ReplicaWord.of(entry.get(), record.position().era());
-        mReplicas.put(id, new Known(entry.get(), record, changed, joined, word));
+        long cold = nowNanos + entry.get().cold().left().toNanos();
+        mReplicas.put(id, new Known(entry.get(), record, changed, joined, cold, word));
         if (same) {
             return false;
         }
@@ -501,6 +511,8 @@
                 .with("pool", entry.pool())
                 .with("address", entry.address())
                 .with("position", record.position())
+                .with("cold_ms", entry.cold().left().toMillis())
+                .with("cold_unreadable", entry.cold().unreadable().map(String::valueOf).orElse(""))
                 .write();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaEntry.java
@@ -13,6 +13,7 @@
  * @param leaving whether it takes no new work
  * @param startedAtMillis tells two lives under one id apart; 0 when it does not say
  * @param beat rises with each word of one life; 0 when it does not say
+ * @param cold how much longer it bears few requests only
  */
 public record ReplicaEntry(
         NodeId id,
@@ -22,14 +23,16 @@
         int slots,
         boolean leaving,
         long startedAtMillis,
-        long beat) {
-    /** Returns whether another word of the replica says the same; words may be repeated. */
+        long beat,
+        ColdTime cold) {
+    /** Returns whether a later word of the replica says the same; words may be repeated. */
     public boolean saysTheSameAs(ReplicaEntry other) {
-        return withoutBeat().equals(other.withoutBeat());
+        return timeless().equals(other.timeless()) && !other.cold.isNewsAfter(cold);
     }
 
-    private ReplicaEntry withoutBeat() {
-        return new ReplicaEntry(id, pool, address, domain, slots, leaving, startedAtMillis, 0);
+    private ReplicaEntry timeless() {
+        return new ReplicaEntry(
+                id, pool, address, domain, slots, leaving, startedAtMillis, 0, ColdTime.none());
     }
 
     /** Returns this life of the replica. */
--- a/src/test/java/org/fescueport/internal/direct/place/CrashWatchTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashWatchTest.java
@@ -14,6 +14,7 @@
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.state.ColdTime;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 import org.junit.jupiter.api.Test;
 
@@ -49,7 +50,8 @@
                 8,
                 false,
                 1,
-                0);
+                0,
+                ColdTime.none());
     }
 
     private void crash(String id, long atNanos) {
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -16,9 +16,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
+import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.ColdTurns;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
@@ -45,7 +48,9 @@
             FleetView.create(new PlainDecoder(), mLog, Duration.ofSeconds(2));
     private final ReplicaLoads mLoads = ReplicaLoads.create();
     private final ReplicaNotices mNotices = ReplicaNotices.create();
-    private final ReplicaChooser mChooser = ReplicaChooser.create(mView, mLoads, mNotices);
+    private final ColdTurns mColdTurns = ColdTurns.create(new SplittableRandom(1));
+    private final ReplicaChooser mChooser =
+            ReplicaChooser.create(mView, mLoads, mNotices, mColdTurns, Mechanisms.all());
     private long mOffset;
 
     ReplicaChooserTest() {
@@ -105,6 +110,71 @@
         assertThat(counts.size(), is(REPLICAS));
     }
 
+    private void configure(int version) {
+        var record = StateRecord.set(at(version), "config", String.valueOf(version).getBytes());
+        mView.take(
+                new RecordBatch(
+                        StateTopic.CONFIGURATION,
+                        StorePosition.START,
+                        at(version + 1),
+                        true,
+                        List.of(record)),
+                0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 4, 33})
+    void shouldSendAColdReplicaNoMoreThanThisNodesPartOfWhatItBears(int nodes) {
+        configure(1);
+        mColdTurns.onNodes(nodes);
+        change("r0", "cold", SECOND);
+        int sent = 0;
+        for (int i = 0; i < 3_000; i++) {
+            long now = SECOND + i * Duration.ofMillis(1).toNanos();
+            sent += choose(key(i), now).replica().id().name().equals("r0") ? 1 : 0;
+        }
+        assertThat(sent, lessThan(30 / nodes + 4));
+    }
+
+    @Test
+    void shouldSendToAReplicaAsToTheOthersOnceItIsWarm() {
+        configure(1);
+        change("r0", "cold", SECOND);
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            sent += choose(key(i), 5 * SECOND).replica().id().name().equals("r0") ? 1 : 0;
+        }
+        assertThat(sent, greaterThan(20));
+    }
+
+    @Test
+    void shouldLimitAReplicaThatHasTurnedColdAgain() {
+        configure(1);
+        mColdTurns.onNodes(33);
+        change("r0", "cold", SECOND);
+        change("r0", "ready", 5 * SECOND);
+        change("r0", "cold", 9 * SECOND);
+        int sent = 0;
+        for (int i = 0; i < 400; i++) {
+            sent += choose(key(i), 10 * SECOND).replica().id().name().equals("r0") ? 1 : 0;
+        }
+        assertThat(sent, lessThan(2));
+    }
+
+    @Test
+    void shouldSendNothingWhereAllReplicasAreColdAndItIsAnothersTurn() {
+        configure(1);
+        mColdTurns.onNodes(330);
+        for (int i = 0; i < REPLICAS; i++) {
+            change("r" + i, "cold", SECOND);
+        }
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            sent += mChooser.choose(POOL, key(i), Set.of(), SECOND).isPresent() ? 1 : 0;
+        }
+        assertThat(sent, lessThan(5));
+    }
+
     @Test
     void shouldSpillToTheSameSecondReplicaAndNameTheFirst() {
         var home = choose(key(1), 0).replica();
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -17,6 +17,11 @@
     public static final PoolId POOL = PoolId.of("llm");
     private static final int SLOTS = 8;
 
+    /** What a replica whose state is "cold" needs still. */
+    public static final long COLD_MS = 3_000;
+
+    private static final double COLD_RATE = 10;
+
     @Override
     public boolean isConfiguration(String key) {
         return key.equals("config");
@@ -35,7 +40,12 @@
             long version = Long.parseLong(text(value));
             var routes = RouteTable.of(List.of());
             return new FleetConfiguration(
-                    version, routes, Map.of(), Map.of(), CallerLimits.standard());
+                    version,
+                    routes,
+                    Map.of(),
+                    Map.of(),
+                    Map.of(POOL, COLD_RATE),
+                    CallerLimits.standard());
         } catch (NumberFormatException e) {
             throw UnusableRecordException.of("no number");
         }
@@ -59,7 +69,8 @@
                 slots(text(value)),
                 text(value).equals("leaving"),
                 0,
-                0);
+                0,
+                text(value).equals("cold") ? ColdTime.ofMillis(COLD_MS) : ColdTime.none());
     }
 
     /** Behind "ready" may stand how many slots there are. */
--- a/src/test/java/org/fescueport/internal/direct/state/WordDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/WordDecoder.java
@@ -55,7 +55,8 @@
                 SLOTS,
                 words[0].equals("leaving"),
                 Long.parseLong(words[2]),
-                Long.parseLong(words[1]));
+                Long.parseLong(words[1]),
+                ColdTime.none());
     }
 
     private static String[] words(byte[] value) {
--- a/src/test/java/org/fescueport/platform/RecordDecoderTest.java
+++ b/src/test/java/org/fescueport/platform/RecordDecoderTest.java
@@ -77,6 +77,26 @@
         assertThat(thrown.getMessage(), containsString(named));
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 0", "2400, 2400", "600000, 600000", "-1, 0", "600001, 0"})
+    void shouldReadHowLongAReplicaIsColdAndPassOverWhatCanBeNoSuchTime(long told, long read)
+            throws Exception {
+        String text = REPLICA.replace("\"seq\":4", "\"seq\":4,\"cold_remaining_ms\":" + told);
+        var cold = mDecoder.replica("i-1", bytes(text)).cold();
+        assertThat(cold.left().toMillis(), is(read));
+        assertThat(cold.unreadable().isPresent(), is(told != read));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0, false", "10.5, true"})
+    void shouldReadHowManyRequestsAColdReplicaBears(double rate, boolean bounded) throws Exception {
+        String text =
+                Installation.configuration(7)
+                        .replace("\"max_conns\":50", "\"max_conns\":50,\"cold_per_s\":" + rate);
+        var rates = mDecoder.configuration(bytes(text)).coldRates();
+        assertThat(rates.containsKey(PoolId.of("llm")), is(bounded));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "{", "[]", "7", "{\"service\":", "\u0000\u0001", "{}{}"})
     void shouldRefuseBytesThatAreNoObject(String text) {
