Split the records of replicas from the fleet view; notice in the check, not in a getter, that a node has caught up

Cause: FleetView had 577 lines and kept configuration, drained domains, replicas, removals and the grace after an outage; DirectRouter.isReady changed state. Ruled out: nothing, no behaviour is meant to change.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -239,17 +239,20 @@
 
     /** Returns whether this node wants new connections. */
     public boolean isReady() {
-        return !mStopping && mView.isComplete() && isCaughtUp();
+        return !mStopping && mView.isComplete() && mCaughtUp;
     }
 
     /** Where the store may come back from a copy, peers are asked first what is in force. */
-    private boolean isCaughtUp() {
-        if (mCaughtUp || mParts.eras().current() == 0) {
-            return true;
+    private void noticeCaughtUp() {
+        if (!mView.isComplete()) {
+            return;
         }
         long waited = mParts.clock().monotonicTime() - mBegunNanos;
-        mCaughtUp = waited > LONGEST_CATCH_UP.toNanos() || mPeers.isCaughtUp();
-        return mCaughtUp;
+        mCaughtUp =
+                mCaughtUp
+                        || mParts.eras().current() == 0
+                        || waited > LONGEST_CATCH_UP.toNanos()
+                        || mPeers.isCaughtUp();
     }
 
     private void begin() {
@@ -311,6 +314,7 @@
 
     private void check() {
         mForwarder.check();
+        noticeCaughtUp();
     }
 
     private void sweep() {
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,22 +21,9 @@
  * What this node believes of the configuration and of the replicas.
  *
  * <p>Versions and places only go forward, whichever way a record came, also when the store has come
- * back from an older copy: a replica that is known to have left stays gone until it speaks anew. A
- * replica whose entry lapsed around an outage, or is missing from the copy, is kept until its
- * heartbeat has had time to come back. Used by the event loop alone.
+ * back from an older copy. Used by the event loop alone.
  */
 public final class FleetView {
-    /** Time after the store's return within which lapsed entries of live replicas are back. */
-    private static final Duration USUAL_RETURN = Duration.ofMillis(2_300);
-
-    /** A sweep for lapsed entries, and what is then still on its way to a replica. */
-    private static final Duration LEAVE_MARGIN = Duration.ofMillis(400);
-
-    private static final Duration LONG_AGO = Duration.ofHours(1);
-
-    /** Replicas that are remembered after they have gone; a day's worth of a large fleet. */
-    private static final int MOST_DEPARTED = 1_000;
-
     /** Told when the believed replicas have changed. */
     @FunctionalInterface
     public interface ReplicaListener {
@@ -46,71 +31,23 @@
         void onReplicasChanged();
     }
 
-    /**
-     * A replica's newest record.
-     *
-     * @param changed place of the first record that said the same
-     * @param coldUntilNanos time until which it bears few requests only
-     */
-    private record Known(
-            ReplicaEntry entry,
-            StateRecord record,
-            StorePosition changed,
-            long joinedNanos,
-            long coldUntilNanos,
-            ReplicaWord word) {
-        StorePosition position() {
-            return record.position();
-        }
-
-        /** Returns the same belief, which a later record has not changed. */
-        Known at(StorePosition position) {
-            return new Known(
-                    entry, record.at(position), changed, joinedNanos, coldUntilNanos, word);
-        }
-    }
-
-    /**
-     * A replica that is gone.
-     *
-     * @param last the newest record of it, where one was known
-     */
-    private record Departed(StorePosition position, Optional<Known> last) {
-        /** Returns whether its entry stands in the store again, as a copy brought it back. */
-        boolean isListed() {
-            return last.filter(k -> k.word().era() < position.era()).isPresent();
-        }
-
-        boolean covers(ReplicaEntry entry, StateRecord record) {
-            return last.filter(k -> k.word().covers(entry, record.position().era())).isPresent();
-        }
-    }
-
     private final StateDecoder mDecoder;
     private final EventLog mLog;
-    private final Duration mLapseGrace;
-    private final Map<NodeId, Known> mReplicas = new HashMap<>();
-    private final Map<NodeId, Long> mLapsedUntil = new HashMap<>();
-    private final LinkedHashMap<NodeId, Departed> mDeparted = new LinkedHashMap<>();
+    private final LapseGrace mGrace;
+    private final ReplicaRecords mReplicas;
     private Map<PoolId, ReplicaSet> mPools = Map.of();
     private Map<PoolId, ReplicaSet> mCacheHolders = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private final DrainedDomains mDrained = new DrainedDomains();
-    private boolean mReplicasKnown;
-
-    /** Place from which on all removals of replicas are known. */
-    private StorePosition mRemovalsFrom = StorePosition.START;
-
     private StorePosition mNextConfiguration = StorePosition.START;
-    private StorePosition mNextReplica = StorePosition.START;
-    private Optional<Long> mLapseGraceEndNanos = Optional.empty();
     private ReplicaListener mListener = () -> {};
 
-    private FleetView(StateDecoder decoder, EventLog log, Duration lapseGrace) {
+    private FleetView(StateDecoder decoder, EventLog log, LapseGrace grace) {
         mDecoder = decoder;
         mLog = log;
-        mLapseGrace = lapseGrace;
+        mGrace = grace;
+        mReplicas = new ReplicaRecords(decoder, log, grace);
     }
 
     /**
@@ -120,9 +57,7 @@
      *     entry that lapsed and one that was taken away look alike, so it bounds both
      */
     public static FleetView create(StateDecoder decoder, EventLog log, Duration leaveBound) {
-        Duration longest = leaveBound.minus(LEAVE_MARGIN);
-        Duration grace = longest.compareTo(USUAL_RETURN) < 0 ? longest : USUAL_RETURN;
-        return new FleetView(decoder, log, grace);
+        return new FleetView(decoder, log, LapseGrace.within(leaveBound));
     }
 
     /** Sets who is told of changed replicas. */
@@ -137,7 +72,7 @@
 
     /** Returns whether both a configuration and the list of replicas have been read. */
     public boolean isComplete() {
-        return mConfiguration.isPresent() && mReplicasKnown;
+        return mConfiguration.isPresent() && mReplicas.areListed();
     }
 
     /** Returns the replicas of a pool that take new work. */
@@ -154,14 +89,12 @@
 
     /** Returns whether a replica has been there since before this time. */
     public boolean isOlderThan(NodeId id, long nanos) {
-        Known known = mReplicas.get(id);
-        return known != null && known.joinedNanos() - nanos < 0;
+        return mReplicas.isOlderThan(id, nanos);
     }
 
     /** Returns whether a replica has not warmed up, by its own word. */
     public boolean isCold(NodeId id, long nowNanos) {
-        Known known = mReplicas.get(id);
-        return known != null && nowNanos - known.coldUntilNanos() < 0;
+        return mReplicas.isCold(id, nowNanos);
     }
 
     /** Returns the pools that have a replica which takes new work. */
@@ -171,12 +104,12 @@
 
     /** Returns all replicas, also those that are leaving. */
     public Set<NodeId> replicaIds() {
-        return mReplicas.keySet();
+        return mReplicas.ids();
     }
 
     /** Returns the entry of a replica, also of one that is leaving. */
     public Optional<ReplicaEntry> replica(NodeId id) {
-        return Optional.ofNullable(mReplicas.get(id)).map(Known::entry);
+        return mReplicas.entry(id);
     }
 
     /** Returns the version of the configuration in force, once one is known. */
@@ -191,25 +124,22 @@
 
     /** Returns the place of the next record to read of a topic. */
     public StorePosition next(StateTopic topic) {
-        return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mNextReplica;
+        return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mReplicas.next();
     }
 
     /** Notes that the store has just answered again after it had not, or in a new era. */
     public void onStoreRegained(long nowNanos) {
-        mLapseGraceEndNanos = Optional.of(nowNanos + mLapseGrace.toNanos());
+        mGrace.begin(nowNanos);
     }
 
     /** Returns how long removed entries may still come back; 0 when the store is steady. */
     public Duration lapseGrace(long nowNanos) {
-        long left = mLapseGraceEndNanos.map(end -> end - nowNanos).orElse(0L);
-        return Duration.ofNanos(Math.max(0, left));
+        return Duration.ofNanos(mGrace.leftNanos(nowNanos));
     }
 
     /** Notes that a peer counts on removed entries to come back within this time. */
     public void onLapseGrace(Duration left, long nowNanos) {
-        if (left.compareTo(lapseGrace(nowNanos)) > 0) {
-            mLapseGraceEndNanos = Optional.of(nowNanos + left.toNanos());
-        }
+        mGrace.extend(left, nowNanos);
     }
 
     /**
@@ -225,36 +155,52 @@
     /** Takes records in; returns those that changed something, from whichever source they came. */
     public List<StateRecord> take(RecordBatch batch, long nowNanos) {
         List<StateRecord> news = new ArrayList<>();
-        boolean replicas = batch.topic() == StateTopic.REPLICAS;
-        if (replicas && batch.end().era() < mNextReplica.era()) {
-            return news;
+        boolean changed =
+                switch (batch.topic()) {
+                    case REPLICAS -> mReplicas.take(batch, nowNanos, news);
+                    case CONFIGURATION -> takeConfiguration(batch, nowNanos, news);
+                    case NODES -> false;
+                };
+        if (changed) {
+            publish();
         }
+        return news;
+    }
+
+    /** Returns whether the replicas that take work may have changed. */
+    private boolean takeConfiguration(
+            RecordBatch batch, long nowNanos, List<StateRecord> news) {
         boolean changed = false;
         for (var record : batch.records()) {
-            changed |= apply(batch.topic(), record, nowNanos, news);
-        }
-        if (replicas && batch.whole() && !batch.end().isBefore(mNextReplica)) {
-            if (!mReplicasKnown || batch.end().era() > mRemovalsFrom.era()) {
-                mReplicasKnown = true;
-                mRemovalsFrom = batch.end();
+            Optional<FailureDomain> drained = mDecoder.drainedDomain(record.key());
+            boolean isNew =
+                    drained.isPresent()
+                            ? applyDrained(drained.get(), record)
+                            : applyConfiguration(record);
+            if (isNew) {
+                news.add(record);
             }
-            changed |= removeMissing(batch, nowNanos, news);
+            changed |= isNew && drained.isPresent();
         }
-        if (!replicas && batch.whole() && !batch.end().isBefore(mNextConfiguration)) {
+        if (batch.whole() && !batch.end().isBefore(mNextConfiguration)) {
             changed |= restoreMissing(batch, nowNanos);
         }
-        advance(batch.topic(), batch.end());
-        if (changed) {
-            publish();
+        if (mNextConfiguration.isBefore(batch.end())) {
+            mNextConfiguration = batch.end();
         }
-        return news;
+        return changed;
     }
 
     /** Returns the newest record of every key that is known. */
     public RecordBatch snapshot(StateTopic topic) {
-        List<StateRecord> records =
-                topic == StateTopic.CONFIGURATION ? configurationRecords() : presentRecords();
-        return new RecordBatch(topic, StorePosition.START, next(topic), true, records);
+        return topic == StateTopic.CONFIGURATION
+                ? new RecordBatch(
+                        topic,
+                        StorePosition.START,
+                        mNextConfiguration,
+                        true,
+                        configurationRecords())
+                : mReplicas.snapshot();
     }
 
     private List<StateRecord> configurationRecords() {
@@ -263,23 +209,9 @@
         return records;
     }
 
-    /** Entries that have lapsed stand in no store; who knows them is told so by their absence. */
-    private List<StateRecord> presentRecords() {
-        return mReplicas.entrySet().stream()
-                .filter(entry -> !mLapsedUntil.containsKey(entry.getKey()))
-                .map(entry -> entry.getValue().record())
-                .toList();
-    }
-
-    /**
-     * Returns what somebody lacks who knows all before this place: the few records that have
-     * changed something since, or a snapshot where those are not known.
-     */
+    /** Returns what somebody lacks who knows all replicas before this place. */
     public RecordBatch replicasSince(StorePosition from) {
-        if (from.equals(StorePosition.START) || from.isBefore(mRemovalsFrom)) {
-            return snapshot(StateTopic.REPLICAS);
-        }
-        return RecordBatch.news(StateTopic.REPLICAS, from, mNextReplica, replicaChanges(from));
+        return mReplicas.since(from);
     }
 
     /**
@@ -289,47 +221,12 @@
      * @param known what that node has told that it knows
      */
     public RecordBatch departedButListed(StorePosition known) {
-        List<StateRecord> records = new ArrayList<>();
-        mDeparted.forEach(
-                (id, departed) -> {
-                    if (departed.isListed() && !mReplicas.containsKey(id)) {
-                        records.add(StateRecord.removed(departed.position(), id.name()));
-                    }
-                });
-        return RecordBatch.news(StateTopic.REPLICAS, known, known, records);
-    }
-
-    private List<StateRecord> replicaChanges(StorePosition from) {
-        List<StateRecord> changes = new ArrayList<>();
-        mReplicas.forEach(
-                (id, known) -> {
-                    boolean since = !known.changed().isBefore(from);
-                    if (since && !mLapsedUntil.containsKey(id)) {
-                        changes.add(known.record());
-                    }
-                });
-        mDeparted.forEach(
-                (id, departed) -> {
-                    boolean since = !departed.position().isBefore(from);
-                    boolean gone = !mReplicas.containsKey(id) || mLapsedUntil.containsKey(id);
-                    if (since && gone) {
-                        departed.last().ifPresent(last -> changes.add(last.record()));
-                        changes.add(StateRecord.removed(departed.position(), id.name()));
-                    }
-                });
-        changes.sort(Comparator.comparing(StateRecord::position));
-        return changes;
+        return mReplicas.departedButListed(known);
     }
 
     /** Drops the lapsed entries whose time is over. */
     public void expire(long nowNanos) {
-        boolean changed = false;
-        for (var entry : List.copyOf(mLapsedUntil.entrySet())) {
-            if (nowNanos - entry.getValue() >= 0) {
-                mLapsedUntil.remove(entry.getKey());
-                changed |= forget(entry.getKey(), "lapsed");
-            }
-        }
+        boolean changed = mReplicas.expire(nowNanos);
         if (mDrained.expire(nowNanos)) {
             logDrained();
             changed = true;
@@ -339,25 +236,6 @@
         }
     }
 
-    private boolean apply(
-            StateTopic topic, StateRecord record, long nowNanos, List<StateRecord> news) {
-        return switch (topic) {
-            case CONFIGURATION -> {
-                Optional<FailureDomain> drained = mDecoder.drainedDomain(record.key());
-                boolean known =
-                        drained.isPresent()
-                                ? !applyDrained(drained.get(), record)
-                                : !applyConfiguration(record);
-                if (!known) {
-                    news.add(record);
-                }
-                yield !known && drained.isPresent();
-            }
-            case REPLICAS -> applyReplica(record, nowNanos, news);
-            case NODES -> false;
-        };
-    }
-
     private boolean applyDrained(FailureDomain domain, StateRecord record) {
         if (!mDrained.take(domain, record)) {
             return false;
@@ -376,7 +254,7 @@
         for (var record : batch.records()) {
             mDecoder.drainedDomain(record.key()).ifPresent(listed::add);
         }
-        long until = nowNanos + USUAL_RETURN.toNanos();
+        long until = nowNanos + LapseGrace.USUAL_RETURN.toNanos();
         boolean changed = mDrained.retain(listed, batch.end(), until);
         if (changed) {
             logDrained();
@@ -410,156 +288,6 @@
         }
     }
 
-    /** Returns whether the replicas that take work may have changed. */
-    private boolean applyReplica(StateRecord record, long nowNanos, List<StateRecord> news) {
-        NodeId id = NodeId.of(record.key());
-        Known known = mReplicas.get(id);
-        Departed departed = mDeparted.get(id);
-        if (isHeard(record, known, departed)) {
-            return false;
-        }
-        if (record.value().isEmpty()) {
-            depart(id, known, record.position(), news);
-            return known != null && remove(id, known, nowNanos);
-        }
-        Optional<ReplicaEntry> entry = decode(record);
-        if (entry.isEmpty()) {
-            depart(id, known, record.position(), news);
-            return known != null && forget(id, "unusable");
-        }
-        if (known == null && departed != null && departed.covers(entry.get(), record)) {
-            mDeparted.put(id, new Departed(record.position(), departed.last()));
-            news.add(StateRecord.removed(record.position(), record.key()));
-            return false;
-        }
-        boolean lapsed = mLapsedUntil.remove(id) != null;
-        if (known != null && known.word().covers(entry.get(), record.position().era())) {
-            mReplicas.put(id, known.at(record.position()));
-            return false;
-        }
-        boolean same = known != null && known.entry().saysTheSameAs(entry.get()) && !lapsed;
-        StorePosition changed = same ? known.changed() : record.position();
-        long joined = joined(known, entry.get(), nowNanos);
-        var word = ReplicaWord.of(entry.get(), record.position().era());
-        long cold = nowNanos + entry.get().cold().left().toNanos();
-        mReplicas.put(id, new Known(entry.get(), record, changed, joined, cold, word));
-        if (same) {
-            return false;
-        }
-        news.add(record);
-        logReplica(entry.get(), record);
-        return true;
-    }
-
-    /** An entry at the place of a removal is one that a copy of the store has brought back. */
-    private static boolean isHeard(StateRecord record, Known known, Departed departed) {
-        if (known != null) {
-            int order = known.position().compareTo(record.position());
-            return record.value().isPresent() ? order >= 0 : order > 0;
-        }
-        return departed != null && !departed.position().isBefore(record.position());
-    }
-
-    /**
-     * Notes that an entry has gone away. Peers that have not heard all words of the replica are
-     * told the last one with it, so that they too know what comes out of an older copy.
-     */
-    private void depart(NodeId id, Known known, StorePosition position, List<StateRecord> news) {
-        Optional<Known> last =
-                known != null
-                        ? Optional.of(known)
-                        : Optional.ofNullable(mDeparted.get(id)).flatMap(Departed::last);
-        mDeparted.put(id, new Departed(position, last));
-        forgetOldestDeparted();
-        if (known != null) {
-            news.add(known.record());
-            news.add(StateRecord.removed(position, id.name()));
-        }
-    }
-
-    private void forgetOldestDeparted() {
-        if (mDeparted.size() > MOST_DEPARTED) {
-            var eldest = mDeparted.pollFirstEntry();
-            StorePosition behind = eldest.getValue().position().plus(1);
-            mRemovalsFrom = mRemovalsFrom.isBefore(behind) ? behind : mRemovalsFrom;
-        }
-    }
-
-    /** Replicas of the first list have been there for as long as anybody can tell. */
-    private long joined(Known known, ReplicaEntry entry, long nowNanos) {
-        if (known != null && known.entry().startedAtMillis() == entry.startedAtMillis()) {
-            return known.joinedNanos();
-        }
-        return mReplicasKnown ? nowNanos : nowNanos - LONG_AGO.toNanos();
-    }
-
-    private Optional<ReplicaEntry> decode(StateRecord record) {
-        try {
-            return Optional.of(mDecoder.replica(record.key(), record.value().orElseThrow()));
-        } catch (StateDecoder.UnusableRecordException e) {
-            mLog.change("replica-unusable")
-                    .with("replica", record.key())
-                    .with("reason", e.getMessage())
-                    .write();
-            return Optional.empty();
-        }
-    }
-
-    private void logReplica(ReplicaEntry entry, StateRecord record) {
-        mLog.change(entry.leaving() ? "replica-leaving" : "replica-ready")
-                .with("replica", entry.id())
-                .with("pool", entry.pool())
-                .with("address", entry.address())
-                .with("position", record.position())
-                .with("cold_ms", entry.cold().left().toMillis())
-                .with("cold_unreadable", entry.cold().unreadable().map(String::valueOf).orElse(""))
-                .write();
-    }
-
-    private boolean remove(NodeId id, Known known, long nowNanos) {
-        boolean mayBeLapse = mLapseGraceEndNanos.filter(end -> nowNanos - end < 0).isPresent();
-        if (mayBeLapse && !known.entry().leaving()) {
-            mLapsedUntil.putIfAbsent(id, mLapseGraceEndNanos.get());
-            return false;
-        }
-        return forget(id, "removed");
-    }
-
-    private boolean forget(NodeId id, String reason) {
-        mLapsedUntil.remove(id);
-        if (mReplicas.remove(id) == null) {
-            return false;
-        }
-        mLog.change("replica-gone").with("replica", id).with("reason", reason).write();
-        return true;
-    }
-
-    private boolean removeMissing(RecordBatch batch, long nowNanos, List<StateRecord> news) {
-        Set<String> present = new HashSet<>();
-        batch.records().forEach(record -> present.add(record.key()));
-        boolean changed = false;
-        for (var id : List.copyOf(mReplicas.keySet())) {
-            Known known = mReplicas.get(id);
-            if (!present.contains(id.name()) && known.position().isBefore(batch.end())) {
-                // The removal stood somewhere before the end of the batch.
-                depart(id, known, batch.end().plus(-1), news);
-                changed |= remove(id, known, nowNanos);
-            }
-        }
-        return changed;
-    }
-
-    private void advance(StateTopic topic, StorePosition end) {
-        if (!next(topic).isBefore(end)) {
-            return;
-        }
-        if (topic == StateTopic.CONFIGURATION) {
-            mNextConfiguration = end;
-        } else if (topic == StateTopic.REPLICAS) {
-            mNextReplica = end;
-        }
-    }
-
     private void publish() {
         mPools = byPool(false);
         mCacheHolders = byPool(true);
@@ -568,8 +296,7 @@
 
     private Map<PoolId, ReplicaSet> byPool(boolean withLeaving) {
         Map<PoolId, List<Replica>> replicas = new HashMap<>();
-        for (var known : mReplicas.values()) {
-            ReplicaEntry entry = known.entry();
+        for (var entry : mReplicas.entries()) {
             boolean takesWork = !entry.leaving() && !mDrained.contains(entry.domain());
             if (withLeaving || takesWork) {
                 replicas.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
