Take no more callers in for a moment only, and end new ones at once where a node stays crowded

Cause: stopped taking callers in far beyond the limit until the count was at the limit again. On a node that stays full they would wait in the system's queue, silent, until others end. Change: the pause lasts 100 ms at most; if the count is not at the limit by then, new connections far beyond it end at once, as before, until it is.

--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
@@ -15,9 +17,16 @@
 final class CallerConnections {
     private static final Duration LEAST_IDLE = Duration.ofSeconds(1);
 
+    /** Enough to read the ends of connections that came while the node did nothing. */
+    private static final Duration PAUSE = Duration.ofMillis(100);
+
+    /** No connection is taken in from the listener until the end. */
+    private record Pause(Channel listener, Future<?> end) {}
+
     private final ForwardingContext mContext;
     private final Set<CallerConnection> mOpen = new HashSet<>();
-    private Optional<Channel> mPaused = Optional.empty();
+    private Optional<Pause> mPause = Optional.empty();
+    private boolean mCrowded;
     private boolean mStopping;
     private long mLateNanos;
     private long mEndNanos;
@@ -36,8 +45,9 @@
 
     /**
      * Takes a connection in. When there are too many, the one that has been idle longest ends;
-     * where none has been idle for a while, the new one is only told when to come back, and far
-     * beyond the limit no more are taken in for now.
+     * where none has been idle for a while, the new one is only told when to come back. Far beyond
+     * the limit no more are taken in for a moment, as many of those here may be gone; where they
+     * are not, new ones end at once and their callers go elsewhere.
      *
      * @param listener where the connection came in
      */
@@ -55,15 +65,18 @@
                 .decision("too-many-callers")
                 .with("open", mOpen.size())
                 .with("idle_ends", idle.isPresent())
-                .with("takes_more", idle.isPresent() || !far)
+                .with("far", far)
+                .with("crowded", mCrowded)
                 .write();
         if (idle.isPresent()) {
             end(idle.get());
-            return;
-        }
-        connection.markSurplus();
-        if (far) {
-            pause(listener);
+        } else if (far && mCrowded) {
+            connection.close();
+        } else {
+            connection.markSurplus();
+            if (far) {
+                pause(listener);
+            }
         }
     }
 
@@ -72,24 +85,30 @@
         connection.close();
     }
 
-    /** Those that connect meanwhile wait in the system's queue; many of those here may be gone. */
+    /** Those that connect meanwhile wait in the system's queue. */
     private void pause(Channel listener) {
+        if (mPause.isPresent()) {
+            return;
+        }
         listener.config().setAutoRead(false);
-        mPaused = Optional.of(listener);
+        var end =
+                listener.eventLoop()
+                        .schedule(this::onStillFull, PAUSE.toNanos(), TimeUnit.NANOSECONDS);
+        mPause = Optional.of(new Pause(listener, end));
     }
 
-    private void makeRoomForThoseThatWait() {
-        for (var idle = longestIdle(); isFull() && idle.isPresent(); idle = longestIdle()) {
-            end(idle.get());
-        }
-        takeMoreAgain();
+    private void onStillFull() {
+        mCrowded = true;
+        endPause();
     }
 
-    private void takeMoreAgain() {
-        if (mPaused.isPresent() && !isFull()) {
-            mPaused.get().config().setAutoRead(true);
-            mPaused = Optional.empty();
-        }
+    private void endPause() {
+        mPause.ifPresent(
+                pause -> {
+                    pause.end().cancel(false);
+                    pause.listener().config().setAutoRead(true);
+                });
+        mPause = Optional.empty();
     }
 
     /** Returns whether there are more connections than may be served. */
@@ -108,7 +127,10 @@
 
     void onClosed(CallerConnection connection) {
         mOpen.remove(connection);
-        takeMoreAgain();
+        if (!isFull()) {
+            mCrowded = false;
+            endPause();
+        }
     }
 
     /**
@@ -153,8 +175,5 @@
         for (var connection : List.copyOf(mOpen)) {
             connection.sweep(nowNanos, mStopping);
         }
-        if (mPaused.isPresent()) {
-            makeRoomForThoseThatWait();
-        }
     }
 }
