--- a/src/main/java/org/fescueport/internal/decision/Mechanism.java
+++ b/src/main/java/org/fescueport/internal/decision/Mechanism.java
@@ -10,8 +10,6 @@
     TOLD_LOAD_LIMIT,
     /** Requests are ordered by their urgency. */
     URGENCY,
-    /** A class of which a larger part is sent than of a more urgent one is held. */
-    HELD_CLASS,
     /** What is late waits a little before it is refused. */
     LATE_QUEUE,
     /** Teams share what room there is. */
--- a/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
@@ -21,8 +21,7 @@
  * <p>Answers an overload: more arrives than the replicas can begin in time. What is sent then is
  * what replicas have room for, so that all of it is in time; the others wait here for as long as
  * they can still be in time, by urgency, fairly over teams and by what is due first. A class that
- * would fall far behind a more urgent one goes first; one of which a larger part is sent than of a
- * more urgent one is held, so that short work does not crowd out long work that matters more. What
+ * would fall far behind a more urgent one goes first. What
  * is late already goes behind all that can be in time, and what has no prospect is refused at once
  * with when there is room. While replicas have room everything is sent. Not safe for use by several
  * threads.
@@ -40,9 +39,6 @@
     /** Part of what a class is sent, beside the next more urgent one. */
     private static final double LESS_URGENT_PART = 0.85;
 
-    /** A class of which this part is not sent is held for no other one any more. */
-    private static final double MOST_HELD_PART = 0.6;
-
     /** No class may expect less than this, however many come before it. */
     private static final double LEAST_EXPECTED = 0.4;
 
@@ -221,7 +217,6 @@
         boolean late = latestInTimeStart(offer, urgency) - nowNanos < 0;
         return !isOutranked(offer.urgency())
                 && mLimit.admits(inFlight)
-                && !isHeld(urgency, nowNanos)
                 && (!late || (mLate.isEmpty() && mLimit.admitsLate(inFlight)));
     }
 
@@ -230,26 +225,6 @@
         return mClasses.headMap(urgency, true).values().stream().anyMatch(c -> !c.mQueue.isEmpty());
     }
 
-    /** Returns whether of a more urgent class a smaller part was sent lately. */
-    private boolean isHeld(UrgencyClass urgency, long nowNanos) {
-        if (!mLimit.isSet() || !mMechanisms.has(Mechanism.HELD_CLASS)) {
-            return false;
-        }
-        double missed = urgency.missedPart(nowNanos);
-        if (missed >= MOST_HELD_PART) {
-            return false;
-        }
-        for (var other : mClasses.values()) {
-            if (other == urgency) {
-                return false;
-            }
-            if (missed < other.missedPart(nowNanos)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private boolean isKnown(AttemptId id) {
         return mOffers.containsKey(id) || mInFlight.containsKey(id);
     }
@@ -421,7 +396,7 @@
         double expected = 1;
         for (var urgency : mClasses.values()) {
             double part = urgency.sentPart(nowNanos) / expected;
-            if (!urgency.mQueue.isEmpty() && part < least && !isHeld(urgency, nowNanos)) {
+            if (!urgency.mQueue.isEmpty() && part < least) {
                 least = part;
                 next = urgency;
             }
--- a/src/main/java/org/fescueport/internal/decision/admission/UrgencyClass.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/UrgencyClass.java
@@ -4,9 +4,6 @@
 final class UrgencyClass {
     private static final double MEMORY_SECONDS = 2;
 
-    /** So few requests say little of a class. */
-    private static final double FEW = 3;
-
     /** Weight of one time beside those before. */
     private static final double SMOOTHING = 0.1;
 
@@ -52,12 +49,6 @@
         return mSent.count(nowNanos) / Math.max(1, mOffered.count(nowNanos));
     }
 
-    /** Returns which part of the requests was not sent lately; little of them says little. */
-    double missedPart(long nowNanos) {
-        double offered = mOffered.count(nowNanos);
-        return Math.max(0, offered - mSent.count(nowNanos)) / (offered + FEW);
-    }
-
     /** Returns requests offered a second. */
     double offeredPerSecond(long nowNanos) {
         return mOffered.perSecond(nowNanos);
