Play the store that comes back from a copy in the soak; ports that the system does not hand out

SoakKeys: each configuration gives one key and withdraws the last; a process that has refused one must not take it again. A replica that has left stays there and must be sent nothing more.

--- a/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
@@ -21,10 +21,9 @@
  * <p>Answers an overload: more arrives than the replicas can begin in time. What is sent then is
  * what replicas have room for, so that all of it is in time; the others wait here for as long as
  * they can still be in time, by urgency, fairly over teams and by what is due first. A class that
- * would fall far behind a more urgent one goes first. What
- * is late already goes behind all that can be in time, and what has no prospect is refused at once
- * with when there is room. While replicas have room everything is sent. Not safe for use by several
- * threads.
+ * would fall far behind a more urgent one goes first. What is late already goes behind all that can
+ * be in time, and what has no prospect is refused at once with when there is room. While replicas
+ * have room everything is sent. Not safe for use by several threads.
  *
  * <pre>{@code
  * switch (admission.offer(offer, now)) {
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -168,8 +168,7 @@
     }
 
     /** Returns whether the replicas that take work may have changed. */
-    private boolean takeConfiguration(
-            RecordBatch batch, long nowNanos, List<StateRecord> news) {
+    private boolean takeConfiguration(RecordBatch batch, long nowNanos, List<StateRecord> news) {
         boolean changed = false;
         for (var record : batch.records()) {
             Optional<FailureDomain> drained = mDecoder.drainedDomain(record.key());
--- a/src/test/java/org/fescueport/platform/Installation.java
+++ b/src/test/java/org/fescueport/platform/Installation.java
@@ -53,6 +53,11 @@
         return CONFIGURATION.formatted(version, "", "");
     }
 
+    /** Returns the same with one key more for the team. */
+    public static String configuration(int version, String key) {
+        return CONFIGURATION.formatted(version, "", ",\"" + key + "\"");
+    }
+
     StoreStandIn store() {
         return mStore;
     }
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -6,9 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -99,9 +97,9 @@
             throws IOException {
         return new DirectRouterSettings(
                 node,
-                freeAddress(),
-                freeAddress(),
-                freeAddress(),
+                FreePorts.next(),
+                FreePorts.next(),
+                FreePorts.next(),
                 List.of(seeds),
                 Optional.empty(),
                 "/api/readyz",
@@ -161,11 +159,4 @@
         mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         mLog.close();
     }
-
-    private static InetSocketAddress freeAddress() throws IOException {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (var socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        }
-    }
 }
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -21,6 +21,7 @@
 import java.util.stream.Stream;
 import org.fescueport.platform.Await;
 import org.fescueport.platform.FaultProxy;
+import org.fescueport.platform.FreePorts;
 import org.fescueport.platform.Installation;
 import org.fescueport.platform.RawCaller;
 import org.fescueport.platform.StoreStandIn;
@@ -49,6 +50,9 @@
 
     private static final double CALM_SERVED = 0.95;
 
+    /** One in so many requests carries a key that only one configuration knows. */
+    private static final int KEY_TURN = 6;
+
     private final List<EdgeProcess> mEdges = new ArrayList<>();
     private final List<FaultProxy> mStoreLinks = new ArrayList<>();
     private final List<FaultProxy> mPeerLinks = new ArrayList<>();
@@ -57,9 +61,12 @@
     private final SoakRecords mRecords = new SoakRecords();
     private final AtomicInteger mIds = new AtomicInteger();
     private final AtomicBoolean mStopped = new AtomicBoolean();
+    private final List<SoakReplica> mDeparted = new CopyOnWriteArrayList<>();
+    private final SoakKeys mKeys = new SoakKeys(mRecords);
     private StoreStandIn mStore;
+    private SoakDrill mDrill;
     private SplittableRandom mRandom;
-    private int mVersion = 1;
+    private volatile int mVersion = 1;
     private int mReplicaNumber;
 
     /** Seeds that once failed stay here, each with the cause in a line of docs/FINDINGS.md. */
@@ -74,7 +81,7 @@
         mRandom = new SplittableRandom(seed);
         Path folder = Files.createDirectories(Path.of("target", "soak", Long.toString(seed)));
         try {
-            startFleet(folder);
+            startFleet(folder, seed);
             List<Thread> callers = startCallers(seed);
             for (int round = 0; round < Integer.getInteger("soak.rounds", 2); round++) {
                 trouble();
@@ -93,8 +100,9 @@
         }
     }
 
-    private void startFleet(Path folder) throws IOException {
+    private void startFleet(Path folder, long seed) throws IOException {
         mStore = StoreStandIn.start();
+        mDrill = new SoakDrill(mStore, seed);
         configure();
         for (int i = 0; i < 4; i++) {
             addReplica("llm");
@@ -103,7 +111,7 @@
         List<InetSocketAddress> controls = new ArrayList<>();
         List<InetSocketAddress> seeds = new ArrayList<>();
         for (int i = 0; i < EDGES; i++) {
-            controls.add(EdgeProcess.freeAddress());
+            controls.add(FreePorts.next());
             mPeerLinks.add(FaultProxy.before(controls.get(i)));
             seeds.add(mPeerLinks.get(i).address());
         }
@@ -133,6 +141,9 @@
         for (var replica : mReplicas) {
             replica.close();
         }
+        for (var replica : mDeparted) {
+            replica.close();
+        }
         for (var link : links()) {
             link.close();
         }
@@ -145,8 +156,13 @@
     }
 
     private void configure() {
-        mStore.configure(Installation.configuration(mVersion));
         mVersion += 1 + mVersion % 3;
+        configureAgain();
+    }
+
+    private void configureAgain() {
+        int version = mVersion;
+        mStore.configure(Installation.configuration(version, SoakKeys.keyOf(version)));
     }
 
     private SoakReplica addReplica(String service) throws IOException {
@@ -178,7 +194,10 @@
             try (var caller = RawCaller.connect(edge.callers())) {
                 boolean open = true;
                 while (open && !mStopped.get()) {
-                    open = call(caller, random);
+                    open =
+                            random.nextInt(KEY_TURN) == 0
+                                    ? callWithAKey(edge, caller, random)
+                                    : call(caller, random);
                     Await.pause(5 + random.nextInt(30));
                 }
             } catch (IOException e) {
@@ -201,6 +220,24 @@
         return answer.complete() && !"close".equals(answer.header("Connection"));
     }
 
+    /** Asks with the key of a former configuration, or of the newest. */
+    private boolean callWithAKey(EdgeProcess edge, RawCaller caller, SplittableRandom random)
+            throws IOException {
+        int newest = mVersion;
+        int version = Math.max(2, newest - random.nextInt(8));
+        String life = edge.life();
+        String id = "id-" + mIds.incrementAndGet();
+        String path = "/safe/" + random.nextInt(50);
+        mRecords.onAsked(id, path);
+        String request = Installation.request("GET", path, id, "");
+        caller.send(request.replace("key-1", SoakKeys.keyOf(version)));
+        var answer = caller.receive();
+        if (life.equals(edge.life())) {
+            mKeys.onAnswer(life, version, answer.status(), version == newest);
+        }
+        return answer.complete() && !"close".equals(answer.header("Connection"));
+    }
+
     /** Starts what a signal has ended before it could take signals; any other end is a fault. */
     private void startWhatEnded() {
         for (var edge : mEdges) {
@@ -219,6 +256,7 @@
         while (System.nanoTime() - end < 0) {
             startWhatEnded();
             oneFault();
+            mDrill.tick(this::configureAgain, mReplicas, mDeparted);
             Await.pause(150 + mRandom.nextInt(500));
         }
         mStore.mode(StoreStandIn.Mode.GOOD);
@@ -312,6 +350,7 @@
     private void calm() throws Exception {
         Await.pause(SETTLING_MS / 2);
         startWhatEnded();
+        mDrill.await();
         Await.pause(SETTLING_MS);
         mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, () -> isReady(edge)));
         mRecords.calm(true);
@@ -326,8 +365,9 @@
         }
         mStore.remove("keyed.servers", leaving.id());
         mReplicas.remove(leaving);
+        mDeparted.add(leaving);
+        mRecords.onDeparted(leaving.id(), ack + TimeUnit.MILLISECONDS.toNanos(BOUND_MS));
         mRecords.calm(false);
-        leaving.close();
     }
 
     private static boolean isReady(EdgeProcess edge) {
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -1,14 +1,13 @@
 package org.fescueport.platform.soak;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.platform.EdgeMain;
+import org.fescueport.platform.FreePorts;
 
 /** A router as a process of its own; it is signalled by its id and by nothing else. */
 final class EdgeProcess implements AutoCloseable {
@@ -19,8 +18,8 @@
     private final Path mFolder;
     private final InetSocketAddress mStore;
     private final List<InetSocketAddress> mSeeds;
-    private final InetSocketAddress mCallers = freeAddress();
-    private final InetSocketAddress mReady = freeAddress();
+    private final InetSocketAddress mCallers = FreePorts.next();
+    private final InetSocketAddress mReady = FreePorts.next();
     private final InetSocketAddress mControl;
     private Process mProcess;
     private int mLives;
@@ -40,13 +39,6 @@
         mSeeds = seeds;
     }
 
-    static InetSocketAddress freeAddress() throws IOException {
-        InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (var socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        }
-    }
-
     InetSocketAddress callers() {
         return mCallers;
     }
@@ -59,6 +51,11 @@
         return mNode;
     }
 
+    /** Names the present life of the process. */
+    synchronized String life() {
+        return mNode + "." + mLives;
+    }
+
     synchronized boolean isAlive() {
         return mProcess != null && mProcess.isAlive();
     }
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcessTest.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcessTest.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import org.fescueport.internal.settings.ExitCode;
+import org.fescueport.platform.FreePorts;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -18,7 +19,7 @@
 
     @Test
     void shouldNotLeaveAProcessThatIsStartedBehindItsEnd() throws Exception {
-        var address = EdgeProcess.freeAddress();
+        var address = FreePorts.next();
         var edge = new EdgeProcess("edge-0", mFolder, address, address, List.of());
         edge.start();
         edge.close();
--- a/src/test/java/org/fescueport/platform/soak/SoakRecords.java
+++ b/src/test/java/org/fescueport/platform/soak/SoakRecords.java
@@ -16,6 +16,7 @@
     private final Map<String, AtomicInteger> mRuns = new ConcurrentHashMap<>();
     private final Map<String, Integer> mStatus = new ConcurrentHashMap<>();
     private final Map<String, Long> mLastArrival = new ConcurrentHashMap<>();
+    private final Map<String, Long> mDepartedNanos = new ConcurrentHashMap<>();
     private final List<String> mBroken = new ArrayList<>();
     private final AtomicInteger mCalmAsked = new AtomicInteger();
     private final AtomicInteger mCalmServed = new AtomicInteger();
@@ -32,6 +33,9 @@
 
     void onRun(String id, String replica, RawServer.Request request) {
         mLastArrival.put(replica, System.nanoTime());
+        if (System.nanoTime() - mDepartedNanos.getOrDefault(replica, Long.MAX_VALUE) > 0) {
+            broken(replica + " has left and is sent " + id);
+        }
         Asked asked = id == null ? null : mAsked.get(id);
         if (asked == null || !asked.path().equals(request.target())) {
             broken("a replica runs what nobody asked: " + id + " " + request.target());
@@ -69,6 +73,11 @@
         }
     }
 
+    /** From this time on the replica must be sent nothing any more. */
+    void onDeparted(String replica, long nanos) {
+        mDepartedNanos.put(replica, nanos);
+    }
+
     /** Returns when a request last reached a replica, by the steady clock; 0 for never. */
     long lastArrivalNanos(String replica) {
         return mLastArrival.getOrDefault(replica, 0L);
--- a/src/test/java/org/fescueport/platform/soak/SoakReplica.java
+++ b/src/test/java/org/fescueport/platform/soak/SoakReplica.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.fescueport.platform.FaultProxy;
 import org.fescueport.platform.RawServer;
@@ -21,6 +22,7 @@
     private final SplittableRandom mRandom;
     private final RawServer mServer;
     private final FaultProxy mProxy;
+    private final AtomicInteger mWords = new AtomicInteger();
     private volatile double mFailing;
 
     SoakReplica(String id, String service, SoakRecords records, long seed) throws IOException {
@@ -62,8 +64,8 @@
                 mId,
                 """
                 {"service":"%s","address":"127.0.0.1:%d","zone":"north","version":"v1",\
-                "slots":8,"state":"%s","cold_remaining_ms":0,"seq":1,"born":1700000000000}"""
-                        .formatted(mService, port, state));
+                "slots":8,"state":"%s","cold_remaining_ms":0,"seq":%d,"born":1700000000000}"""
+                        .formatted(mService, port, state, mWords.incrementAndGet()));
     }
 
     @Override
