--- a/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
@@ -46,8 +46,23 @@
     /** Returns the replica for a request, or nothing when the filter allows none. */
     public Optional<Replica> choose(
             ReplicaSet set, Affinity affinity, ReplicaFilter filter, long nowNanos) {
+        return choose(set, set, affinity, filter, nowNanos);
+    }
+
+    /**
+     * Returns the same where some replicas get nothing for now; no replica is to carry far more
+     * than the mean of all.
+     *
+     * @param all also those that get nothing
+     */
+    public Optional<Replica> choose(
+            ReplicaSet set,
+            ReplicaSet all,
+            Affinity affinity,
+            ReplicaFilter filter,
+            long nowNanos) {
         if (affinity.cacheable() && mMechanisms.has(Mechanism.PROMPT_PLACING)) {
-            ReplicaFilter level = belowSpillLimit(set, nowNanos);
+            ReplicaFilter level = belowSpillLimit(all, nowNanos);
             int index =
                     walk(set, affinity, filter, level.and(freeSlots(nowNanos)), nowNanos).next();
             if (index < 0) {
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -87,6 +87,7 @@
     public Optional<Placed> choose(
             PoolId pool, Affinity affinity, Set<NodeId> tried, long nowNanos) {
         ReplicaSet set = mView.pool(pool);
+        ReplicaSet all = mView.staying(pool);
         double coldRate = coldRate(pool);
         ReplicaFilter fresh =
                 replica ->
@@ -97,9 +98,9 @@
                 mMechanisms.has(Mechanism.EJECTION)
                         ? ejection(set).filter(affinity.key(), nowNanos).and(fresh)
                         : fresh;
-        Optional<Replica> chosen = mPlacement.choose(set, affinity, sound, nowNanos);
+        Optional<Replica> chosen = mPlacement.choose(set, all, affinity, sound, nowNanos);
         if (chosen.isEmpty()) {
-            chosen = mPlacement.choose(set, affinity, fresh, nowNanos);
+            chosen = mPlacement.choose(set, all, affinity, fresh, nowNanos);
         }
         chosen.filter(replica -> isLimited(replica, coldRate, nowNanos))
                 .ifPresent(replica -> mColdTurns.onSent(lifeOf(replica)));
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
@@ -36,6 +37,7 @@
     private final LapseGrace mGrace;
     private final ReplicaRecords mReplicas;
     private Map<PoolId, ReplicaSet> mPools = Map.of();
+    private Map<PoolId, ReplicaSet> mStaying = Map.of();
     private Map<PoolId, ReplicaSet> mCacheHolders = Map.of();
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
@@ -77,13 +79,20 @@
 
     /** Returns the replicas of a pool that take new work. */
     public ReplicaSet pool(PoolId pool) {
-        ReplicaSet set = mPools.get(pool);
-        return set == null ? ReplicaSet.of(pool, List.of()) : set;
+        return orNone(pool, mPools.get(pool));
+    }
+
+    /** Returns the replicas of a pool that stay, also those in drained failure domains. */
+    public ReplicaSet staying(PoolId pool) {
+        return orNone(pool, mStaying.get(pool));
     }
 
     /** Returns the replicas of a pool that may hold prompts, also those that are leaving. */
     public ReplicaSet cacheHolders(PoolId pool) {
-        ReplicaSet set = mCacheHolders.get(pool);
+        return orNone(pool, mCacheHolders.get(pool));
+    }
+
+    private static ReplicaSet orNone(PoolId pool, ReplicaSet set) {
         return set == null ? ReplicaSet.of(pool, List.of()) : set;
     }
 
@@ -288,16 +297,16 @@
     }
 
     private void publish() {
-        mPools = byPool(false);
-        mCacheHolders = byPool(true);
+        mPools = byPool(entry -> !entry.leaving() && !mDrained.contains(entry.domain()));
+        mStaying = byPool(entry -> !entry.leaving());
+        mCacheHolders = byPool(entry -> true);
         mListener.onReplicasChanged();
     }
 
-    private Map<PoolId, ReplicaSet> byPool(boolean withLeaving) {
+    private Map<PoolId, ReplicaSet> byPool(Predicate<ReplicaEntry> belongs) {
         Map<PoolId, List<Replica>> replicas = new HashMap<>();
         for (var entry : mReplicas.entries()) {
-            boolean takesWork = !entry.leaving() && !mDrained.contains(entry.domain());
-            if (withLeaving || takesWork) {
+            if (belongs.test(entry)) {
                 replicas.computeIfAbsent(entry.pool(), pool -> new ArrayList<>())
                         .add(replicaOf(entry));
             }
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -198,6 +198,36 @@
         assertThat((double) most, lessThan(2.0 * requests / REPLICAS + 3));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {40, 200, 400})
+    void shouldCountReplicasOfADrainedDomainWithTheMeanThatNoneIsFarAbove(int requests) {
+        for (int i = 0; i < 3; i++) {
+            change("r" + i, "south", SECOND);
+        }
+        drain("south");
+        Map<NodeId, Integer> held = new HashMap<>();
+        for (int i = 0; i < requests; i++) {
+            var replica = choose(key(1), 2 * SECOND).replica();
+            mLoads.onSent(replica.id());
+            held.merge(replica.id(), 1, Integer::sum);
+        }
+        assertThat(held.size(), is(REPLICAS - 3));
+        int most = held.values().stream().max(Integer::compare).orElseThrow();
+        assertThat((double) most, lessThan(2.0 * requests / REPLICAS + 3));
+    }
+
+    private void drain(String domain) {
+        var record = StateRecord.set(at(1), "drain-" + domain, new byte[] {'1'});
+        mView.take(
+                new RecordBatch(
+                        StateTopic.CONFIGURATION,
+                        StorePosition.START,
+                        at(2),
+                        true,
+                        List.of(record)),
+                0);
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void shouldGiveAReplicaWithFourTimesTheSlotsAboutFourTimesTheWork(boolean shared) {
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -65,7 +65,7 @@
                 NodeId.of(key),
                 POOL,
                 new InetSocketAddress(80),
-                FailureDomain.of("north"),
+                FailureDomain.of(text(value).equals("south") ? "south" : "north"),
                 slots(text(value)),
                 text(value).equals("leaving"),
                 0,
