Say once what peers have in force; share what the change had written twice

PeerHello and PeerPulse carried the same four fields, filled and compared apart in PeerGroup; ColdTurns bounded its map by a copy of what ReplicaNotices does; PoolGates made a new offer for each request although all mechanisms are in use; FleetView built a third set of replicas at each change although no domain is drained; two tests started a turned-away node alike. Ruled out: the other pairs that were pointed out are constructors and fields that share a shape only. No bound, check or expectation changes.

--- a/src/main/java/org/fescueport/internal/decision/placement/ColdTurns.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ColdTurns.java
@@ -1,7 +1,6 @@
 package org.fescueport.internal.decision.placement;
 
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.Invariants;
@@ -44,15 +43,7 @@
     }
 
     private final RandomGenerator mRandom;
-    private final Map<AgentIncarnation, Turn> mTurns =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<AgentIncarnation, Turn> eldest) {
-                    return size() > MOST_LIVES;
-                }
-            };
+    private final Map<AgentIncarnation, Turn> mTurns = new BoundedMap<>(MOST_LIVES);
     private int mNodes;
 
     private ColdTurns(RandomGenerator random) {
--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaNotices.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaNotices.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
@@ -38,15 +37,7 @@
         private boolean mUnreadable;
     }
 
-    private final Map<AgentIncarnation, Told> mLives =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<AgentIncarnation, Told> eldest) {
-                    return size() > MOST_LIVES;
-                }
-            };
+    private final Map<AgentIncarnation, Told> mLives = new BoundedMap<>(MOST_LIVES);
 
     private ReplicaNotices() {}
 
--- a/src/main/java/org/fescueport/internal/direct/forward/PoolGates.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/PoolGates.java
@@ -91,6 +91,9 @@
 
     /** Where an experiment tells requests of some kind not apart, they are alike here. */
     private PoolOffer seenAlike(PoolOffer offer) {
+        if (mMechanisms.areAll()) {
+            return offer;
+        }
         return new PoolOffer(
                 offer.id(),
                 mMechanisms.has(Mechanism.FAIR_TEAMS) ? offer.team() : ONE_TEAM,
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -26,6 +26,7 @@
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
 import org.fescueport.internal.direct.state.StorePosition;
+import org.fescueport.internal.wire.generated.PeerBeliefs;
 import org.fescueport.internal.wire.generated.PeerHello;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
@@ -168,7 +169,7 @@
         }
         return mOpen.stream()
                 .flatMap(peer -> peer.hello().stream())
-                .anyMatch(h -> !isAhead(h.hasConfigurationVersion(), h.getConfigurationVersion()));
+                .anyMatch(hello -> !hasNewerConfiguration(hello.getBeliefs()));
     }
 
     /**
@@ -196,13 +197,7 @@
     public void pulse(boolean reading) {
         int nodes = nodes();
         var pulse =
-                PeerPulse.newBuilder()
-                        .setReading(reading)
-                        .setNodes(nodes)
-                        .setStoreEra(mEras.current())
-                        .setDrainedEra(mView.drainedEnd().era())
-                        .setDrainedEnd(mView.drainedEnd().offset());
-        mView.configurationVersion().ifPresent(pulse::setConfigurationVersion);
+                PeerPulse.newBuilder().setReading(reading).setNodes(nodes).setBeliefs(beliefs());
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
         sendToAll(message, peer -> !peer.isOutbound());
         mListener.onNodes(nodes);
@@ -277,10 +272,9 @@
     private void onHello(PeerConnection peer, PeerHello hello) {
         peer.onHello(hello);
         mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
-        mEras.onPeer(hello.getStoreEra());
-        var drained = StorePosition.of(hello.getDrainedEra(), hello.getDrainedEnd());
-        if (isBehind(hello.hasConfigurationVersion(), hello.getConfigurationVersion())
-                || drained.isBefore(mView.drainedEnd())) {
+        PeerBeliefs beliefs = hello.getBeliefs();
+        mEras.onPeer(beliefs.getStoreEra());
+        if (hasOlderConfiguration(beliefs) || drainedEnd(beliefs).isBefore(mView.drainedEnd())) {
             send(peer, mView.snapshot(StateTopic.CONFIGURATION));
         }
         if (peer.knownEnd(StateTopic.REPLICAS).isBefore(mView.next(StateTopic.REPLICAS))) {
@@ -292,16 +286,33 @@
         }
     }
 
-    /** Returns whether a node with this version lacks the configuration in force here. */
-    private boolean isBehind(boolean known, long version) {
+    /** Returns whether the other node lacks the configuration in force here. */
+    private boolean hasOlderConfiguration(PeerBeliefs other) {
         OptionalLong own = mView.configurationVersion();
-        return own.isPresent() && (!known || version < own.getAsLong());
+        boolean known = other.hasConfigurationVersion();
+        return own.isPresent() && (!known || other.getConfigurationVersion() < own.getAsLong());
     }
 
-    /** Returns whether a node with this version has a newer configuration than this one. */
-    private boolean isAhead(boolean known, long version) {
+    /** Returns whether this node lacks the configuration in force at the other. */
+    private boolean hasNewerConfiguration(PeerBeliefs other) {
         OptionalLong own = mView.configurationVersion();
-        return known && (own.isEmpty() || version > own.getAsLong());
+        return other.hasConfigurationVersion()
+                && (own.isEmpty() || other.getConfigurationVersion() > own.getAsLong());
+    }
+
+    private static StorePosition drainedEnd(PeerBeliefs beliefs) {
+        return StorePosition.of(beliefs.getDrainedEra(), beliefs.getDrainedEnd());
+    }
+
+    private PeerBeliefs beliefs() {
+        StorePosition drained = mView.drainedEnd();
+        var beliefs =
+                PeerBeliefs.newBuilder()
+                        .setStoreEra(mEras.current())
+                        .setDrainedEra(drained.era())
+                        .setDrainedEnd(drained.offset());
+        mView.configurationVersion().ifPresent(beliefs::setConfigurationVersion);
+        return beliefs.build();
     }
 
     private void onRecords(PeerConnection peer, PeerRecords records) {
@@ -325,10 +336,9 @@
 
     private void onPulse(PeerConnection peer, PeerPulse pulse) {
         peer.onPulse(pulse.getReading(), nowNanos());
-        mEras.onPeer(pulse.getStoreEra());
-        var drained = StorePosition.of(pulse.getDrainedEra(), pulse.getDrainedEnd());
-        if (isAhead(pulse.hasConfigurationVersion(), pulse.getConfigurationVersion())
-                || mView.drainedEnd().isBefore(drained)) {
+        PeerBeliefs beliefs = pulse.getBeliefs();
+        mEras.onPeer(beliefs.getStoreEra());
+        if (hasNewerConfiguration(beliefs) || mView.drainedEnd().isBefore(drainedEnd(beliefs))) {
             sendHello(peer);
         }
         if (mHub.filter(hub -> hub == peer).isPresent()) {
@@ -418,10 +428,7 @@
                         .setNode(mNode)
                         .setNextReplica(mView.next(StateTopic.REPLICAS).offset())
                         .setNextReplicaEra(mView.next(StateTopic.REPLICAS).era())
-                        .setStoreEra(mEras.current())
-                        .setDrainedEra(mView.drainedEnd().era())
-                        .setDrainedEnd(mView.drainedEnd().offset());
-        mView.configurationVersion().ifPresent(hello::setConfigurationVersion);
+                        .setBeliefs(beliefs());
         // Offsets begin at 0, which stands for a rank that is not known.
         mRank.ifPresent(rank -> hello.setRank(rank.offset() + 1).setRankEra(rank.era()));
         peer.send(PeerMessage.newBuilder().setHello(hello).build());
--- a/src/main/java/org/fescueport/internal/direct/state/DrainedDomains.java
+++ b/src/main/java/org/fescueport/internal/direct/state/DrainedDomains.java
@@ -24,6 +24,11 @@
         return word != null && word.value().isPresent();
     }
 
+    /** Returns whether no domain is drained. */
+    boolean areNone() {
+        return mWords.values().stream().allMatch(word -> word.value().isEmpty());
+    }
+
     /** Takes in what was said of a domain; returns whether that was not known. */
     boolean take(FailureDomain domain, StateRecord record) {
         StateRecord known = mWords.get(domain);
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -298,7 +298,7 @@
 
     private void publish() {
         mPools = byPool(entry -> !entry.leaving() && !mDrained.contains(entry.domain()));
-        mStaying = byPool(entry -> !entry.leaving());
+        mStaying = mDrained.areNone() ? mPools : byPool(entry -> !entry.leaving());
         mCacheHolders = byPool(entry -> true);
         mListener.onReplicasChanged();
     }
--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -150,10 +150,7 @@
     void shouldLiveOnAPeersStateWhenItStartsWhileTheStoreTurnsItAway() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD);
                 var away = StoreStandIn.start()) {
-            away.mode(Mode.BUSY);
-            var seed = fleet.router().peers();
-            try (var second = TestRouter.start("edge-2", away.address(), seed)) {
-                second.awaitReady();
+            try (var second = fleet.startTurnedAway(away)) {
                 assertThat(status(second, get("/safe/x")), is(200));
                 fleet.store().configure(moved(7));
                 Await.until("the change has come", () -> status(second, get("/sure/x")) == 200);
--- a/src/test/java/org/fescueport/platform/DrainedDomainTest.java
+++ b/src/test/java/org/fescueport/platform/DrainedDomainTest.java
@@ -79,10 +79,7 @@
     void shouldReachANodeThatIsTurnedAwayByTheStore() throws Exception {
         try (var fleet = Installation.start(GOOD, GOOD);
                 var away = StoreStandIn.start()) {
-            away.mode(Mode.BUSY);
-            var seed = fleet.router().peers();
-            try (var second = TestRouter.start("edge-2", away.address(), seed)) {
-                second.awaitReady();
+            try (var second = fleet.startTurnedAway(away)) {
                 assertThat(status(second), is(200));
                 drain(fleet);
                 long begun = System.nanoTime();
--- a/src/test/java/org/fescueport/platform/Installation.java
+++ b/src/test/java/org/fescueport/platform/Installation.java
@@ -58,6 +58,12 @@
         return CONFIGURATION.formatted(version, "", ",\"" + key + "\"");
     }
 
+    /** Starts another node that knows this router alone, as this store turns it away. */
+    TestRouter startTurnedAway(StoreStandIn away) throws IOException {
+        away.mode(StoreStandIn.Mode.BUSY);
+        return TestRouter.start("edge-2", away.address(), mRouter.peers()).awaitReady();
+    }
+
     StoreStandIn store() {
         return mStore;
     }
