Relay records through a tree of nodes, and report lost answers along it

Cause: the node that reads the store sent every change to every other node. After a loss of all nodes each found only records of former lives in its list and tried them one by one, as the list was read once. Change, of the peers: - decision/relay/RelayTree: the first node serves the first one of each other failure domain, and every node up to 6 of its own domain; a node's record in the store says its domain. Pulses and records are relayed; counts of nodes go up. - a node that relays takes over before those below it when pulses stop (150 ms a relay). - a node that finds nobody to rely on reads the list of nodes again, after 1 s, then at doubling pauses. - large messages are deflated as a whole, in place of each value: a list of 3,000 replicas shrinks too. - a strike reaches all nodes along the tree, once (RecentStrikes). - PeerGroup (485 lines) is split: Upstream keeps the connection to the node relied on. Change, of ejection: answers that a node loses are reported along the tree (LossRelay), and count half a failure there; reports about over a quarter of a pool at once are ignored.

--- a/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
+++ b/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.decision.ejection;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.fescueport.internal.decision.FailureDomain;
@@ -26,10 +27,14 @@
     /** Fraction of the replicas of a failure domain that must fail for it to count as lost. */
     private static final double LOST_DOMAIN_SHARE = 0.6;
 
+    /** Weight of a loss at another router, relative to a failure at this one. */
+    private static final double REPORT_WEIGHT = 0.5;
+
     /** The state of a replica that has failed. */
     private static final class Health {
         private final Ejection mEjection;
-        private int mConsecutiveFailures;
+        private double mFailures;
+        private long mLastFailureNanos;
 
         Health(EjectionSettings settings) {
             mEjection = new Ejection(settings);
@@ -39,6 +44,7 @@
     private final EjectionSettings mSettings;
     private final Map<NodeId, Health> mHealth = new HashMap<>();
     private final FailureDomainMonitor mDomainMonitor;
+    private final ReportedReplicas mReports = new ReportedReplicas();
     private ReplicaSet mSet;
 
     private OutlierEjection(EjectionSettings settings, ReplicaSet set) {
@@ -74,23 +80,40 @@
         if (health == null) {
             return;
         }
-        health.mConsecutiveFailures = 0;
+        health.mFailures = 0;
         if (health.mEjection.share(nowNanos) >= 1) {
             mHealth.remove(node);
         }
     }
 
+    /**
+     * Records that other routers have lost answers of a replica. Each counts less than a failure
+     * here, and reports about many replicas at once are ignored: they tell of a network rather than
+     * of a replica.
+     */
+    public synchronized void onReportedLosses(NodeId node, int answers, long nowNanos) {
+        if (mSet.indexOf(node) >= 0 && mReports.isPlausible(node, mSet.size(), nowNanos)) {
+            addFailures(node, REPORT_WEIGHT * answers, nowNanos);
+        }
+    }
+
     /** Records a lost connection, a timeout or an error of the backend server. */
     public synchronized void onFailure(NodeId node, long nowNanos) {
         int index = mSet.indexOf(node);
         if (index < 0) {
             return;
         }
-        var domain = mSet.replica(index).domain();
+        mDomainMonitor.onFailure(mSet.replica(index).domain(), node, nowNanos);
+        addFailures(node, 1, nowNanos);
+    }
+
+    private void addFailures(NodeId node, double failures, long nowNanos) {
+        var domain = mSet.replica(mSet.indexOf(node)).domain();
         var health = mHealth.computeIfAbsent(node, key -> new Health(mSettings));
-        health.mConsecutiveFailures++;
-        mDomainMonitor.onFailure(domain, node, nowNanos);
-        if (health.mConsecutiveFailures < mSettings.consecutiveFailures()
+        boolean recent = nowNanos - health.mLastFailureNanos <= retention().toNanos();
+        health.mFailures = recent ? health.mFailures + failures : failures;
+        health.mLastFailureNanos = nowNanos;
+        if (health.mFailures < mSettings.consecutiveFailures()
                 || health.mEjection.isActive(nowNanos)) {
             return;
         }
@@ -144,7 +167,15 @@
     private void eject(Health health, long nowNanos) {
         health.mEjection.begin(nowNanos);
         // After the ejection, a single failure before the next success ejects the replica again.
-        health.mConsecutiveFailures = mSettings.consecutiveFailures() - 1;
+        health.mFailures = mSettings.consecutiveFailures() - 1;
+    }
+
+    /**
+     * Returns the time after which a failure no longer counts, for replicas that this router sends
+     * few requests to. It is longer than an ejection and the ramp-up after it.
+     */
+    private Duration retention() {
+        return mSettings.maxEjectionTime().plus(mSettings.rampUpTime()).multipliedBy(2);
     }
 
     private int maxEjected() {
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -132,6 +132,7 @@
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
         var chooser = ReplicaChooser.create(mView, loads, notices, mColdTurns, parts.mechanisms());
+        chooser.listen(mPeers::reportLoss);
         var health = ReplicaLiveness.create();
         mView.listen(
                 () -> {
@@ -150,7 +151,7 @@
                         parts.clock());
         var crashes = CrashingRequestDetector.create();
         crashes.listen(new FromCrashWatch());
-        mPeers.listen(new FromPeers(crashes, loads));
+        mPeers.listen(new FromPeers(chooser, crashes, loads));
         var context =
                 new ForwardingContext(
                         parts.clock(),
@@ -175,6 +176,7 @@
     private PeerGroup newPeers() {
         return PeerGroup.create(
                 mSettings.node(),
+                mSettings.domain(),
                 mView,
                 mParts.eras(),
                 mParts.loop(),
@@ -202,6 +204,7 @@
                 mRandom,
                 mSettings.node(),
                 mSettings.peers(),
+                mSettings.domain(),
                 mPeers::onMembers);
     }
 
@@ -242,6 +245,11 @@
         return !mStopping && mView.isComplete() && mCaughtUp;
     }
 
+    /** Returns the number of connections to this node that other nodes have opened. */
+    public int peerConnections() {
+        return mPeers.inboundConnections();
+    }
+
     /** Where the store may come back from a copy, peers are asked first what is in force. */
     private void noticeCaughtUp() {
         if (!mView.isComplete()) {
@@ -313,6 +321,7 @@
     }
 
     private void check() {
+        mPeers.flushLosses();
         mForwarder.checkTimeouts();
         noticeCaughtUp();
     }
@@ -418,10 +427,12 @@
 
     /** What comes from other nodes. */
     private final class FromPeers implements PeerGroup.Listener {
+        private final ReplicaChooser mChooser;
         private final CrashingRequestDetector mCrashes;
         private final ReplicaLoads mLoads;
 
-        FromPeers(CrashingRequestDetector crashes, ReplicaLoads loads) {
+        FromPeers(ReplicaChooser chooser, CrashingRequestDetector crashes, ReplicaLoads loads) {
+            mChooser = chooser;
             mCrashes = crashes;
             mLoads = loads;
         }
@@ -443,6 +454,16 @@
                     mParts.clock().monotonicTime());
         }
 
+        @Override
+        public void onLosses(AgentIncarnation replica, int answers) {
+            mChooser.onReportedLosses(replica, answers, mParts.clock().monotonicTime());
+        }
+
+        @Override
+        public void onMembersOutdated() {
+            mAnnouncer.refresh();
+        }
+
         @Override
         public void onNodes(int nodes) {
             mBudgets.onNodes(nodes);
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -4,11 +4,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.fescueport.internal.decision.FailureDomain;
 
 /**
  * What a router that reaches replicas directly is told at its start.
  *
  * @param node name of this process
+ * @param domain failure domain of its machine; its name is empty if unknown
  * @param callers where callers are served
  * @param admin where health is asked for
  * @param peers where other nodes connect
@@ -25,6 +27,7 @@
  */
 public record DirectRouterSettings(
         String node,
+        FailureDomain domain,
         InetSocketAddress callers,
         InetSocketAddress admin,
         InetSocketAddress peers,
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -315,7 +315,7 @@
         mAttempt = null;
         mMayHaveRun = true;
         long now = mContext.nowNanos();
-        mContext.chooser().onFailure(attempt.replica(), now);
+        mContext.chooser().onLost(attempt.replica(), now);
         mContext.crashes().onResponseLost(fingerprint(), attempt.replica(), now);
         log("lost", attempt, reason);
         if (mayRetry() && tryAcquireRetry()) {
--- a/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.relay.RelayTree;
 import org.fescueport.internal.direct.state.NodeEntry;
 
 /** The nodes that this one may connect to, in the order in which it prefers them. */
@@ -37,10 +39,19 @@
         mSeeds = seeds.stream().map(Candidate::new).toList();
     }
 
-    void onMembers(List<NodeEntry> before) {
-        List<NodeEntry> sorted = new ArrayList<>(before);
+    /**
+     * Sets the nodes that started before this one.
+     *
+     * @param own failure domain of this node
+     */
+    void onMembers(List<NodeEntry> earlier, FailureDomain own) {
+        List<NodeEntry> sorted = new ArrayList<>(earlier);
         sorted.sort(Comparator.comparing(NodeEntry::rank));
-        mMembers = sorted.stream().map(entry -> new Candidate(entry.address())).distinct().toList();
+        mMembers =
+                RelayTree.sources(sorted, NodeEntry::domain, own).stream()
+                        .map(entry -> new Candidate(entry.address()))
+                        .distinct()
+                        .toList();
     }
 
     int size() {
--- a/src/main/java/org/fescueport/internal/direct/peer/Deflation.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Deflation.java
@@ -1,28 +1,70 @@
 package org.fescueport.internal.direct.peer;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Arrays;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
+import org.fescueport.internal.wire.generated.PeerDeflated;
+import org.fescueport.internal.wire.generated.PeerMessage;
 
-/** Makes large values smaller on their way between nodes, and whole again. */
+/**
+ * Deflates large messages between nodes. A list of replicas consists of records that are nearly
+ * alike, and so does a configuration of its routes.
+ */
 final class Deflation {
-    /** Below this a value is sent as it is: a configuration is large, a replica is not. */
-    static final int LEAST_BYTES = 1_024;
+    /** Size in bytes below which a message is sent as it is. */
+    static final int MIN_BYTES = 1_024;
 
-    /** More than any value of the store has; a claim beyond it is nonsense. */
-    private static final int MOST_BYTES = 16 * 1_024 * 1_024;
+    /** Maximum inflated size in bytes; larger than the lists of a fleet of thousands. */
+    private static final int MAX_BYTES = 16 * 1_024 * 1_024;
 
     private Deflation() {}
 
-    static ByteString deflate(byte[] value) {
+    /** Returns a message that has the same content, deflated if it is large. */
+    static PeerMessage deflate(PeerMessage message) {
+        int size = message.getSerializedSize();
+        if (size < MIN_BYTES) {
+            return message;
+        }
+        var deflated =
+                PeerDeflated.newBuilder()
+                        .setMessage(deflate(message.toByteArray()))
+                        .setInflatedBytes(size);
+        return PeerMessage.newBuilder().setDeflated(deflated).build();
+    }
+
+    /**
+     * Returns the message that was deflated, or the message itself if it was not.
+     *
+     * @throws DataFormatException if the bytes are not a message of the stated size
+     */
+    static PeerMessage inflate(PeerMessage message) throws DataFormatException {
+        if (!message.hasDeflated()) {
+            return message;
+        }
+        PeerDeflated deflated = message.getDeflated();
+        try {
+            var inflated =
+                    PeerMessage.parseFrom(
+                            inflate(deflated.getMessage(), deflated.getInflatedBytes()));
+            if (inflated.hasDeflated()) {
+                throw new DataFormatException("a deflated message contains a deflated message");
+            }
+            return inflated;
+        } catch (InvalidProtocolBufferException e) {
+            throw new DataFormatException("a deflated message is invalid: " + e.getMessage());
+        }
+    }
+
+    private static ByteString deflate(byte[] value) {
         try (var deflater = new Deflater(Deflater.BEST_SPEED)) {
             deflater.setInput(value);
             deflater.finish();
             byte[] output = new byte[value.length];
             int length = 0;
-            // What doesn't shrink grows a little, so one array may not hold it.
+            // Data that cannot be compressed grows a little, so one array may be too small.
             while (!deflater.finished()) {
                 if (length == output.length) {
                     output = Arrays.copyOf(output, 2 * length);
@@ -33,23 +75,19 @@
         }
     }
 
-    /**
-     * Returns the value that was deflated.
-     *
-     * @param size of it
-     * @throws DataFormatException when the bytes are not a value of this size
-     */
-    static byte[] inflate(ByteString deflated, int size) throws DataFormatException {
-        if (size < 0 || size > MOST_BYTES) {
-            throw new DataFormatException("a value of " + size + " bytes is not believed");
+    private static byte[] inflate(ByteString deflated, int size) throws DataFormatException {
+        if (size < 0 || size > MAX_BYTES) {
+            throw new DataFormatException(
+                    "a deflated message states a size of " + size + " bytes, over " + MAX_BYTES);
         }
         try (var inflater = new Inflater()) {
             inflater.setInput(deflated.toByteArray());
-            // Room for one byte more shows a value that is longer than was said.
+            // One byte more than stated, to detect data that is longer.
             byte[] value = new byte[size + 1];
             int length = inflater.inflate(value);
             if (length != size || !inflater.finished()) {
-                throw new DataFormatException("a value has not the " + size + " bytes it says");
+                throw new DataFormatException(
+                        "a deflated message does not have the stated " + size + " bytes");
             }
             return Arrays.copyOf(value, size);
         }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
@@ -11,15 +12,25 @@
 import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerHello;
 import org.fescueport.internal.wire.generated.PeerMessage;
+import org.fescueport.internal.wire.generated.PeerPulse;
+import org.fescueport.internal.wire.generated.PeerSubtree;
 
 /** A connection to another node, opened by either side. */
 final class PeerConnection extends SimpleChannelInboundHandler<PeerMessage> {
+    /** Larger than the depth of any tree of nodes; a higher number is an error of the sender. */
+    private static final int MAX_RELAYS = 8;
+
+    /** Larger than any fleet; a higher number is an error of the sender. */
+    private static final int MAX_NODES = 100_000;
+
     private final PeerGroup mGroup;
     private final boolean mOutbound;
     private final Map<StateTopic, StorePosition> mKnownEnds = new EnumMap<>(StateTopic.class);
     private ChannelHandlerContext mContext;
     private Optional<PeerHello> mHello = Optional.empty();
+    private int mSubtreeNodes = 1;
     private boolean mReading;
+    private int mRelays;
     private long mPulseAtNanos;
     private long mOpenedNanos;
 
@@ -70,14 +81,34 @@
         mKnownEnds.put(StateTopic.REPLICAS, next);
     }
 
-    void onPulse(boolean reading, long nowNanos) {
-        mReading = reading;
+    void onPulse(PeerPulse pulse, long nowNanos) {
+        mReading = pulse.getReading();
+        mRelays = Math.clamp(pulse.getRelays(), 0, MAX_RELAYS);
         mPulseAtNanos = nowNanos;
     }
 
-    /** Returns whether the other side has told within this time that it reads the store. */
-    boolean isReading(long nowNanos, long maxAgeNanos) {
-        return mReading && nowNanos - mPulseAtNanos <= maxAgeNanos;
+    /** Returns whether the other side has told within this time that the store is being read. */
+    boolean isReading(long nowNanos, Duration maxAge) {
+        return mReading && nowNanos - mPulseAtNanos <= maxAge.toNanos();
+    }
+
+    /** Returns the number of nodes between the one that reads the store and this connection. */
+    int relays() {
+        return mRelays;
+    }
+
+    /** Sets the number of nodes that get their records through the other side, with itself. */
+    void onSubtree(int nodes) {
+        mSubtreeNodes = Math.clamp(nodes, 1, MAX_NODES);
+    }
+
+    /** Returns the number of nodes that get their records through the other side, with itself. */
+    int subtreeNodes() {
+        return mSubtreeNodes;
+    }
+
+    void sendSubtree(int nodes) {
+        send(PeerMessage.newBuilder().setSubtree(PeerSubtree.newBuilder().setNodes(nodes)).build());
     }
 
     /** Returns how long the connection has been open and the other side silent, at the least. */
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerFrame.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerFrame.java
@@ -27,7 +27,8 @@
         mBytes = bytes;
     }
 
-    static PeerFrame of(PeerMessage message) {
+    static PeerFrame of(PeerMessage content) {
+        PeerMessage message = Deflation.deflate(content);
         // The library would copy memory of the heap for each connection.
         int size = message.getSerializedSize() + LENGTH_BYTES;
         ByteBuf bytes = ByteBufAllocator.DEFAULT.directBuffer(size);
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -15,8 +16,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
+import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.EraTracker;
@@ -28,6 +33,7 @@
 import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerBeliefs;
 import org.fescueport.internal.wire.generated.PeerHello;
+import org.fescueport.internal.wire.generated.PeerLosses;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
 import org.fescueport.internal.wire.generated.PeerRecords;
@@ -36,19 +42,13 @@
 /**
  * The nodes of the fleet as this one sees them: one of them reads the store for the others.
  *
- * <p>Nodes are ranked by the order of their records in the store, so that each knows all that came
- * before it. Each connects to the first one there that answers, and leaves the reading to it while
- * it tells at a steady pace that it reads. Whoever reads itself passes news on to all that it is
- * connected with. Two that read at once cost calls and nothing else. Used by the event loop alone.
+ * <p>Nodes are ranked by the order of their records in the store, so each knows all that started
+ * before it. Each relies on one of those for records ({@link Upstream}) while that one sends pulses
+ * that tell that the store is being read, and relays records and pulses to the nodes that rely on
+ * it. A node without such a peer reads the store itself. Two that read at once cost calls and
+ * nothing else. Used by the event loop alone.
  */
 public final class PeerGroup {
-    /** A little more than the pace of readings; inside what a leaving replica allows. */
-    private static final Duration PULSE_AGE = Duration.ofMillis(1_250);
-
-    /** A connection that has told nothing for so long may have gone silent for good. */
-    private static final Duration SILENCE = Duration.ofMillis(2_500);
-
-    private static final Duration CONNECT_TIME = Duration.ofMillis(500);
     private static final int HIGH_WATER_BYTES = 4 * 1_024 * 1_024;
 
     /** Told what comes from peers. */
@@ -61,6 +61,12 @@
 
         /** So many nodes are counted now. */
         void onNodes(int nodes);
+
+        /** Other nodes have lost this many answers of a replica. */
+        void onLosses(AgentIncarnation replica, int answers);
+
+        /** None of the known nodes can be relied on; the list of nodes may be outdated. */
+        void onMembersOutdated();
     }
 
     /** Marks where a batch came from, so that it is not sent back. */
@@ -72,50 +78,51 @@
         }
     }
 
-    /** A connection to a node that has not yet told its rank. */
-    private record Trial(PeerConnection peer, Candidates.Candidate candidate, long sinceNanos) {}
-
     private final String mNode;
+    private final FailureDomain mDomain;
     private final FleetView mView;
     private final EraTracker mEras;
     private final Clock mClock;
     private final EventLog mLog;
     private final Bootstrap mBootstrap;
-    private final Candidates mCandidates;
+    private final Upstream mUpstream;
+    private final RecentStrikes mRecentStrikes;
+    private final LossRelay mLosses;
     private final Set<PeerConnection> mOpen = new LinkedHashSet<>();
     private Listener mListener;
-    private Optional<PeerConnection> mHub = Optional.empty();
-    private Optional<Candidates.Candidate> mHubCandidate = Optional.empty();
-    private Optional<Trial> mTrial = Optional.empty();
-    private Optional<StorePosition> mRank = Optional.empty();
-    private boolean mConnecting;
+    private int mFleetNodes;
     private boolean mStopped;
 
     private PeerGroup(
             String node,
+            FailureDomain domain,
             FleetView view,
             EraTracker eras,
             EventLoopGroup loop,
             Clock clock,
             EventLog log) {
         mNode = node;
+        mDomain = domain;
         mView = view;
         mEras = eras;
         mClock = clock;
         mLog = log;
-        mCandidates = new Candidates(clock);
-        mBootstrap = ClientSockets.on(loop, CONNECT_TIME);
+        mBootstrap = ClientSockets.on(loop, Upstream.CONNECT_TIMEOUT);
+        mUpstream = new Upstream(new UpstreamGroup(), clock, log);
+        mRecentStrikes = new RecentStrikes(clock);
+        mLosses = new LossRelay(clock);
     }
 
     /** Returns a group that knows no other node. */
     public static PeerGroup create(
             String node,
+            FailureDomain domain,
             FleetView view,
             EraTracker eras,
             EventLoopGroup loop,
             Clock clock,
             EventLog log) {
-        return new PeerGroup(node, view, eras, loop, clock, log);
+        return new PeerGroup(node, domain, view, eras, loop, clock, log);
     }
 
     /** Sets who is told what comes from peers. */
@@ -125,12 +132,17 @@
 
     /** Returns what prepares a connection that another node has opened. */
     public ChannelInitializer<Channel> initializer() {
-        return initializer(false);
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                prepare(channel, new PeerConnection(PeerGroup.this, false));
+            }
+        };
     }
 
     /** Names nodes that may know more while the store cannot be asked. */
-    public void onSeeds(List<java.net.InetSocketAddress> seeds) {
-        mCandidates.onSeeds(seeds);
+    public void onSeeds(List<InetSocketAddress> seeds) {
+        mUpstream.onSeeds(seeds);
     }
 
     /**
@@ -140,20 +152,18 @@
      * @param entries of all nodes, also of those that are gone
      */
     public void onMembers(StorePosition rank, List<NodeEntry> entries) {
-        mRank = Optional.of(rank);
-        mCandidates.onMembers(
+        List<NodeEntry> earlier =
                 entries.stream()
                         .filter(e -> e.rank().isBefore(rank) && !e.node().equals(mNode))
-                        .toList());
-        mLog.change("ranked").with("rank", rank).with("before", mCandidates.size()).write();
+                        .toList();
+        mUpstream.onMembers(rank, mDomain, earlier);
+        mLog.change("ranked").with("rank", rank).with("before", mUpstream.candidates()).write();
         mOpen.forEach(this::sendHello);
     }
 
     /** Returns whether a peer reads the store for this node. */
     public boolean isServed() {
-        long now = nowNanos();
-        return mHub.filter(hub -> precedes(hub) && hub.isReading(now, PULSE_AGE.toNanos()))
-                .isPresent();
+        return mUpstream.isServing();
     }
 
     /**
@@ -161,10 +171,10 @@
      * is the first one. The store may just have come back from a copy with an older one.
      */
     public boolean isCaughtUp() {
-        if (mRank.isEmpty()) {
+        if (mUpstream.ownRank().isEmpty()) {
             return false;
         }
-        if (mCandidates.size() == 0) {
+        if (mUpstream.candidates() == 0) {
             return true;
         }
         return mOpen.stream()
@@ -173,34 +183,56 @@
     }
 
     /**
-     * Looks after the connection to the first node before this one that answers.
+     * Looks after the connection to the node that this one relies on.
      *
      * @param storeAnswers whether this node can do without its peers
      */
     public void tick(boolean storeAnswers) {
-        if (mStopped) {
-            return;
-        }
-        long now = nowNanos();
-        if (mHub.isPresent() && isUseless(mHub.get(), storeAnswers, now)) {
-            mHub.get().close();
-        }
-        mTrial.filter(trial -> now - trial.sinceNanos() > CONNECT_TIME.toNanos())
-                .ifPresent(trial -> endTrial(trial, storeAnswers));
-        if (!mConnecting && mTrial.isEmpty()) {
-            boolean seeds = !storeAnswers && mHub.isEmpty();
-            mCandidates.next(mHubCandidate, seeds).ifPresent(this::connect);
+        if (!mStopped) {
+            mUpstream.tick(storeAnswers);
         }
     }
 
     /** Tells the nodes that rely on this one how its reading goes. */
     public void pulse(boolean reading) {
-        int nodes = nodes();
+        int nodes = countNodes();
+        sendPulse(reading, nodes, 0);
+        mListener.onNodes(nodes);
+    }
+
+    /**
+     * Returns the number of nodes of the fleet, as far as a node knows that reads the store itself.
+     * One that has lost the node which it relied on counts no fewer than before, so that the shares
+     * of the nodes do not add up to more than the whole.
+     */
+    private int countNodes() {
+        int known = mUpstream.candidates() == 0 ? 0 : mFleetNodes;
+        return Math.max(subtreeNodes(), known);
+    }
+
+    /** Returns the number of connections that other nodes have opened. */
+    public int inboundConnections() {
+        return (int) mOpen.stream().filter(peer -> !peer.isOutbound()).count();
+    }
+
+    /** Returns the number of nodes that get their records through this one, with itself. */
+    private int subtreeNodes() {
+        return 1
+                + mOpen.stream()
+                        .filter(peer -> !peer.isOutbound())
+                        .mapToInt(PeerConnection::subtreeNodes)
+                        .sum();
+    }
+
+    private void sendPulse(boolean reading, int nodes, int relays) {
         var pulse =
-                PeerPulse.newBuilder().setReading(reading).setNodes(nodes).setBeliefs(beliefs());
+                PeerPulse.newBuilder()
+                        .setReading(reading)
+                        .setNodes(nodes)
+                        .setBeliefs(beliefs())
+                        .setRelays(relays);
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
         sendToAll(message, peer -> !peer.isOutbound());
-        mListener.onNodes(nodes);
     }
 
     /**
@@ -226,9 +258,28 @@
 
     /** Tells all connected nodes that a request was lost with a replica. */
     public void spread(PeerStrike strike) {
+        mRecentStrikes.add(strike);
         sendToAll(PeerMessage.newBuilder().setStrike(strike).build(), peer -> true);
     }
 
+    /** Reports to the other nodes that this one has lost an answer of a replica. */
+    public void reportLoss(AgentIncarnation replica) {
+        mLosses.add(replica, 1, Optional.empty());
+    }
+
+    /** Sends the reported losses; must be called several times a second. */
+    public void flushLosses() {
+        if (mLosses.isEmpty()) {
+            return;
+        }
+        for (var peer : mOpen) {
+            mLosses.pendingFor(peer)
+                    .map(losses -> PeerMessage.newBuilder().setLosses(losses).build())
+                    .ifPresent(peer::send);
+        }
+        mLosses.clear();
+    }
+
     /** Ends all connections; none is opened any more. */
     public void stop() {
         mStopped = true;
@@ -246,24 +297,30 @@
 
     void onClosed(PeerConnection peer) {
         mOpen.remove(peer);
-        mTrial = mTrial.filter(trial -> trial.peer() != peer);
-        if (mHub.filter(hub -> hub == peer).isPresent()) {
-            mLog.change("peer-lost").with("peer", peer.name()).write();
-            mHub = Optional.empty();
-            mHubCandidate = Optional.empty();
-        }
+        mUpstream.onClosed(peer);
     }
 
     void onBroken(PeerConnection peer, Throwable cause) {
         mLog.change("peer-connection-broke").with("peer", peer.name()).with("cause", cause).write();
     }
 
-    void onMessage(PeerConnection peer, PeerMessage message) {
+    void onMessage(PeerConnection peer, PeerMessage received) {
+        PeerMessage message;
+        try {
+            message = Deflation.inflate(received);
+        } catch (DataFormatException e) {
+            // A node that has read this can't be relied on; another one is tried, or the store.
+            onBroken(peer, e);
+            peer.close();
+            return;
+        }
         switch (message.getBodyCase()) {
             case HELLO -> onHello(peer, message.getHello());
             case RECORDS -> onRecords(peer, message.getRecords());
             case PULSE -> onPulse(peer, message.getPulse());
             case STRIKE -> onStrike(peer, message);
+            case LOSSES -> onLosses(peer, message.getLosses());
+            case SUBTREE -> peer.onSubtree(message.getSubtree().getNodes());
             case BODY_NOT_SET ->
                     mLog.change("peer-message-unknown").with("peer", peer.name()).write();
             default -> throw new IllegalStateException("message " + message.getBodyCase());
@@ -272,7 +329,7 @@
 
     private void onHello(PeerConnection peer, PeerHello hello) {
         peer.onHello(hello);
-        mTrial.filter(trial -> trial.peer() == peer).ifPresent(this::judge);
+        mUpstream.onHello(peer);
         PeerBeliefs beliefs = hello.getBeliefs();
         mEras.onPeer(beliefs.getStoreEra());
         if (hasOlderConfiguration(beliefs) || drainedEnd(beliefs).isBefore(mView.drainedEnd())) {
@@ -317,15 +374,7 @@
     }
 
     private void onRecords(PeerConnection peer, PeerRecords records) {
-        RecordBatch batch;
-        try {
-            batch = PeerRecordsCodec.decode(records);
-        } catch (DataFormatException e) {
-            // A node that has read this can't be relied on; another one is tried, or the store.
-            onBroken(peer, e);
-            peer.close();
-            return;
-        }
+        RecordBatch batch = PeerRecordsCodec.decode(records);
         mView.onPeerRemovalGrace(Duration.ofMillis(records.getLapseGraceMs()), nowNanos());
         if (!mView.canApply(batch)) {
             sendHello(peer);
@@ -336,102 +385,57 @@
     }
 
     private void onPulse(PeerConnection peer, PeerPulse pulse) {
-        peer.onPulse(pulse.getReading(), nowNanos());
+        peer.onPulse(pulse, nowNanos());
         PeerBeliefs beliefs = pulse.getBeliefs();
         mEras.onPeer(beliefs.getStoreEra());
         if (hasNewerConfiguration(beliefs) || mView.drainedEnd().isBefore(drainedEnd(beliefs))) {
             sendHello(peer);
         }
-        if (mHub.filter(hub -> hub == peer).isPresent()) {
-            mListener.onNodes(pulse.getNodes());
+        if (mUpstream.is(peer)) {
+            onUpstreamPulse(peer, pulse);
         }
     }
 
-    /** Strikes go on to those who are not connected with the node that told it. */
-    private void onStrike(PeerConnection from, PeerMessage message) {
-        mListener.onStrike(message.getStrike());
-        if (!from.isOutbound()) {
-            sendToAll(message, peer -> peer != from && !peer.isOutbound());
+    /** Nodes that rely on this one are told as long as this one is served itself. */
+    private void onUpstreamPulse(PeerConnection peer, PeerPulse pulse) {
+        mFleetNodes = pulse.getNodes();
+        mListener.onNodes(mFleetNodes);
+        mUpstream.reportNodes(subtreeNodes());
+        if (mUpstream.isServing()) {
+            sendPulse(true, mFleetNodes, peer.relays() + 1);
         }
     }
 
-    private boolean isUseless(PeerConnection hub, boolean storeAnswers, long nowNanos) {
-        boolean silent = hub.silentNanos(nowNanos) > SILENCE.toNanos();
-        boolean wrongOrder = hub.hello().isPresent() && !precedes(hub);
-        return silent || (storeAnswers && wrongOrder);
-    }
-
-    /** Two nodes never rely on each other, as only one of them comes before the other. */
-    private boolean precedes(PeerConnection peer) {
-        return peer.rank().filter(this::isBeforeOwn).isPresent();
-    }
-
-    private boolean isBeforeOwn(StorePosition rank) {
-        return mRank.map(rank::isBefore).orElse(true);
-    }
-
-    private void connect(Candidates.Candidate candidate) {
-        mConnecting = true;
-        var handler = new PeerConnection(this, true);
-        mBootstrap
-                .clone()
-                .handler(initializer(handler))
-                .connect(candidate.address())
-                .addListener(
-                        done -> {
-                            mConnecting = false;
-                            if (done.isSuccess()) {
-                                onConnected(candidate, handler);
-                            } else {
-                                mCandidates.onFailed(candidate);
-                            }
-                        });
-    }
-
-    private void onConnected(Candidates.Candidate candidate, PeerConnection handler) {
-        mCandidates.onConnected(candidate);
-        mTrial = Optional.of(new Trial(handler, candidate, nowNanos()));
-    }
-
-    /**
-     * Relies on a node from now on if it comes before this one. A node that has started anew since
-     * its record was read comes later, and is not tried again.
-     */
-    private void judge(Trial trial) {
-        if (precedes(trial.peer())) {
-            promote(trial);
-        } else if (mRank.isPresent() && trial.peer().rank().isPresent()) {
-            mCandidates.onLaterLife(trial.candidate());
+    /** A strike reaches all nodes, along the connections between them. */
+    private void onStrike(PeerConnection from, PeerMessage message) {
+        if (mRecentStrikes.add(message.getStrike())) {
+            mListener.onStrike(message.getStrike());
+            sendToAll(message, peer -> peer != from);
         }
     }
 
-    private void promote(Trial trial) {
-        mTrial = Optional.empty();
-        Optional<PeerConnection> former = mHub;
-        mHub = Optional.of(trial.peer());
-        mHubCandidate = Optional.of(trial.candidate());
-        former.ifPresent(PeerConnection::close);
-        mLog.change("peer-connected").with("address", trial.candidate().address()).write();
-    }
-
-    /** Keeps a node that does not come before this one only while nothing better is known. */
-    private void endTrial(Trial trial, boolean storeAnswers) {
-        if (storeAnswers || mHub.isPresent()) {
-            trial.peer().close();
-        } else {
-            promote(trial);
+    private void onLosses(PeerConnection from, PeerLosses losses) {
+        for (var loss : losses.getReplicasList()) {
+            var replica = AgentIncarnation.of(NodeId.of(loss.getReplica()), loss.getLife());
+            int answers = mLosses.add(replica, loss.getAnswers(), Optional.of(from));
+            if (answers > 0) {
+                mListener.onLosses(replica, answers);
+            }
         }
     }
 
     private void sendHello(PeerConnection peer) {
+        StorePosition next = mView.next(StateTopic.REPLICAS);
         var hello =
                 PeerHello.newBuilder()
                         .setNode(mNode)
-                        .setNextReplica(mView.next(StateTopic.REPLICAS).offset())
-                        .setNextReplicaEra(mView.next(StateTopic.REPLICAS).era())
+                        .setNextReplica(next.offset())
+                        .setNextReplicaEra(next.era())
                         .setBeliefs(beliefs());
         // Offsets begin at 0, which stands for a rank that is not known.
-        mRank.ifPresent(rank -> hello.setRank(rank.offset() + 1).setRankEra(rank.era()));
+        mUpstream
+                .ownRank()
+                .ifPresent(rank -> hello.setRank(rank.offset() + 1).setRankEra(rank.era()));
         peer.send(PeerMessage.newBuilder().setHello(hello).build());
     }
 
@@ -452,26 +456,33 @@
         return PeerFrame.of(PeerRecordsCodec.encode(batch, mView.removalGrace(nowNanos())));
     }
 
-    private int nodes() {
-        return 1 + (int) mOpen.stream().filter(peer -> !peer.isOutbound()).count();
-    }
+    /** How the connection upstream is opened. */
+    private final class UpstreamGroup implements Upstream.Group {
+        @Override
+        public PeerConnection newConnection() {
+            return new PeerConnection(PeerGroup.this, true);
+        }
 
-    private ChannelInitializer<Channel> initializer(boolean outbound) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                prepare(channel, new PeerConnection(PeerGroup.this, outbound));
-            }
-        };
-    }
+        @Override
+        public void connect(
+                InetSocketAddress address, PeerConnection connection, Consumer<Boolean> done) {
+            mBootstrap
+                    .clone()
+                    .handler(
+                            new ChannelInitializer<>() {
+                                @Override
+                                protected void initChannel(Channel channel) {
+                                    prepare(channel, connection);
+                                }
+                            })
+                    .connect(address)
+                    .addListener(result -> done.accept(result.isSuccess()));
+        }
 
-    private static ChannelInitializer<Channel> initializer(PeerConnection handler) {
-        return new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                prepare(channel, handler);
-            }
-        };
+        @Override
+        public void onCandidatesExhausted() {
+            mListener.onMembersOutdated();
+        }
     }
 
     private static void prepare(Channel channel, PeerConnection handler) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.zip.DataFormatException;
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
@@ -34,33 +33,22 @@
                             .setEra(record.position().era())
                             .setKey(record.key())
                             .setRemoved(record.value().isEmpty());
-            record.value().ifPresent(value -> setValue(entry, value));
+            record.value().ifPresent(value -> entry.setValue(ByteString.copyFrom(value)));
             records.addEntries(entry);
         }
         return PeerMessage.newBuilder().setRecords(records).build();
     }
 
-    private static void setValue(PeerRecord.Builder entry, byte[] value) {
-        if (value.length < Deflation.LEAST_BYTES) {
-            entry.setValue(ByteString.copyFrom(value));
-        } else {
-            entry.setValue(Deflation.deflate(value)).setInflatedBytes(value.length);
-        }
-    }
-
-    /**
-     * Returns the records of a message.
-     *
-     * @throws DataFormatException when a value can't be read
-     */
-    static RecordBatch decode(PeerRecords records) throws DataFormatException {
+    /** Returns the records of a message. */
+    static RecordBatch decode(PeerRecords records) {
         List<StateRecord> entries = new ArrayList<>();
         for (var entry : records.getEntriesList()) {
             var position = StorePosition.of(entry.getEra(), entry.getOffset());
             entries.add(
                     entry.getRemoved()
                             ? StateRecord.removed(position, entry.getKey())
-                            : StateRecord.set(position, entry.getKey(), value(entry)));
+                            : StateRecord.set(
+                                    position, entry.getKey(), entry.getValue().toByteArray()));
         }
         StateTopic topic = records.getReplicas() ? StateTopic.REPLICAS : StateTopic.CONFIGURATION;
         return new RecordBatch(
@@ -70,10 +58,4 @@
                 records.getWhole(),
                 entries);
     }
-
-    private static byte[] value(PeerRecord entry) throws DataFormatException {
-        return entry.getInflatedBytes() == 0
-                ? entry.getValue().toByteArray()
-                : Deflation.inflate(entry.getValue(), entry.getInflatedBytes());
-    }
 }
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
@@ -55,6 +56,7 @@
     private final ColdReplicaLimiter mColdReplicaLimiter;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
+    private Consumer<AgentIncarnation> mLossListener = replica -> {};
 
     private ReplicaChooser(
             FleetView view,
@@ -176,6 +178,30 @@
         ejection(mView.pool(replica.pool())).onFailure(replica.id(), nowNanos);
     }
 
+    /**
+     * Records that a replica has lost the answer to a request, which is also reported to the other
+     * nodes.
+     */
+    public void onLost(ReplicaEntry replica, long nowNanos) {
+        onFailure(replica, nowNanos);
+        mLossListener.accept(replica.life());
+    }
+
+    /** Records that other nodes have lost answers of a replica; ignored for its former lives. */
+    public void onReportedLosses(AgentIncarnation replica, int answers, long nowNanos) {
+        mView.replica(replica.node())
+                .filter(entry -> entry.life().equals(replica))
+                .ifPresent(
+                        entry ->
+                                ejection(mView.pool(entry.pool()))
+                                        .onReportedLosses(entry.id(), answers, nowNanos));
+    }
+
+    /** Sets who is told of answers that replicas have lost. */
+    public void listen(Consumer<AgentIncarnation> lossListener) {
+        mLossListener = lossListener;
+    }
+
     /** Drops the state of pools that no longer exist. */
     public void onReplicasChanged() {
         mEjections.keySet().retainAll(mView.pools());
--- a/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
+++ b/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.direct.log.EventLog;
 
 /**
@@ -35,7 +36,7 @@
     /** Receives this node's rank and the list of all nodes. */
     @FunctionalInterface
     public interface Listener {
-        /** Called when the record has been written, and after each new era. */
+        /** Called when the record has been written, and whenever the list has been read again. */
         void onMembers(StorePosition rank, List<NodeEntry> entries);
     }
 
@@ -46,6 +47,7 @@
     private final RandomGenerator mRandom;
     private final String mNode;
     private final InetSocketAddress mAddress;
+    private final FailureDomain mDomain;
     private final Listener mListener;
     private Optional<StorePosition> mRank = Optional.empty();
     private long mGeneration;
@@ -58,6 +60,7 @@
             RandomGenerator random,
             String node,
             InetSocketAddress address,
+            FailureDomain domain,
             Listener listener) {
         mStore = store;
         mDecoder = decoder;
@@ -66,6 +69,7 @@
         mRandom = random;
         mNode = node;
         mAddress = address;
+        mDomain = domain;
         mListener = listener;
     }
 
@@ -78,13 +82,22 @@
             RandomGenerator random,
             String node,
             InetSocketAddress address,
+            FailureDomain domain,
             Listener listener) {
-        return new NodeRegistrar(store, decoder, loop, log, random, node, address, listener);
+        return new NodeRegistrar(
+                store, decoder, loop, log, random, node, address, domain, listener);
     }
 
     /** Starts to register the node; failed attempts are retried until one succeeds. */
     public void start() {
-        write(mGeneration, NodeRecord.first(mAddress));
+        write(mGeneration, NodeRecord.first(mAddress, mDomain));
+    }
+
+    /** Reads the list of nodes again, because none of those known can be relied on. */
+    public void refresh() {
+        if (mRank.isPresent()) {
+            read(mGeneration);
+        }
     }
 
     /** Writes the record again and then reads the other nodes, both after random delays. */
@@ -93,7 +106,7 @@
             return;
         }
         long generation = ++mGeneration;
-        NodeRecord record = NodeRecord.again(mAddress, mRank.get());
+        NodeRecord record = NodeRecord.again(mAddress, mDomain, mRank.get());
         scheduleGuarded(
                 generation, randomDelay(MAX_REWRITE_DELAY), () -> write(generation, record));
         scheduleRead(generation);
@@ -158,7 +171,7 @@
             try {
                 NodeRecord node = mDecoder.node(record.value().orElseThrow());
                 StorePosition rank = node.rank().orElse(record.position());
-                entries.add(new NodeEntry(record.key(), node.address(), rank));
+                entries.add(new NodeEntry(record.key(), node.address(), node.domain(), rank));
             } catch (StateDecoder.UnusableRecordException e) {
                 mLog.change("node-unusable")
                         .with("key", record.key())
--- a/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
+++ b/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
@@ -167,4 +167,43 @@
         mEjection.onSuccess(NodeId.of("r0"), 46 * SECOND);
         assertThat(share(NodeId.of("r0"), 46 * SECOND), is(1.0));
     }
+
+    @Test
+    void shouldEjectAReplicaThatOtherRoutersReport() {
+        var node = NodeId.of("r1");
+        mEjection.onFailure(node, 0);
+        mEjection.onReportedLosses(node, 2, 0);
+        assertThat(share(node, SECOND), is(1.0));
+        mEjection.onReportedLosses(node, 2, 0);
+        assertThat(share(node, SECOND), is(0.0));
+    }
+
+    @Test
+    void shouldNotEjectAReportedReplicaThatAnswersHere() {
+        var node = NodeId.of("r1");
+        for (int i = 0; i < 10; i++) {
+            mEjection.onReportedLosses(node, 4, i * SECOND);
+            mEjection.onSuccess(node, i * SECOND);
+        }
+        assertThat(share(node, 10 * SECOND), is(1.0));
+    }
+
+    @Test
+    void shouldIgnoreReportsAboutManyReplicasAtOnce() {
+        for (int round = 0; round < 3; round++) {
+            for (var replica : mSet.replicas()) {
+                mEjection.onReportedLosses(replica.node(), 1, SECOND);
+            }
+        }
+        assertThat(mEjection.ejected(SECOND), is(lessThanOrEqualTo(3)));
+    }
+
+    @Test
+    void shouldForgetReportsOfLongAgo() {
+        var node = NodeId.of("r1");
+        for (int i = 0; i < 20; i++) {
+            mEjection.onReportedLosses(node, 2, i * 200 * SECOND);
+        }
+        assertThat(share(node, 20 * 200 * SECOND), is(1.0));
+    }
 }
--- a/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
@@ -22,6 +22,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.direct.log.EventLog;
 import org.jmock.lib.concurrent.DeterministicScheduler;
@@ -141,6 +142,7 @@
                             random,
                             "node-" + number,
                             InetSocketAddress.createUnresolved("node-" + number, 80),
+                            FailureDomain.of("north"),
                             (rank, entries) -> mRank = Optional.of(rank));
             mEras.listen(this::onNewEra);
             mReader.start();
--- a/src/test/java/org/fescueport/internal/direct/state/HeartbeatDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/HeartbeatDecoder.java
@@ -36,10 +36,13 @@
         String[] parts = fields(value);
         var address = InetSocketAddress.createUnresolved(parts[0], 80);
         if (parts.length == 1) {
-            return NodeRecord.first(address);
+            return NodeRecord.first(address, FailureDomain.of("north"));
         }
         long era = Long.parseLong(parts[1]);
-        return NodeRecord.again(address, StorePosition.of(era, Long.parseLong(parts[2])));
+        return NodeRecord.again(
+                address,
+                FailureDomain.of("north"),
+                StorePosition.of(era, Long.parseLong(parts[2])));
     }
 
     static byte[] nodeRecord(NodeRecord node) {
--- a/src/test/java/org/fescueport/platform/LogStoreTest.java
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.EraTracker;
 import org.fescueport.internal.direct.state.NodeRecord;
@@ -35,6 +36,8 @@
 class LogStoreTest {
     private MultiThreadIoEventLoopGroup mLoop;
     private StoreStandIn mStandIn;
+    private static final FailureDomain DOMAIN = FailureDomain.of("north");
+
     private LogStore mStore;
     private EraTracker mEras;
     private final EventLog mLog =
@@ -150,8 +153,8 @@
     @Test
     void shouldAnnounceANode() throws Exception {
         var address = Addresses.parse("10.0.0.7:8229");
-        var first = await(() -> mStore.registerNode("edge-1", NodeRecord.first(address)));
-        var second = await(() -> mStore.registerNode("edge-2", NodeRecord.first(address)));
+        var first = await(() -> mStore.registerNode("edge-1", NodeRecord.first(address, DOMAIN)));
+        var second = await(() -> mStore.registerNode("edge-2", NodeRecord.first(address, DOMAIN)));
         assertThat(second, is(first.plus(1)));
         var page = await(() -> mStore.newest(StateTopic.NODES));
         assertThat(page.records().size(), is(2));
@@ -164,7 +167,11 @@
         var thrown =
                 assertThrows(
                         ExecutionException.class,
-                        () -> await(() -> mStore.registerNode("e", NodeRecord.first(address))));
+                        () ->
+                                await(
+                                        () ->
+                                                mStore.registerNode(
+                                                        "e", NodeRecord.first(address, DOMAIN))));
         var failure = (StoreException) thrown.getCause();
         assertThat(failure.reason(), is(StoreException.Cause.UNANSWERED));
     }
--- a/src/test/java/org/fescueport/platform/RecordDecoderTest.java
+++ b/src/test/java/org/fescueport/platform/RecordDecoderTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.direct.config.ApiKey;
 import org.fescueport.internal.direct.config.RequestKind;
@@ -177,8 +178,9 @@
         var address = Addresses.parse("10.0.0.7:8229");
         for (var node :
                 List.of(
-                        NodeRecord.first(address),
-                        NodeRecord.again(address, StorePosition.of(3, 17)))) {
+                        NodeRecord.first(address, FailureDomain.of("")),
+                        NodeRecord.again(
+                                address, FailureDomain.of("north"), StorePosition.of(3, 17)))) {
             assertThat(mDecoder.node(RecordDecoder.nodeRecord(node)), is(node));
         }
     }
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -220,7 +220,7 @@
     }
 
     private NodeRecord shown(NodeRecord node) {
-        return new NodeRecord(mShown.apply(node.address()), node.rank());
+        return new NodeRecord(mShown.apply(node.address()), node.domain(), node.rank());
     }
 
     private byte[] shown(byte[] node) {
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.direct.DirectRouter;
 import org.fescueport.internal.direct.DirectRouterSettings;
@@ -97,6 +98,7 @@
             throws IOException {
         return new DirectRouterSettings(
                 node,
+                FailureDomain.of("north"),
                 FreePorts.next(),
                 FreePorts.next(),
                 FreePorts.next(),
@@ -124,6 +126,11 @@
         return text.lastIndexOf("relying-on-peer") > text.lastIndexOf("reading-store");
     }
 
+    /** Returns how many other nodes get their records from this one directly. */
+    int peerConnections() {
+        return mRouter.peerConnections();
+    }
+
     boolean isReady() {
         return mRouter.isReady();
     }
