--- a/src/main/java/org/fescueport/internal/direct/peer/Deflation.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Deflation.java
@@ -1,11 +1,14 @@
 package org.fescueport.internal.direct.peer;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.Arrays;
+import com.google.protobuf.CodedInputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
 import java.util.zip.Inflater;
+import java.util.zip.InflaterInputStream;
 import org.fescueport.internal.wire.generated.PeerDeflated;
 import org.fescueport.internal.wire.generated.PeerMessage;
 
@@ -29,12 +32,23 @@
             return message;
         }
         var deflated =
-                PeerDeflated.newBuilder()
-                        .setMessage(deflate(message.toByteArray()))
-                        .setInflatedBytes(size);
+                PeerDeflated.newBuilder().setMessage(deflatedBytes(message)).setInflatedBytes(size);
         return PeerMessage.newBuilder().setDeflated(deflated).build();
     }
 
+    /** Streams the message, so that it is not held in memory a second time. */
+    private static ByteString deflatedBytes(PeerMessage message) {
+        ByteString.Output output = ByteString.newOutput();
+        try (var deflater = new Deflater(Deflater.BEST_SPEED);
+                var stream = new DeflaterOutputStream(output, deflater)) {
+            message.writeTo(stream);
+            stream.finish();
+            return output.toByteString();
+        } catch (IOException e) {
+            throw new UncheckedIOException("a message cannot be deflated in memory", e);
+        }
+    }
+
     /**
      * Returns the message that was deflated, or the message itself if it was not.
      *
@@ -44,52 +58,32 @@
         if (!message.hasDeflated()) {
             return message;
         }
-        PeerDeflated deflated = message.getDeflated();
-        try {
-            var inflated =
-                    PeerMessage.parseFrom(
-                            inflate(deflated.getMessage(), deflated.getInflatedBytes()));
-            if (inflated.hasDeflated()) {
-                throw new DataFormatException("a deflated message contains a deflated message");
-            }
-            return inflated;
-        } catch (InvalidProtocolBufferException e) {
-            throw new DataFormatException("a deflated message is invalid: " + e.getMessage());
-        }
-    }
-
-    private static ByteString deflate(byte[] value) {
-        try (var deflater = new Deflater(Deflater.BEST_SPEED)) {
-            deflater.setInput(value);
-            deflater.finish();
-            byte[] output = new byte[value.length];
-            int length = 0;
-            // Data that cannot be compressed grows a little, so one array may be too small.
-            while (!deflater.finished()) {
-                if (length == output.length) {
-                    output = Arrays.copyOf(output, 2 * length);
-                }
-                length += deflater.deflate(output, length, output.length - length);
-            }
-            return ByteString.copyFrom(output, 0, length);
-        }
-    }
-
-    private static byte[] inflate(ByteString deflated, int size) throws DataFormatException {
+        int size = message.getDeflated().getInflatedBytes();
         if (size < 0 || size > MAX_BYTES) {
             throw new DataFormatException(
                     "a deflated message states a size of " + size + " bytes, over " + MAX_BYTES);
         }
-        try (var inflater = new Inflater()) {
-            inflater.setInput(deflated.toByteArray());
+        PeerMessage inflated = inflate(message.getDeflated().getMessage(), size);
+        if (inflated.hasDeflated()) {
+            throw new DataFormatException("a deflated message contains a deflated message");
+        }
+        return inflated;
+    }
+
+    private static PeerMessage inflate(ByteString deflated, int size) throws DataFormatException {
+        try (var inflater = new Inflater();
+                var stream = new InflaterInputStream(deflated.newInput(), inflater)) {
+            CodedInputStream input = CodedInputStream.newInstance(stream);
             // One byte more than stated, to detect data that is longer.
-            byte[] value = new byte[size + 1];
-            int length = inflater.inflate(value);
-            if (length != size || !inflater.finished()) {
+            input.setSizeLimit(size + 1);
+            var message = PeerMessage.parseFrom(input);
+            if (input.getTotalBytesRead() != size || !inflater.finished()) {
                 throw new DataFormatException(
                         "a deflated message does not have the stated " + size + " bytes");
             }
-            return Arrays.copyOf(value, size);
+            return message;
+        } catch (IOException e) {
+            throw new DataFormatException("a deflated message is invalid: " + e.getMessage());
         }
     }
 }
