Tell one another which replicas have a long prompt prefix cached

The ranking tells where a prefix is only while it was always served by its first rank; replicas that were drained, ejected or cold by turns break that. Entries of a replica that has started since do not count. The line `sent` names the holder. Mechanism prefix-holders. Check: ReplicaChooserTest.shouldNameAReplicaThatHasThePrefixWhileReplicasAreEjectedByTurns (1, 26, 300 nodes: over 0.99 of the replicas named have it; below 0.9 without), shouldReportNothingWhileEachPrefixGoesToItsFirstReplica.

--- a/src/main/java/org/fescueport/internal/decision/Mechanism.java
+++ b/src/main/java/org/fescueport/internal/decision/Mechanism.java
@@ -24,6 +24,8 @@
     FREE_SLOTS_FIRST,
     /** The chosen replica is told which other replica may have the prompt in its cache. */
     FORMER_HOME,
+    /** Nodes tell one another which replicas have a prompt cached, where the ranking does not. */
+    PREFIX_HOLDERS,
     /** Requests move to another replica when their replica stops responding. */
     MOVING_ON,
     /** Replicas that fail repeatedly are skipped. */
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.Mechanisms;
+import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
@@ -132,7 +133,7 @@
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
         var chooser = ReplicaChooser.create(mView, loads, notices, mColdTurns, parts.mechanisms());
-        chooser.listen(mPeers::reportLoss);
+        chooser.listen(new FromChooser());
         var health = ReplicaLiveness.create();
         mView.listen(
                 () -> {
@@ -321,7 +322,7 @@
     }
 
     private void check() {
-        mPeers.flushLosses();
+        mPeers.flushReports();
         mForwarder.checkTimeouts();
         noticeCaughtUp();
     }
@@ -393,6 +394,19 @@
         mPeers.spread(batch.topic(), news, origin);
     }
 
+    /** What this node finds about replicas that the others should know. */
+    private final class FromChooser implements ReplicaChooser.Reports {
+        @Override
+        public void onLoss(AgentIncarnation replica) {
+            mPeers.reportLoss(replica);
+        }
+
+        @Override
+        public void onHolder(long prefix, NodeId replica) {
+            mPeers.reportHolder(prefix, replica);
+        }
+    }
+
     /** What this node finds about requests that replicas may have died of. */
     private final class FromCrashWatch implements CrashingRequestDetector.Listener {
         @Override
@@ -454,6 +468,11 @@
                     mParts.clock().monotonicTime());
         }
 
+        @Override
+        public boolean onHolder(long prefix, NodeId replica) {
+            return mChooser.onReportedHolder(prefix, replica, mParts.clock().monotonicTime());
+        }
+
         @Override
         public void onLosses(AgentIncarnation replica, int answers) {
             mChooser.onReportedLosses(replica, answers, mParts.clock().monotonicTime());
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -21,7 +21,9 @@
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
 import org.fescueport.internal.direct.forward.ForwardingMetrics.End;
+import org.fescueport.internal.direct.log.LogLine;
 import org.fescueport.internal.direct.place.AffinityKeys;
+import org.fescueport.internal.direct.place.ReplicaChooser;
 
 /**
  * Forwards one request of a caller, from the arrival of its last byte until its response has been
@@ -46,6 +48,12 @@
     /** Lowest status that counts as a failure of the replica. */
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /**
+     * Length of a shared prefix from which other nodes are told where it is cached; a shorter one
+     * is computed in about the time that it takes to fetch it.
+     */
+    private static final int MIN_REPORTED_TOKENS = 1_500;
+
     /** Team of callers without an API key, on routes that require none. */
     private static final TeamId NO_TEAM = TeamId.of("");
 
@@ -369,7 +377,10 @@
         checkSendAllowed();
         mAttempt = new Attempt(this, mContext, replica, mAttemptCount);
         mContext.metrics().onSend(mAttemptCount > 1);
-        log("sent", mAttempt, why);
+        logSent(chosen.get(), why);
+        if (mRequest.prompt().sharedTokens() >= MIN_REPORTED_TOKENS) {
+            mContext.chooser().onPrefixSent(replica, mAffinity, now);
+        }
         var dispatch =
                 new Dispatch(
                         replica,
@@ -543,9 +554,18 @@
                 .write();
     }
 
+    private void logSent(ReplicaChooser.Selection chosen, String reason) {
+        String holder = chosen.cacheHolder().map(r -> r.id().name()).orElse("");
+        line("sent", mAttempt, reason).with("cache_holder", holder).write();
+    }
+
     private void log(String event, Attempt attempt, String reason) {
+        line(event, attempt, reason).write();
+    }
+
+    private LogLine line(String event, Attempt attempt, String reason) {
         long now = mContext.nowNanos();
-        mContext.log()
+        return mContext.log()
                 .decision(event)
                 .with("request", mRequest.id())
                 .with("replica", attempt.replica().id())
@@ -553,7 +573,6 @@
                 .with("reason", reason)
                 .with("prefix", mRequest.prompt().sharedPart())
                 .with("held", mContext.loads().placementLoad(attempt.replica().id(), now))
-                .with("left_ms", mRequestClock.remainingMillis())
-                .write();
+                .with("left_ms", mRequestClock.remainingMillis());
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
@@ -21,6 +21,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the number of tokens that other requests may share. */
+    public int sharedTokens() {
+        return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(Part::tokens).sum();
+    }
+
     /** Returns the id of the last part that other requests may share; empty if there is none. */
     public String sharedPart() {
         return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -33,6 +33,8 @@
 import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerBeliefs;
 import org.fescueport.internal.wire.generated.PeerHello;
+import org.fescueport.internal.wire.generated.PeerHolder;
+import org.fescueport.internal.wire.generated.PeerHolders;
 import org.fescueport.internal.wire.generated.PeerLosses;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
@@ -62,6 +64,13 @@
         /** So many nodes are counted now. */
         void onNodes(int nodes);
 
+        /**
+         * A replica has a prompt prefix cached.
+         *
+         * @return whether this was not known here
+         */
+        boolean onHolder(long prefix, NodeId replica);
+
         /** Other nodes have lost this many answers of a replica. */
         void onLosses(AgentIncarnation replica, int answers);
 
@@ -88,6 +97,7 @@
     private final Upstream mUpstream;
     private final RecentStrikes mRecentStrikes;
     private final LossRelay mLosses;
+    private final HolderRelay mHolders = new HolderRelay();
     private final Set<PeerConnection> mOpen = new LinkedHashSet<>();
     private Listener mListener;
     private int mFleetNodes;
@@ -267,8 +277,31 @@
         mLosses.add(replica, 1, Optional.empty());
     }
 
-    /** Sends the reported losses; must be called several times a second. */
-    public void flushLosses() {
+    /** Reports to the other nodes that a replica has a prompt prefix cached. */
+    public void reportHolder(long prefix, NodeId replica) {
+        mHolders.add(
+                PeerHolder.newBuilder().setPrefix(prefix).setReplica(replica.name()).build(),
+                Optional.empty());
+    }
+
+    /** Sends what has been reported; must be called many times a second. */
+    public void flushReports() {
+        flushHolders();
+        flushLosses();
+    }
+
+    private void flushHolders() {
+        if (!mHolders.take()) {
+            return;
+        }
+        for (var peer : mOpen) {
+            mHolders.messageFor(peer)
+                    .map(holders -> PeerMessage.newBuilder().setHolders(holders).build())
+                    .ifPresent(peer::send);
+        }
+    }
+
+    private void flushLosses() {
         if (mLosses.isEmpty()) {
             return;
         }
@@ -319,6 +352,7 @@
             case RECORDS -> onRecords(peer, message.getRecords());
             case PULSE -> onPulse(peer, message.getPulse());
             case STRIKE -> onStrike(peer, message);
+            case HOLDERS -> onHolders(peer, message.getHolders());
             case LOSSES -> onLosses(peer, message.getLosses());
             case SUBTREE -> peer.onSubtree(message.getSubtree().getNodes());
             case BODY_NOT_SET ->
@@ -414,6 +448,14 @@
         }
     }
 
+    private void onHolders(PeerConnection from, PeerHolders holders) {
+        for (var holder : holders.getHoldersList()) {
+            if (mListener.onHolder(holder.getPrefix(), NodeId.of(holder.getReplica()))) {
+                mHolders.add(holder, Optional.of(from));
+            }
+        }
+    }
+
     private void onLosses(PeerConnection from, PeerLosses losses) {
         for (var loss : losses.getReplicasList()) {
             var replica = AgentIncarnation.of(NodeId.of(loss.getReplica()), loss.getLife());
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
@@ -15,6 +15,7 @@
 import org.fescueport.internal.decision.ejection.OutlierEjection;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
+import org.fescueport.internal.decision.placement.PrefixHolders;
 import org.fescueport.internal.decision.placement.PrefixPlacement;
 import org.fescueport.internal.decision.placement.Ranking;
 import org.fescueport.internal.decision.placement.Replica;
@@ -43,6 +44,25 @@
     /** Time after which a new replica has computed or fetched the prompts that are in use. */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(20);
 
+    /** Told what the other nodes should know. */
+    public interface Reports {
+        /** Reports nothing. */
+        Reports NONE =
+                new Reports() {
+                    @Override
+                    public void onLoss(AgentIncarnation replica) {}
+
+                    @Override
+                    public void onHolder(long prefix, NodeId replica) {}
+                };
+
+        /** A replica has lost the answer to a request. */
+        void onLoss(AgentIncarnation replica);
+
+        /** A replica gets a prefix that the other nodes do not expect there. */
+        void onHolder(long prefix, NodeId replica);
+    }
+
     /**
      * The replica that a request is sent to.
      *
@@ -56,7 +76,8 @@
     private final ColdReplicaLimiter mColdReplicaLimiter;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
-    private Consumer<AgentIncarnation> mLossListener = replica -> {};
+    private final PrefixHolders mHolders = PrefixHolders.create();
+    private Reports mReports = Reports.NONE;
 
     private ReplicaChooser(
             FleetView view,
@@ -107,7 +128,7 @@
         chosen.filter(replica -> isRateLimited(replica, coldRate, nowNanos))
                 .ifPresent(replica -> mColdReplicaLimiter.onSent(incarnationOf(replica)));
         return chosen.flatMap(replica -> mView.replica(replica.node()))
-                .map(replica -> new Selection(replica, formerHome(replica, affinity, nowNanos)));
+                .map(replica -> new Selection(replica, cacheHolder(replica, affinity, nowNanos)));
     }
 
     /**
@@ -145,24 +166,78 @@
         return AgentIncarnation.of(replica.node(), replica.incarnation());
     }
 
-    /**
-     * Returns the replica that requests with this key were sent to before replicas joined or left,
-     * or before its load made them spill over; it may still have their prompt cached.
-     */
-    private Optional<ReplicaEntry> formerHome(
+    /** Returns another replica that may have the prompt cached, if the chosen one may not. */
+    private Optional<ReplicaEntry> cacheHolder(
             ReplicaEntry chosen, Affinity affinity, long nowNanos) {
         if (!affinity.cacheable() || !mMechanisms.isEnabled(Mechanism.FORMER_HOME)) {
             return Optional.empty();
         }
-        ReplicaSet holders = mView.cacheHolders(chosen.pool());
+        List<ReplicaEntry> known = knownHolders(affinity, nowNanos);
+        if (known.stream().anyMatch(holder -> holder.id().equals(chosen.id()))) {
+            return Optional.empty();
+        }
+        return known.stream()
+                .findFirst()
+                .or(() -> settledHome(chosen.pool(), affinity, nowNanos))
+                .filter(home -> !home.id().equals(chosen.id()))
+                .filter(home -> !mNotices.isPaused(home.life(), nowNanos));
+    }
+
+    /** Returns the replicas that are known to have the prefix cached, the newest first. */
+    private List<ReplicaEntry> knownHolders(Affinity affinity, long nowNanos) {
+        return mHolders.holders(affinity.key()).stream()
+                .filter(holder -> mView.joinedBefore(holder.replica(), holder.sinceNanos()))
+                .flatMap(holder -> mView.replica(holder.replica()).stream())
+                .filter(replica -> !mNotices.isPaused(replica.life(), nowNanos))
+                .toList();
+    }
+
+    /**
+     * Records that a replica gets a long prefix, and reports it to the other nodes unless they
+     * expect the replica to have it: it is the first one by rank, and the prefix has not been sent
+     * anywhere else.
+     */
+    public void onPrefixSent(ReplicaEntry replica, Affinity affinity, long nowNanos) {
+        if (!affinity.cacheable() || !mMechanisms.isEnabled(Mechanism.PREFIX_HOLDERS)) {
+            return;
+        }
+        long prefix = affinity.key();
+        boolean expected =
+                mHolders.holders(prefix).isEmpty()
+                        && settledHome(replica.pool(), affinity, nowNanos)
+                                .filter(home -> home.id().equals(replica.id()))
+                                .isPresent();
+        if (!expected && addHolder(prefix, replica.id(), nowNanos)) {
+            mReports.onHolder(prefix, replica.id());
+        }
+    }
+
+    /** Records what another node has reported; returns whether it was not known here. */
+    public boolean onReportedHolder(long prefix, NodeId replica, long nowNanos) {
+        return mView.replica(replica).isPresent() && addHolder(prefix, replica, nowNanos);
+    }
+
+    private boolean addHolder(long prefix, NodeId replica, long nowNanos) {
+        mHolders.holders(prefix).stream()
+                .filter(holder -> holder.replica().equals(replica))
+                .filter(holder -> !mView.joinedBefore(replica, holder.sinceNanos()))
+                .findFirst()
+                .ifPresent(stale -> mHolders.remove(prefix, replica));
+        return mHolders.add(prefix, replica, nowNanos);
+    }
+
+    /**
+     * Returns the replica that requests with this key were sent to before replicas joined or left,
+     * or before its load made them spill over.
+     */
+    private Optional<ReplicaEntry> settledHome(PoolId pool, Affinity affinity, long nowNanos) {
+        ReplicaSet holders = mView.cacheHolders(pool);
         Ranking ranking = Ranking.of(holders, affinity);
         long settled = nowNanos - SETTLING_TIME.toNanos();
         for (int index = ranking.next(); index >= 0; index = ranking.next()) {
             NodeId id = holders.replica(index).node();
             if (mView.joinedBefore(id, settled)) {
-                return mView.replica(id)
-                        .filter(home -> !home.id().equals(chosen.id()))
-                        .filter(home -> !mNotices.isPaused(home.life(), nowNanos));
+                return mView.replica(id);
             }
         }
         return Optional.empty();
@@ -184,7 +259,7 @@
      */
     public void onLost(ReplicaEntry replica, long nowNanos) {
         onFailure(replica, nowNanos);
-        mLossListener.accept(replica.life());
+        mReports.onLoss(replica.life());
     }
 
     /** Records that other nodes have lost answers of a replica; ignored for its former lives. */
@@ -197,9 +272,9 @@
                                         .onReportedLosses(entry.id(), answers, nowNanos));
     }
 
-    /** Sets who is told of answers that replicas have lost. */
-    public void listen(Consumer<AgentIncarnation> lossListener) {
-        mLossListener = lossListener;
+    /** Sets who is told what the other nodes should know. */
+    public void listen(Reports reports) {
+        mReports = reports;
     }
 
     /** Drops the state of pools that no longer exist. */
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,7 @@
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
@@ -35,6 +37,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ReplicaChooserTest {
@@ -319,4 +322,113 @@
         }
         assertThat(mChooser.choose(POOL, key(1), all, 0).isPresent(), is(false));
     }
+
+    /** Nodes that see the same replicas and tell one another which ones have a prefix cached. */
+    private final class Nodes {
+        private final List<ReplicaChooser> mChoosers = new ArrayList<>();
+        private final Map<NodeId, Set<Affinity>> mCached = new HashMap<>();
+        private final SplittableRandom mRandom = new SplittableRandom(3);
+        private int mMissing;
+        private int mFetched;
+        private int mReports;
+
+        Nodes(int nodes, Mechanisms mechanisms) {
+            for (int i = 0; i < nodes; i++) {
+                var chooser =
+                        ReplicaChooser.create(
+                                mView,
+                                mLoads,
+                                ReplicaNotices.create(),
+                                mColdReplicaLimiter,
+                                mechanisms);
+                chooser.listen(
+                        new ReplicaChooser.Reports() {
+                            @Override
+                            public void onLoss(AgentIncarnation replica) {}
+
+                            @Override
+                            public void onHolder(long prefix, NodeId replica) {
+                                mReports++;
+                                mChoosers.forEach(c -> c.onReportedHolder(prefix, replica, 0));
+                            }
+                        });
+                mChoosers.add(chooser);
+            }
+        }
+
+        /** Each prefix is requested several times, at any of the nodes. */
+        void ask(int prefixes, long nowNanos) {
+            for (int i = 0; i < 5 * prefixes; i++) {
+                ask(key(i % prefixes), nowNanos);
+            }
+        }
+
+        private void ask(Affinity key, long nowNanos) {
+            var chooser = mChoosers.get(mRandom.nextInt(mChoosers.size()));
+            var selection = chooser.choose(POOL, key, Set.of(), nowNanos).orElseThrow();
+            var chosen = selection.replica();
+            boolean cached = cached(chosen.id()).contains(key);
+            boolean elsewhere = mCached.values().stream().anyMatch(c -> c.contains(key));
+            if (!cached && elsewhere) {
+                mMissing++;
+                var holder = selection.cacheHolder().map(ReplicaEntry::id);
+                mFetched += holder.filter(h -> cached(h).contains(key)).isPresent() ? 1 : 0;
+            }
+            chooser.onPrefixSent(chosen, key, nowNanos);
+            cached(chosen.id()).add(key);
+        }
+
+        private Set<Affinity> cached(NodeId replica) {
+            return mCached.computeIfAbsent(replica, id -> new HashSet<>());
+        }
+
+        /** All nodes see this replica fail. */
+        void eject(NodeId replica, long nowNanos) {
+            var entry = mView.replica(replica).orElseThrow();
+            for (var chooser : mChoosers) {
+                chooser.onFailure(entry, nowNanos);
+                chooser.onFailure(entry, nowNanos);
+            }
+        }
+
+        double fetchedShare() {
+            return (double) mFetched / mMissing;
+        }
+    }
+
+    /**
+     * Some replicas fail when prefixes are requested for the first time, others later. Prefixes go
+     * to replicas by turns that the ranking alone does not tell.
+     */
+    @ParameterizedTest
+    @CsvSource({"1", "26", "300"})
+    void shouldNameAReplicaThatHasThePrefixWhileReplicasAreEjectedByTurns(int nodes) {
+        Map<Boolean, Double> shares = new HashMap<>();
+        for (boolean reports : List.of(true, false)) {
+            var mechanisms = reports ? Mechanisms.all() : Mechanisms.without("prefix-holders");
+            var fleet = new Nodes(nodes, mechanisms);
+            for (int round = 0; round < REPLICAS; round++) {
+                long now = 60L * (round + 1) * SECOND;
+                fleet.eject(NodeId.of("r" + round), now);
+                fleet.ask(200, now);
+            }
+            shares.put(reports, fleet.fetchedShare());
+        }
+        assertThat(shares.get(true), is(greaterThan(0.99)));
+        assertThat(shares.get(false), is(lessThan(0.9)));
+    }
+
+    @Test
+    void shouldReportNothingWhileEachPrefixGoesToItsFirstReplica() {
+        var fleet = new Nodes(26, Mechanisms.all());
+        fleet.ask(500, 60 * SECOND);
+        assertThat(fleet.mReports, is(0));
+    }
+
+    @Test
+    void shouldIgnoreReportsAboutUnknownReplicas() {
+        assertThat(mChooser.onReportedHolder(1, NodeId.of("nobody"), 0), is(false));
+        assertThat(mChooser.onReportedHolder(1, NodeId.of("r1"), 0), is(true));
+        assertThat(mChooser.onReportedHolder(1, NodeId.of("r1"), 0), is(false));
+    }
 }
