Repeat a failed request at the same replica when no other one is left

Ruled out: a retry at the same replica in general; another one is still asked first. Lost or refused answers are not repeated there.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -73,6 +73,10 @@
     private int mAttemptCount;
     private int mUnsentAttempts;
     private boolean mMayHaveRun;
+
+    /** Whether the last replica has answered with an error, and a second answer may be better. */
+    private boolean mMayRepeatAtSameReplica;
+
     private boolean mSilenceHandled;
     private Attempt mAttempt;
     private Optional<AdmissionControl.Ticket> mTicket = Optional.empty();
@@ -309,6 +313,7 @@
         mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
         log("failed-answer", attempt, "status " + head.status());
         if (mayRetry() && tryAcquireRetry()) {
+            mMayRepeatAtSameReplica = true;
             retry("failed answer");
         } else if (head.statusImpliesNotRun()) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "the replica's answer promises what it cannot");
@@ -367,6 +372,10 @@
     private void sendToNextReplica(String why) {
         long now = mContext.nowNanos();
         var chosen = mContext.chooser().choose(mPool, mAffinity, mTriedReplicas, now);
+        if (chosen.isEmpty() && mMayRepeatAtSameReplica) {
+            chosen = mContext.chooser().choose(mPool, mAffinity, Set.of(), now);
+        }
+        mMayRepeatAtSameReplica = false;
         if (chosen.isEmpty()) {
             onNoReplica();
             return;
--- a/src/test/java/org/fescueport/platform/ForwardingTest.java
+++ b/src/test/java/org/fescueport/platform/ForwardingTest.java
@@ -93,6 +93,18 @@
         }
     }
 
+    /** The other replicas of the pool are drained or replaced, and some requests fail. */
+    @Test
+    void shouldRepeatRequestAtTheOnlyReplicaAfterAnErrorResponse() throws Exception {
+        Script error = (request, wire) -> wire.answer(500, headersFor(request), new byte[0]);
+        try (var fleet = Installation.start(firstThen(error, GOOD), STREAM)) {
+            fleet.store().remove("keyed.servers", "api-2");
+            Await.until("it is gone", () -> fleet.router().lines().contains("replica-gone"));
+            assertThat(fleet.ask(get("/safe/x")).status(), is(200));
+            assertThat(fleet.arrivals("api"), is(2));
+        }
+    }
+
     @Test
     void shouldNotReportNotRunWhenNoReplicaIsLeftForRetry() throws Exception {
         List<ReplicaStandIn> replicas = new ArrayList<>();
