Use a long list of replicas as its parts arrive

Ruled out: asking peers first: all of them start at the same moment. Change: while no list is known yet, the records of each page are used as they arrive. The node says it is ready when the whole list has been read, as before, and passes nothing on before that. Check: BelievedStateTest.shouldServeWithPartOfALongListWhileTheRestIsRead (not run on the code before), EraModelTest, LogStoreTest, EraTest, RelayTreeRoutersTest green.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -45,6 +46,7 @@
 import org.fescueport.internal.direct.state.RecordBatch;
 import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.internal.direct.state.StateReader;
+import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateStore;
 import org.fescueport.internal.wire.generated.PeerStrike;
 
@@ -433,6 +435,11 @@
             take(batch, Optional.empty());
         }
 
+        @Override
+        public void onFirstReplicas(List<StateRecord> records) {
+            mView.applyFirstReplicas(records, mParts.clock().monotonicTime());
+        }
+
         @Override
         public void onReplicasRead(boolean answered) {
             mPeers.pulse(answered);
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -80,6 +80,11 @@
         return mConfiguration.isPresent() && mReplicas.areListed();
     }
 
+    /** Returns whether a whole list of replicas has been read. */
+    public boolean areReplicasListed() {
+        return mReplicas.areListed();
+    }
+
     /** Returns the replicas of a pool that accept new requests. */
     public ReplicaSet pool(PoolId pool) {
         return orEmpty(pool, mPools.get(pool));
@@ -190,6 +195,14 @@
         return updates;
     }
 
+    /** Applies some records of a list whose end has not been read yet. */
+    public void applyFirstReplicas(List<StateRecord> records, long nowNanos) {
+        var batch =
+                RecordBatch.incremental(
+                        StateTopic.REPLICAS, StorePosition.START, StorePosition.START, records);
+        applyBatch(batch, nowNanos);
+    }
+
     /** Returns whether the replicas that accept requests may have changed. */
     private boolean applyConfigurationBatch(
             RecordBatch batch, long nowNanos, List<StateRecord> updates) {
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -37,6 +38,12 @@
         /** Called with the records of each successful read. */
         void onBatch(RecordBatch batch);
 
+        /**
+         * Called with replica records as they arrive while the first list is being read, so that
+         * requests need not wait for the end of a long list.
+         */
+        void onFirstReplicas(List<StateRecord> records);
+
         /** Called after each read of the replicas, which happen at a fixed interval. */
         void onReplicasRead(boolean answered);
     }
@@ -170,7 +177,7 @@
 
         void readNewest() {
             long generation = mGeneration;
-            mStore.newest(mTopic)
+            mStore.newest(mTopic, this::onPart)
                     .whenComplete(
                             (page, failure) -> {
                                 Optional<StoreException> lost = asStoreException(failure);
@@ -181,6 +188,12 @@
                             });
         }
 
+        private void onPart(List<StateRecord> records) {
+            if (mTopic == StateTopic.REPLICAS && !mView.areReplicasListed()) {
+                mListener.onFirstReplicas(records);
+            }
+        }
+
         private void readNext() {
             long turn = mGeneration;
             StorePosition from = mView.next(mTopic);
--- a/src/main/java/org/fescueport/internal/direct/state/StateStore.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateStore.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /**
  * The shared, durable store.
@@ -23,7 +24,17 @@
     record Page(List<StateRecord> records, StorePosition end) {}
 
     /** Reads the newest record of each key. */
-    CompletableFuture<Page> newest(StateTopic topic);
+    default CompletableFuture<Page> newest(StateTopic topic) {
+        return newest(topic, records -> {});
+    }
+
+    /**
+     * Reads the newest record of each key.
+     *
+     * @param onPart receives the records of each part as it arrives, where the list comes in
+     *     several parts; the page contains them again
+     */
+    CompletableFuture<Page> newest(StateTopic topic, Consumer<List<StateRecord>> onPart);
 
     /**
      * Reads the records from a position on. The era of the response may differ from that of the
--- a/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
@@ -180,6 +180,11 @@
                 mView.applyBatch(batch, mClock.monotonicTime());
             }
 
+            @Override
+            public void onFirstReplicas(List<StateRecord> records) {
+                mView.applyFirstReplicas(records, mClock.monotonicTime());
+            }
+
             @Override
             public void onReplicasRead(boolean answered) {
                 if (isFirst() && answered) {
--- a/src/test/java/org/fescueport/internal/direct/state/ModelStore.java
+++ b/src/test/java/org/fescueport/internal/direct/state/ModelStore.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jmock.lib.concurrent.DeterministicScheduler;
 
@@ -96,7 +97,8 @@
         }
 
         @Override
-        public CompletableFuture<Page> newest(StateTopic topic) {
+        public CompletableFuture<Page> newest(
+                StateTopic topic, Consumer<List<StateRecord>> onPart) {
             return call(Duration.ZERO, () -> newestPage(topic));
         }
 
--- a/src/test/java/org/fescueport/platform/BelievedStateTest.java
+++ b/src/test/java/org/fescueport/platform/BelievedStateTest.java
@@ -219,4 +219,22 @@
             }
         }
     }
+
+    /**
+     * A list of thousands of replicas takes seconds on a slow link, after a loss of all nodes too.
+     */
+    @Test
+    void shouldServeWithPartOfALongListWhileTheRestIsRead() throws Exception {
+        try (var fleet = Installation.start(GOOD, GOOD)) {
+            fleet.router().close();
+            fleet.store().pages(1, 700);
+            try (var second = TestRouter.start("edge-2", fleet.store().address())) {
+                Await.until(
+                        "it serves",
+                        () -> RawCaller.statusOf(second.callers(), get("/safe/x")) == 200);
+                assertThat(second.isReady(), is(false));
+                second.awaitReady();
+            }
+        }
+    }
 }
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -60,6 +60,8 @@
 
     private final RawServer mServer;
     private Map<String, Topic> mTopics = new HashMap<>();
+    private volatile int mPageSize = Integer.MAX_VALUE;
+    private volatile int mPagePauseMillis;
     private String mEra = "";
     private final List<String> mCalls = new ArrayList<>();
     private Mode mMode = Mode.GOOD;
@@ -196,7 +198,12 @@
                 String json = "{\"offset\":" + offset + ",\"end\":" + (offset + 1) + "}";
                 answer(wire, 200, json.getBytes(StandardCharsets.UTF_8));
             }
-            case "/api/log-newest" -> answer(wire, 200, newest(request.parameter("topic")));
+            case "/api/log-newest" -> {
+                if (request.parameter("after") != null) {
+                    Await.pause(mPagePauseMillis);
+                }
+                answer(wire, 200, newest(request.parameter("topic"), request.parameter("after")));
+            }
             case "/api/log-read" -> read(request, wire);
             default -> answer(wire, 404, new byte[0]);
         }
@@ -231,26 +238,38 @@
         }
     }
 
-    private synchronized byte[] newest(String name) {
+    /**
+     * Gives out lists of newest records in pages of this size, each but the first after a pause.
+     */
+    void pages(int size, int pauseMillis) {
+        mPageSize = size;
+        mPagePauseMillis = pauseMillis;
+    }
+
+    private synchronized byte[] newest(String name, String after) {
         List<Entry> entries = topic(name).mEntries;
         Map<String, Integer> last = new LinkedHashMap<>();
         for (int i = 0; i < entries.size(); i++) {
             last.put(entries.get(i).key(), i);
         }
         List<String> items = new ArrayList<>();
-        last.forEach(
-                (key, offset) -> {
-                    byte[] value = entries.get(offset).value();
-                    if (value.length > 0) {
-                        String encoded = Base64.getEncoder().encodeToString(value);
-                        items.add(
-                                "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}"
-                                        .formatted(key, encoded, offset));
-                    }
-                });
+        last.values().removeIf(offset -> entries.get(offset).value().length == 0);
+        List<String> keys = new ArrayList<>(last.keySet());
+        int from = after == null ? 0 : keys.indexOf(after) + 1;
+        int to = (int) Math.min(keys.size(), (long) from + mPageSize);
+        keys.subList(from, to)
+                .forEach(
+                        key -> {
+                            int offset = last.get(key);
+                            byte[] value = entries.get(offset).value();
+                            String encoded = Base64.getEncoder().encodeToString(value);
+                            items.add(
+                                    "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}"
+                                            .formatted(key, encoded, offset));
+                        });
         String json =
-                "{\"items\":[%s],\"has_more\":false,\"end\":%d}"
-                        .formatted(String.join(",", items), entries.size());
+                "{\"items\":[%s],\"has_more\":%b,\"end\":%d}"
+                        .formatted(String.join(",", items), to < keys.size(), entries.size());
         return json.getBytes(StandardCharsets.UTF_8);
     }
 
