Split what nodes report of replicas, and what they believe, out of PeerGroup

PeerReports passes on strikes, losses and holders, Beliefs compares what two nodes have in force. No behaviour changes; tests of believed state, splits, eras, relay trees, poison and drained domains green.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -324,7 +324,7 @@
     }
 
     private void check() {
-        mPeers.flushReports();
+        mPeers.reports().flush();
         mForwarder.checkTimeouts();
         noticeCaughtUp();
     }
@@ -400,12 +400,12 @@
     private final class FromChooser implements ReplicaChooser.Reports {
         @Override
         public void onLoss(AgentIncarnation replica) {
-            mPeers.reportLoss(replica);
+            mPeers.reports().onLoss(replica);
         }
 
         @Override
         public void onHolder(long prefix, NodeId replica) {
-            mPeers.reportHolder(prefix, replica);
+            mPeers.reports().onHolder(prefix, replica);
         }
     }
 
@@ -418,13 +418,13 @@
                     .with("replica", replica)
                     .with("team", request.team())
                     .write();
-            mPeers.spread(StrikeCodec.encode(request, replica));
+            mPeers.reports().onStrike(StrikeCodec.encode(request, replica));
         }
 
         @Override
         public void onCleared(Fingerprint request) {
             mParts.log().change("request-cleared").with("team", request.team()).write();
-            mPeers.spread(StrikeCodec.encodeAnswered(request));
+            mPeers.reports().onStrike(StrikeCodec.encodeAnswered(request));
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -14,14 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 import org.fescueport.internal.decision.FailureDomain;
-import org.fescueport.internal.decision.NodeId;
-import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.EraTracker;
@@ -33,13 +30,9 @@
 import org.fescueport.internal.direct.state.StorePosition;
 import org.fescueport.internal.wire.generated.PeerBeliefs;
 import org.fescueport.internal.wire.generated.PeerHello;
-import org.fescueport.internal.wire.generated.PeerHolder;
-import org.fescueport.internal.wire.generated.PeerHolders;
-import org.fescueport.internal.wire.generated.PeerLosses;
 import org.fescueport.internal.wire.generated.PeerMessage;
 import org.fescueport.internal.wire.generated.PeerPulse;
 import org.fescueport.internal.wire.generated.PeerRecords;
-import org.fescueport.internal.wire.generated.PeerStrike;
 
 /**
  * The nodes of the fleet as this one sees them: one of them reads the store for the others.
@@ -54,26 +47,13 @@
     private static final int HIGH_WATER_BYTES = 4 * 1_024 * 1_024;
 
     /** Told what comes from peers. */
-    public interface Listener {
+    public interface Listener extends PeerReports.Listener {
         /** Records have come that follow what is known. */
         void onBatch(RecordBatch batch, PeerOrigin origin);
 
-        /** A request was lost with a replica at another node. */
-        void onStrike(PeerStrike strike);
-
         /** So many nodes are counted now. */
         void onNodes(int nodes);
 
-        /**
-         * A replica has a prompt prefix cached.
-         *
-         * @return whether this was not known here
-         */
-        boolean onHolder(long prefix, NodeId replica);
-
-        /** Other nodes have lost this many answers of a replica. */
-        void onLosses(AgentIncarnation replica, int answers);
-
         /** None of the known nodes can be relied on; the list of nodes may be outdated. */
         void onMembersOutdated();
     }
@@ -95,9 +75,8 @@
     private final EventLog mLog;
     private final Bootstrap mBootstrap;
     private final Upstream mUpstream;
-    private final RecentStrikes mRecentStrikes;
-    private final LossRelay mLosses;
-    private final HolderRelay mHolders = new HolderRelay();
+    private final PeerReports mReports;
+    private final Beliefs mBeliefs;
     private final Set<PeerConnection> mOpen = new LinkedHashSet<>();
     private Listener mListener;
     private int mFleetNodes;
@@ -119,8 +98,8 @@
         mLog = log;
         mBootstrap = ClientSockets.on(loop, Upstream.CONNECT_TIMEOUT);
         mUpstream = new Upstream(new UpstreamGroup(), clock, log);
-        mRecentStrikes = new RecentStrikes(clock);
-        mLosses = new LossRelay(clock);
+        mReports = new PeerReports(mOpen, clock);
+        mBeliefs = new Beliefs(view, eras);
     }
 
     /** Returns a group that knows no other node. */
@@ -138,6 +117,7 @@
     /** Sets who is told what comes from peers. */
     public void listen(Listener listener) {
         mListener = listener;
+        mReports.listen(listener);
     }
 
     /** Returns what prepares a connection that another node has opened. */
@@ -189,7 +169,7 @@
         }
         return mOpen.stream()
                 .flatMap(peer -> peer.hello().stream())
-                .anyMatch(hello -> !hasNewerConfiguration(hello.getBeliefs()));
+                .anyMatch(hello -> !mBeliefs.hasNewerVersion(hello.getBeliefs()));
     }
 
     /**
@@ -239,7 +219,7 @@
                 PeerPulse.newBuilder()
                         .setReading(reading)
                         .setNodes(nodes)
-                        .setBeliefs(beliefs())
+                        .setBeliefs(mBeliefs.encode())
                         .setRelays(relays);
         var message = PeerMessage.newBuilder().setPulse(pulse).build();
         sendToAll(message, peer -> !peer.isOutbound());
@@ -266,51 +246,9 @@
         frames.values().forEach(PeerFrame::close);
     }
 
-    /** Tells all connected nodes that a request was lost with a replica. */
-    public void spread(PeerStrike strike) {
-        mRecentStrikes.add(strike);
-        sendToAll(PeerMessage.newBuilder().setStrike(strike).build(), peer -> true);
-    }
-
-    /** Reports to the other nodes that this one has lost an answer of a replica. */
-    public void reportLoss(AgentIncarnation replica) {
-        mLosses.add(replica, 1, Optional.empty());
-    }
-
-    /** Reports to the other nodes that a replica has a prompt prefix cached. */
-    public void reportHolder(long prefix, NodeId replica) {
-        mHolders.add(
-                PeerHolder.newBuilder().setPrefix(prefix).setReplica(replica.name()).build(),
-                Optional.empty());
-    }
-
-    /** Sends what has been reported; must be called many times a second. */
-    public void flushReports() {
-        flushHolders();
-        flushLosses();
-    }
-
-    private void flushHolders() {
-        if (!mHolders.take()) {
-            return;
-        }
-        for (var peer : mOpen) {
-            mHolders.messageFor(peer)
-                    .map(holders -> PeerMessage.newBuilder().setHolders(holders).build())
-                    .ifPresent(peer::send);
-        }
-    }
-
-    private void flushLosses() {
-        if (mLosses.isEmpty()) {
-            return;
-        }
-        for (var peer : mOpen) {
-            mLosses.pendingFor(peer)
-                    .map(losses -> PeerMessage.newBuilder().setLosses(losses).build())
-                    .ifPresent(peer::send);
-        }
-        mLosses.clear();
+    /** Returns what this node reports of replicas to the others. */
+    public PeerReports reports() {
+        return mReports;
     }
 
     /** Ends all connections; none is opened any more. */
@@ -351,9 +289,9 @@
             case HELLO -> onHello(peer, message.getHello());
             case RECORDS -> onRecords(peer, message.getRecords());
             case PULSE -> onPulse(peer, message.getPulse());
-            case STRIKE -> onStrike(peer, message);
-            case HOLDERS -> onHolders(peer, message.getHolders());
-            case LOSSES -> onLosses(peer, message.getLosses());
+            case STRIKE -> mReports.onStrike(peer, message);
+            case HOLDERS -> mReports.onHolders(peer, message.getHolders());
+            case LOSSES -> mReports.onLosses(peer, message.getLosses());
             case SUBTREE -> peer.onSubtree(message.getSubtree().getNodes());
             case BODY_NOT_SET ->
                     mLog.change("peer-message-unknown").with("peer", peer.name()).write();
@@ -366,7 +304,7 @@
         mUpstream.onHello(peer);
         PeerBeliefs beliefs = hello.getBeliefs();
         mEras.onPeer(beliefs.getStoreEra());
-        if (hasOlderConfiguration(beliefs) || drainedEnd(beliefs).isBefore(mView.drainedEnd())) {
+        if (mBeliefs.lacksConfiguration(beliefs)) {
             send(peer, mView.snapshot(StateTopic.CONFIGURATION));
         }
         if (peer.knownEnd(StateTopic.REPLICAS).isBefore(mView.next(StateTopic.REPLICAS))) {
@@ -378,35 +316,6 @@
         }
     }
 
-    /** Returns whether the other node lacks the configuration in force here. */
-    private boolean hasOlderConfiguration(PeerBeliefs other) {
-        OptionalLong own = mView.configurationVersion();
-        boolean known = other.hasConfigurationVersion();
-        return own.isPresent() && (!known || other.getConfigurationVersion() < own.getAsLong());
-    }
-
-    /** Returns whether this node lacks the configuration in force at the other. */
-    private boolean hasNewerConfiguration(PeerBeliefs other) {
-        OptionalLong own = mView.configurationVersion();
-        return other.hasConfigurationVersion()
-                && (own.isEmpty() || other.getConfigurationVersion() > own.getAsLong());
-    }
-
-    private static StorePosition drainedEnd(PeerBeliefs beliefs) {
-        return StorePosition.of(beliefs.getDrainedEra(), beliefs.getDrainedEnd());
-    }
-
-    private PeerBeliefs beliefs() {
-        StorePosition drained = mView.drainedEnd();
-        var beliefs =
-                PeerBeliefs.newBuilder()
-                        .setStoreEra(mEras.current())
-                        .setDrainedEra(drained.era())
-                        .setDrainedEnd(drained.offset());
-        mView.configurationVersion().ifPresent(beliefs::setConfigurationVersion);
-        return beliefs.build();
-    }
-
     private void onRecords(PeerConnection peer, PeerRecords records) {
         RecordBatch batch = PeerRecordsCodec.decode(records);
         mView.onPeerRemovalGrace(Duration.ofMillis(records.getLapseGraceMs()), nowNanos());
@@ -422,7 +331,7 @@
         peer.onPulse(pulse, nowNanos());
         PeerBeliefs beliefs = pulse.getBeliefs();
         mEras.onPeer(beliefs.getStoreEra());
-        if (hasNewerConfiguration(beliefs) || mView.drainedEnd().isBefore(drainedEnd(beliefs))) {
+        if (mBeliefs.hasNewerConfiguration(beliefs)) {
             sendHello(peer);
         }
         if (mUpstream.is(peer)) {
@@ -440,32 +349,6 @@
         }
     }
 
-    /** A strike reaches all nodes, along the connections between them. */
-    private void onStrike(PeerConnection from, PeerMessage message) {
-        if (mRecentStrikes.add(message.getStrike())) {
-            mListener.onStrike(message.getStrike());
-            sendToAll(message, peer -> peer != from);
-        }
-    }
-
-    private void onHolders(PeerConnection from, PeerHolders holders) {
-        for (var holder : holders.getHoldersList()) {
-            if (mListener.onHolder(holder.getPrefix(), NodeId.of(holder.getReplica()))) {
-                mHolders.add(holder, Optional.of(from));
-            }
-        }
-    }
-
-    private void onLosses(PeerConnection from, PeerLosses losses) {
-        for (var loss : losses.getReplicasList()) {
-            var replica = AgentIncarnation.of(NodeId.of(loss.getReplica()), loss.getLife());
-            int answers = mLosses.add(replica, loss.getAnswers(), Optional.of(from));
-            if (answers > 0) {
-                mListener.onLosses(replica, answers);
-            }
-        }
-    }
-
     private void sendHello(PeerConnection peer) {
         StorePosition next = mView.next(StateTopic.REPLICAS);
         var hello =
@@ -473,7 +356,7 @@
                         .setNode(mNode)
                         .setNextReplica(next.offset())
                         .setNextReplicaEra(next.era())
-                        .setBeliefs(beliefs());
+                        .setBeliefs(mBeliefs.encode());
         // Offsets begin at 0, which stands for a rank that is not known.
         mUpstream
                 .ownRank()
