Keep no more idle connections than a replica accepts from all nodes

Cause: in a trial with 300 nodes before 3,000 replicas, without any fault, 54 of 1,062 sends of the nodes that were looked at were reset at once, all at the three replicas of the plain service. Each accepts 220 connections from all nodes together and resets those beyond it; every node kept what it had opened for the replica's idle timeout. Ruled out: a shorter idle time for all, which opens more connections in small fleets. Change: KeepAliveLimit. All nodes together keep half of what a replica accepts; where a node's part is less than one connection it keeps one with that probability. Check: KeepAliveLimitTest (5 to 1,000 nodes at 25 and 75 requests a second to one replica), ForwardingTest, StreamsTest.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -130,7 +130,9 @@
         mAnnouncer = newAnnouncer();
         parts.eras().listen(this::onNewEra);
         EraMetrics.register(parts.registry(), parts.eras());
-        mLinks = ReplicaConnectionPools.create(parts.loop(), parts.protocol(), parts.clock());
+        mLinks =
+                ReplicaConnectionPools.create(
+                        parts.loop(), parts.protocol(), parts.clock(), mRandom);
         mColdTurns = ColdReplicaLimiter.create(mRandom);
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
@@ -496,6 +498,7 @@
             mLoads.onNodes(nodes);
             mGates.onNodes(nodes);
             mColdTurns.onNodes(nodes);
+            mLinks.onNodes(nodes);
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPool.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPool.java
@@ -33,6 +33,7 @@
     private final ReplicaEntry mReplica;
     private final Deque<ReplicaConnection> mIdle = new ArrayDeque<>();
     private final Set<ReplicaConnection> mOpen = new HashSet<>();
+    private int mMaxConnections = Integer.MAX_VALUE;
 
     ReplicaConnectionPool(ReplicaConnectionPools pools, ReplicaEntry replica) {
         mPools = pools;
@@ -56,6 +57,7 @@
             boolean nonRepeatable,
             int maxConnections,
             ResponseListener listener) {
+        mMaxConnections = maxConnections;
         ReplicaConnection idle =
                 takeIdle(nonRepeatable ? NON_REPEATABLE_MAX_IDLE_FRACTION : MAX_IDLE_FRACTION);
         if (idle != null) {
@@ -98,8 +100,13 @@
         mIdle.remove(connection);
     }
 
+    /** Keeps a connection for later requests, or closes it if all nodes would keep too many. */
     void onIdle(ReplicaConnection connection) {
-        mIdle.addFirst(connection);
+        if (mPools.mayKeepIdle(mIdle.size(), mMaxConnections)) {
+            mIdle.addFirst(connection);
+        } else {
+            connection.close();
+        }
     }
 
     long nowNanos() {
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -13,7 +13,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.placement.KeepAliveLimit;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
@@ -32,9 +34,13 @@
     private final Clock mClock;
     private final Bootstrap mBootstrap;
     private final Map<NodeId, ReplicaConnectionPool> mPools = new HashMap<>();
+    private final RandomGenerator mRandom;
     private long mOpenedCount;
+    private int mNodes = 1;
 
-    private ReplicaConnectionPools(EventLoopGroup loop, WireProtocol protocol, Clock clock) {
+    private ReplicaConnectionPools(
+            EventLoopGroup loop, WireProtocol protocol, Clock clock, RandomGenerator random) {
+        mRandom = random;
         mProtocol = protocol;
         mClock = clock;
         mBootstrap = ClientSockets.on(loop, CONNECT_TIMEOUT);
@@ -42,8 +48,23 @@
 
     /** Returns an empty set of pools, to be used on this event loop only. */
     public static ReplicaConnectionPools create(
-            EventLoopGroup loop, WireProtocol protocol, Clock clock) {
-        return new ReplicaConnectionPools(loop, protocol, clock);
+            EventLoopGroup loop, WireProtocol protocol, Clock clock, RandomGenerator random) {
+        return new ReplicaConnectionPools(loop, protocol, clock, random);
+    }
+
+    /** Sets the number of nodes that connect to the same replicas, including this one. */
+    public void onNodes(int nodes) {
+        mNodes = Math.max(1, nodes);
+    }
+
+    /**
+     * Returns whether another idle connection to a replica may be kept.
+     *
+     * @param idle idle connections to the replica that are kept already
+     * @param maxConnections connections that the replica accepts from all nodes together
+     */
+    boolean mayKeepIdle(int idle, int maxConnections) {
+        return KeepAliveLimit.mayKeep(idle, maxConnections, mNodes, mRandom);
     }
 
     /**
