Rename and reword DirectRouter and the peers' classes

Fields and listeners of DirectRouter get the names of what they hold (mConnectionPools, mNodeRegistrar, mAdmissionControl, mColdReplicaLimiter, StoreListener, PeerListener), comments there and in PeerGroup, PeerConnection, Candidates and PeerFrame say in plain terms what a class does. Names and comments only.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -65,27 +65,27 @@
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(250);
 
-    /** A steady clock that stood still, or ticks that came late, for longer than this. */
-    private static final Duration LARGEST_GAP = Duration.ofMillis(1_200);
+    /** Delay of a tick, or jump of the time of day, after which the view counts as outdated. */
+    private static final Duration MAX_CLOCK_GAP = Duration.ofMillis(1_200);
 
-    /** Until the balancer has surely seen that this node is not ready. */
-    private static final Duration LEAST_STOP_TIME = Duration.ofMillis(3_200);
+    /** Time within which the load balancer notices that this node is no longer ready. */
+    private static final Duration MIN_STOP_TIME = Duration.ofMillis(3_200);
 
-    /** Left of the time to stop for the process to end by itself. */
+    /** Part of the time to stop that is left for the process to end by itself. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(700);
 
-    /** For peers to tell a node that starts what is in force; they may all be gone. */
-    private static final Duration LONGEST_CATCH_UP = Duration.ofMillis(1_500);
+    /** Longest wait of a starting node for its peers' configuration; all of them may be lost. */
+    private static final Duration MAX_CATCH_UP_TIME = Duration.ofMillis(1_500);
 
-    /** Nodes that share the retry allowance while it is not known how many there are. */
-    private static final int UNKNOWN_NODES = 8;
+    /** Assumed number of nodes that share the retry allowance until the number is known. */
+    private static final int NODES_WHILE_UNKNOWN = 8;
 
     /**
-     * What a router works with.
+     * The parts that a router is built from.
      *
-     * @param eras what the store and peers tell of the store's era
-     * @param counters text of all meters of the registry
-     * @param mechanisms all of them but in an experiment
+     * @param eras tracks the store's era as reported by the store and by peers
+     * @param counters returns the text of all meters of the registry
+     * @param mechanisms the enabled ones; all of them except in experiments
      */
     public record Parts(
             EventLoopGroup loop,
@@ -101,21 +101,21 @@
 
     private DirectRouterSettings mSettings;
     private final RetryBudgets mBudgets;
-    private final AdmissionControl mGates;
-    private final ColdReplicaLimiter mColdTurns;
+    private final AdmissionControl mAdmissionControl;
+    private final ColdReplicaLimiter mColdReplicaLimiter;
     private final Parts mParts;
     private final FleetView mView;
     private final StateReader mReader;
     private final PeerGroup mPeers;
-    private final NodeRegistrar mAnnouncer;
+    private final NodeRegistrar mNodeRegistrar;
     private final SplittableRandom mRandom;
     private final Forwarder mForwarder;
-    private final ReplicaConnectionPools mLinks;
+    private final ReplicaConnectionPools mConnectionPools;
     private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
     private Channel mListener;
-    private long mStopSinceNanos;
+    private long mStopStartedNanos;
     private boolean mStopping;
-    private long mBegunNanos;
+    private long mStartedNanos;
     private boolean mCaughtUp;
     private long mLastCheckNanos;
     private long mWallMinusSteadyMillis;
@@ -127,17 +127,19 @@
         mPeers = newPeers();
         mReader = newReader();
         mRandom = new SplittableRandom(settings.node().hashCode());
-        mAnnouncer = newAnnouncer();
+        mNodeRegistrar = newNodeRegistrar();
         parts.eras().listen(this::onNewEra);
         EraMetrics.register(parts.registry(), parts.eras());
-        mLinks =
+        mConnectionPools =
                 ReplicaConnectionPools.create(
                         parts.loop(), parts.protocol(), parts.clock(), mRandom);
-        mColdTurns = ColdReplicaLimiter.create(mRandom);
+        mColdReplicaLimiter = ColdReplicaLimiter.create(mRandom);
         var loads = ReplicaLoads.create();
         var notices = ReplicaNotices.create();
-        var chooser = ReplicaChooser.create(mView, loads, notices, mColdTurns, parts.mechanisms());
-        chooser.listen(new FromChooser());
+        var chooser =
+                ReplicaChooser.create(
+                        mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
+        chooser.listen(new ChooserReports());
         var health = ReplicaLiveness.create();
         mView.listen(
                 () -> {
@@ -146,28 +148,28 @@
                     loads.retain(present);
                     health.retain(present);
                 });
-        mGates = AdmissionControl.create(mView, loads, parts.mechanisms());
+        mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
         mBudgets =
                 RetryBudgets.create(
                         settings.retryShare(),
                         settings.retryAllowance(),
                         settings.retryWindow(),
-                        UNKNOWN_NODES,
+                        NODES_WHILE_UNKNOWN,
                         parts.clock());
         var crashes = CrashingRequestDetector.create();
-        crashes.listen(new FromCrashWatch());
-        mPeers.listen(new FromPeers(chooser, crashes, loads));
+        crashes.listen(new CrashListener());
+        mPeers.listen(new PeerListener(chooser, crashes, loads));
         var context =
                 new ForwardingContext(
                         parts.clock(),
                         mView,
                         parts.protocol(),
-                        mLinks,
+                        mConnectionPools,
                         chooser,
                         loads,
                         notices,
                         health,
-                        mGates,
+                        mAdmissionControl,
                         mBudgets,
                         crashes,
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
@@ -194,13 +196,13 @@
                 mParts.store(),
                 mParts.eras(),
                 mView,
-                new Reading(),
+                new StoreListener(),
                 mParts.loop(),
                 mParts.clock(),
                 mParts.log());
     }
 
-    private NodeRegistrar newAnnouncer() {
+    private NodeRegistrar newNodeRegistrar() {
         return NodeRegistrar.create(
                 mParts.store(),
                 mParts.decoder(),
@@ -245,7 +247,7 @@
         return mStopped;
     }
 
-    /** Returns whether this node wants new connections. */
+    /** Returns whether this node accepts new connections. */
     public boolean isReady() {
         return !mStopping && mView.isComplete() && mCaughtUp;
     }
@@ -255,38 +257,41 @@
         return mPeers.inboundConnections();
     }
 
-    /** Where the store may come back from a copy, peers are asked first what is in force. */
-    private void noticeCaughtUp() {
+    /**
+     * The store may have been restored from a backup, so the node first compares its configuration
+     * with that of its peers.
+     */
+    private void updateCaughtUp() {
         if (!mView.isComplete()) {
             return;
         }
-        long waited = mParts.clock().monotonicTime() - mBegunNanos;
+        long waited = mParts.clock().monotonicTime() - mStartedNanos;
         mCaughtUp =
                 mCaughtUp
                         || mParts.eras().current() == 0
-                        || waited > LONGEST_CATCH_UP.toNanos()
+                        || waited > MAX_CATCH_UP_TIME.toNanos()
                         || mPeers.isCaughtUp();
     }
 
     private void begin() {
-        mBegunNanos = mParts.clock().monotonicTime();
+        mStartedNanos = mParts.clock().monotonicTime();
         useSeeds();
         mReader.start();
-        mAnnouncer.start();
+        mNodeRegistrar.start();
         mLastCheckNanos = mParts.clock().monotonicTime();
         mWallMinusSteadyMillis = wallMinusSteadyMillis();
         every(CHECK_INTERVAL, this::check);
         every(SWEEP_INTERVAL, this::sweep);
     }
 
-    /** What is believed stays in use until the new era's list has been read. */
+    /** The present view stays in use until the list of the new era has been read. */
     private void onNewEra() {
         mView.onStoreRecovered(mParts.clock().monotonicTime());
         mReader.refresh();
-        mAnnouncer.onNewEra();
+        mNodeRegistrar.onNewEra();
     }
 
-    /** Takes changed settings; those of addresses count from the next start. */
+    /** Applies changed settings; changed addresses take effect at the next start. */
     public void reload(DirectRouterSettings settings) {
         mParts.loop().execute(() -> use(settings));
     }
@@ -316,7 +321,7 @@
                 .scheduleWithFixedDelay(() -> guarded(task), nanos, nanos, TimeUnit.NANOSECONDS);
     }
 
-    /** A fault in one round must not end the rounds. */
+    /** Runs a periodic task; a failure must not end its later runs. */
     private void guarded(Runnable task) {
         try {
             task.run();
@@ -328,25 +333,25 @@
     private void check() {
         mPeers.reports().flush();
         mForwarder.checkTimeouts();
-        noticeCaughtUp();
+        updateCaughtUp();
     }
 
     private void sweep() {
-        noticeGap();
+        refreshAfterClockGap();
         mPeers.tick(mReader.isStoreReachable());
         mReader.setActive(!mPeers.isServed());
         mForwarder.sweep();
         if (mStopping) {
-            endIfDone();
+            completeStopIfDone();
         }
     }
 
-    /** After a freeze or a suspension what is believed may be old: it is read anew at once. */
-    private void noticeGap() {
+    /** Reads the store again at once after a freeze, as the view may be outdated. */
+    private void refreshAfterClockGap() {
         long now = mParts.clock().monotonicTime();
         long offset = wallMinusSteadyMillis();
-        boolean late = now - mLastCheckNanos > LARGEST_GAP.toNanos();
-        boolean moved = Math.abs(offset - mWallMinusSteadyMillis) > LARGEST_GAP.toMillis();
+        boolean late = now - mLastCheckNanos > MAX_CLOCK_GAP.toNanos();
+        boolean moved = Math.abs(offset - mWallMinusSteadyMillis) > MAX_CLOCK_GAP.toMillis();
         mLastCheckNanos = now;
         mWallMinusSteadyMillis = offset;
         if (late || moved) {
@@ -364,25 +369,25 @@
             return;
         }
         mStopping = true;
-        mStopSinceNanos = mParts.clock().monotonicTime();
+        mStopStartedNanos = mParts.clock().monotonicTime();
         mParts.log().change("stopping").with("connections", mForwarder.connections()).write();
-        long late = mStopSinceNanos + LEAST_STOP_TIME.toNanos();
-        mForwarder.beginStop(late, mStopSinceNanos + longestStopTime().toNanos());
+        long late = mStopStartedNanos + MIN_STOP_TIME.toNanos();
+        mForwarder.beginStop(late, mStopStartedNanos + maxStopTime().toNanos());
     }
 
-    private void endIfDone() {
-        Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopSinceNanos);
-        boolean idle = waited.compareTo(LEAST_STOP_TIME) > 0 && mForwarder.isIdle();
+    private void completeStopIfDone() {
+        Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopStartedNanos);
+        boolean idle = waited.compareTo(MIN_STOP_TIME) > 0 && mForwarder.isIdle();
         boolean done = idle && !mListener.isOpen();
         if (idle && !done) {
-            // What has been accepted until now is served before the end, which comes a round later.
+            // Connections accepted until now are served before the stop completes in a later sweep.
             mListener.close();
         }
-        boolean late = waited.compareTo(longestStopTime()) > 0;
+        boolean late = waited.compareTo(maxStopTime()) > 0;
         if (done || late) {
             mReader.stop();
             mPeers.stop();
-            mLinks.closeIdle();
+            mConnectionPools.closeIdle();
             mParts.log()
                     .change("stopped")
                     .with("connections", mForwarder.connections())
@@ -392,14 +397,14 @@
         }
     }
 
-    /** Takes records in and passes on what is new. */
+    /** Applies records to the view and passes on those that changed it. */
     private void take(RecordBatch batch, Optional<PeerGroup.PeerOrigin> origin) {
         var news = mView.applyBatch(batch, mParts.clock().monotonicTime());
         mPeers.spread(batch.topic(), news, origin);
     }
 
-    /** What this node finds about replicas that the others should know. */
-    private final class FromChooser implements ReplicaChooser.Reports {
+    /** Passes what this node observes of replicas on to the other nodes. */
+    private final class ChooserReports implements ReplicaChooser.Reports {
         @Override
         public void onLoss(AgentIncarnation replica) {
             mPeers.reports().onLoss(replica);
@@ -411,8 +416,8 @@
         }
     }
 
-    /** What this node finds about requests that replicas may have died of. */
-    private final class FromCrashWatch implements CrashingRequestDetector.Listener {
+    /** Receives requests that may have crashed replicas, as observed by this node. */
+    private final class CrashListener implements CrashingRequestDetector.Listener {
         @Override
         public void onStrike(Fingerprint request, AgentIncarnation replica) {
             mParts.log()
@@ -430,8 +435,8 @@
         }
     }
 
-    /** What this node reads from the store itself. */
-    private final class Reading implements StateReader.Listener {
+    /** Receives what this node reads from the store itself. */
+    private final class StoreListener implements StateReader.Listener {
         @Override
         public void onBatch(RecordBatch batch) {
             take(batch, Optional.empty());
@@ -448,13 +453,13 @@
         }
     }
 
-    /** What comes from other nodes. */
-    private final class FromPeers implements PeerGroup.Listener {
+    /** Receives what other nodes send. */
+    private final class PeerListener implements PeerGroup.Listener {
         private final ReplicaChooser mChooser;
         private final CrashingRequestDetector mCrashes;
         private final ReplicaLoads mLoads;
 
-        FromPeers(ReplicaChooser chooser, CrashingRequestDetector crashes, ReplicaLoads loads) {
+        PeerListener(ReplicaChooser chooser, CrashingRequestDetector crashes, ReplicaLoads loads) {
             mChooser = chooser;
             mCrashes = crashes;
             mLoads = loads;
@@ -489,20 +494,20 @@
 
         @Override
         public void onMembersOutdated() {
-            mAnnouncer.refresh();
+            mNodeRegistrar.refresh();
         }
 
         @Override
         public void onNodes(int nodes) {
             mBudgets.onNodes(nodes);
             mLoads.onNodes(nodes);
-            mGates.onNodes(nodes);
-            mColdTurns.onNodes(nodes);
-            mLinks.onNodes(nodes);
+            mAdmissionControl.onNodes(nodes);
+            mColdReplicaLimiter.onNodes(nodes);
+            mConnectionPools.onNodes(nodes);
         }
     }
 
-    private Duration longestStopTime() {
+    private Duration maxStopTime() {
         return mSettings.stopTime().minus(STOP_MARGIN);
     }
 
--- a/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Candidates.java
@@ -13,12 +13,12 @@
 import org.fescueport.internal.decision.relay.RelayTree;
 import org.fescueport.internal.direct.state.NodeEntry;
 
-/** The nodes that this one may connect to, in the order in which it prefers them. */
+/** The nodes that this one may rely on, in order of preference. */
 final class Candidates {
     private static final Duration FIRST_PAUSE = Duration.ofMillis(800);
     private static final int MAX_DOUBLINGS = 4;
 
-    /** A node that may be reached at this address. */
+    /** The address of a node. */
     record Candidate(InetSocketAddress address) {}
 
     private static final class Tries {
@@ -59,10 +59,10 @@
     }
 
     /**
-     * Returns the next one to try, better than the one that is connected; nothing when all of them
+     * Returns the next node to try that is preferred to the connected one; empty if all of those
      * were tried a short while ago.
      *
-     * @param seeds whether any node will do, as the store does not answer
+     * @param seeds whether seeds may be used too, because the store does not answer
      */
     Optional<Candidate> next(Optional<Candidate> connected, boolean seeds) {
         for (var member : mMembers) {
@@ -83,12 +83,12 @@
         pause(candidate);
     }
 
-    /** One that does not stay connected is not tried again at once either. */
+    /** Delays the next attempt, in case the connection does not last. */
     void onConnected(Candidate candidate) {
         pause(candidate);
     }
 
-    /** A node that has started anew comes after this one. */
+    /** Removes a node that has restarted, and therefore ranks after this one. */
     void onLaterLife(Candidate candidate) {
         mMembers = mMembers.stream().filter(member -> !member.equals(candidate)).toList();
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -66,7 +66,7 @@
         return mOutbound;
     }
 
-    /** Returns what the other side has told of itself. */
+    /** Returns the last hello of the other side; empty before the first one. */
     Optional<PeerHello> hello() {
         return mHello;
     }
@@ -111,19 +111,19 @@
         send(PeerMessage.newBuilder().setSubtree(PeerSubtree.newBuilder().setNodes(nodes)).build());
     }
 
-    /** Returns how long the connection has been open and the other side silent, at the least. */
+    /** Returns the time since the last pulse, or since the connection was opened. */
     long silentNanos(long nowNanos) {
         long since = mPulseAtNanos == 0 ? mOpenedNanos : mPulseAtNanos;
         return nowNanos - since;
     }
 
-    /** Returns the place of the other side's first record; absent while it has none. */
+    /** Returns the rank of the other side; empty while it has none. */
     Optional<StorePosition> rank() {
         return mHello.filter(hello -> hello.getRank() != 0)
                 .map(hello -> StorePosition.of(hello.getRankEra(), hello.getRank() - 1));
     }
 
-    /** Returns the place up to which the other side knows a topic. */
+    /** Returns the position up to which the other side knows the records of a topic. */
     StorePosition knownEnd(StateTopic topic) {
         return mKnownEnds.getOrDefault(topic, StorePosition.START);
     }
@@ -142,7 +142,7 @@
         mContext.writeAndFlush(frame.bytes());
     }
 
-    /** Returns whether what was sent is taken by the other side. */
+    /** Returns whether the write buffer has room. */
     boolean isWritable() {
         return mContext.channel().isWritable();
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerFrame.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerFrame.java
@@ -8,8 +8,8 @@
 import org.fescueport.internal.wire.generated.PeerMessage;
 
 /**
- * A message behind its length, encoded once for all connections that it goes to, so that what a
- * node holds of it doesn't grow with the nodes that it tells.
+ * A message behind its length, encoded once for all connections that it goes to, so that its memory
+ * does not grow with the number of receivers.
  *
  * <pre>{@code
  * try (var frame = PeerFrame.of(message)) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -46,19 +46,19 @@
 public final class PeerGroup {
     private static final int HIGH_WATER_BYTES = 4 * 1_024 * 1_024;
 
-    /** Told what comes from peers. */
+    /** Receives what other nodes send. */
     public interface Listener extends PeerReports.Listener {
-        /** Records have come that follow what is known. */
+        /** Called with records that can be applied to the view. */
         void onBatch(RecordBatch batch, PeerOrigin origin);
 
-        /** So many nodes are counted now. */
+        /** Called with the number of nodes of the fleet, which may have changed. */
         void onNodes(int nodes);
 
         /** None of the known nodes can be relied on; the list of nodes may be outdated. */
         void onMembersOutdated();
     }
 
-    /** Marks where a batch came from, so that it is not sent back. */
+    /** The connection that a batch came from, to which it is not sent back. */
     public static final class PeerOrigin {
         private final PeerConnection mConnection;
 
@@ -102,7 +102,7 @@
         mBeliefs = new Beliefs(view, eras);
     }
 
-    /** Returns a group that knows no other node. */
+    /** Returns a group without any other nodes. */
     public static PeerGroup create(
             String node,
             FailureDomain domain,
@@ -114,13 +114,13 @@
         return new PeerGroup(node, domain, view, eras, loop, clock, log);
     }
 
-    /** Sets who is told what comes from peers. */
+    /** Sets the listener; it replaces the previous one. */
     public void listen(Listener listener) {
         mListener = listener;
         mReports.listen(listener);
     }
 
-    /** Returns what prepares a connection that another node has opened. */
+    /** Returns the initializer for connections that other nodes open. */
     public ChannelInitializer<Channel> initializer() {
         return new ChannelInitializer<>() {
             @Override
@@ -130,16 +130,16 @@
         };
     }
 
-    /** Names nodes that may know more while the store cannot be asked. */
+    /** Sets the nodes that this one may rely on while the store does not answer. */
     public void onSeeds(List<InetSocketAddress> seeds) {
         mUpstream.onSeeds(seeds);
     }
 
     /**
-     * Takes in this node's place and the nodes before it.
+     * Sets the rank of this node and the list of nodes.
      *
      * @param rank of this node
-     * @param entries of all nodes, also of those that are gone
+     * @param entries all nodes, including lost ones
      */
     public void onMembers(StorePosition rank, List<NodeEntry> entries) {
         List<NodeEntry> earlier =
@@ -158,7 +158,7 @@
 
     /**
      * Returns whether this node knows the configuration that the nodes before it have in force, or
-     * is the first one. The store may just have come back from a copy with an older one.
+     * is the first one. The store may have been restored from a backup with an older one.
      */
     public boolean isCaughtUp() {
         if (mUpstream.ownRank().isEmpty()) {
@@ -173,7 +173,7 @@
     }
 
     /**
-     * Looks after the connection to the node that this one relies on.
+     * Maintains the connection to the node that this one relies on.
      *
      * @param storeAnswers whether this node can do without its peers
      */
@@ -183,7 +183,7 @@
         }
     }
 
-    /** Tells the nodes that rely on this one how its reading goes. */
+    /** Reports to the nodes that rely on this one whether its reads of the store succeed. */
     public void pulse(boolean reading) {
         int nodes = countNodes();
         sendPulse(reading, nodes, 0);
@@ -226,16 +226,16 @@
     }
 
     /**
-     * Passes news on to all connected nodes but the one that they came from. One that can't take
-     * them now notices the gap at the next news, and asks.
+     * Sends records that changed the view to all connected nodes except the one they came from. A
+     * node whose connection is full misses them; it detects the gap in the next batch and asks.
      */
     public void spread(StateTopic topic, List<StateRecord> news, Optional<PeerOrigin> origin) {
         StorePosition end = mView.next(topic);
         Map<StorePosition, PeerFrame> frames = new HashMap<>();
         for (var peer : mOpen) {
-            boolean came = origin.filter(o -> o.mConnection == peer).isPresent();
-            boolean takes = peer.hello().isPresent() && peer.isWritable();
-            if (!came && takes && !news.isEmpty()) {
+            boolean isOrigin = origin.filter(o -> o.mConnection == peer).isPresent();
+            boolean accepts = peer.hello().isPresent() && peer.isWritable();
+            if (!isOrigin && accepts && !news.isEmpty()) {
                 StorePosition from = peer.knownEnd(topic);
                 frames.computeIfAbsent(
                         from, f -> frame(RecordBatch.incremental(topic, f, end, news)));
@@ -251,7 +251,7 @@
         return mReports;
     }
 
-    /** Ends all connections; none is opened any more. */
+    /** Closes all connections; no further one is opened. */
     public void stop() {
         mStopped = true;
         List.copyOf(mOpen).forEach(PeerConnection::close);
@@ -280,7 +280,7 @@
         try {
             message = Deflation.inflate(received);
         } catch (DataFormatException e) {
-            // A node that has read this can't be relied on; another one is tried, or the store.
+            // Records may have been missed: another node is tried, or the store is read.
             onBroken(peer, e);
             peer.close();
             return;
@@ -339,7 +339,7 @@
         }
     }
 
-    /** Nodes that rely on this one are told as long as this one is served itself. */
+    /** Relays a pulse while it tells that the store is being read. */
     private void onUpstreamPulse(PeerConnection peer, PeerPulse pulse) {
         mFleetNodes = pulse.getNodes();
         mListener.onNodes(mFleetNodes);
