--- a/src/main/java/org/fescueport/internal/decision/relay/RelayTree.java
+++ b/src/main/java/org/fescueport/internal/decision/relay/RelayTree.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import org.fescueport.internal.decision.FailureDomain;
 
 /**
@@ -29,26 +30,20 @@
 
     private RelayTree() {}
 
-    /** Returns the failure domain of a node. */
-    @FunctionalInterface
-    public interface DomainOf<T> {
-        /** Returns the domain; nodes whose domain is unknown share one of their own. */
-        FailureDomain domain(T node);
-    }
-
     /**
      * Returns the nodes that a node may get its records from, in the order in which it should try
      * them: its parent in the tree, the parent's ancestors, and then all other earlier nodes, those
      * of its own domain first.
      *
      * @param earlier nodes that started before this one, in the order of their starts
+     * @param domains returns the failure domain of a node; nodes whose domain is unknown share one
      * @param own failure domain of this node
      */
     public static <T> List<T> sources(
-            List<T> earlier, DomainOf<? super T> domains, FailureDomain own) {
+            List<T> earlier, Function<? super T, FailureDomain> domains, FailureDomain own) {
         List<T> sameDomain = new ArrayList<>();
         for (T node : earlier) {
-            if (domains.domain(node).equals(own)) {
+            if (domains.apply(node).equals(own)) {
                 sameDomain.add(node);
             }
         }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -334,7 +334,7 @@
         if (mBeliefs.hasNewerConfiguration(beliefs)) {
             sendHello(peer);
         }
-        if (mUpstream.is(peer)) {
+        if (mUpstream.isConnectedTo(peer)) {
             onUpstreamPulse(peer, pulse);
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/Upstream.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Upstream.java
@@ -105,8 +105,8 @@
         return mCandidates.size();
     }
 
-    /** Returns whether records come over this connection. */
-    boolean is(PeerConnection peer) {
+    /** Returns whether this node relies on the node behind the connection. */
+    boolean isConnectedTo(PeerConnection peer) {
         return mConnected.filter(connected -> connected.peer() == peer).isPresent();
     }
 
@@ -177,7 +177,7 @@
 
     void onClosed(PeerConnection peer) {
         mTrial = mTrial.filter(trial -> trial.peer() != peer);
-        if (is(peer)) {
+        if (isConnectedTo(peer)) {
             mLog.change("peer-lost").with("peer", peer.name()).write();
             mConnected = Optional.empty();
         }
