--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -331,6 +331,7 @@
     }
 
     private void check() {
+        mReader.setActive(!mPeers.isServed());
         mPeers.reports().flush();
         mForwarder.checkTimeouts();
         updateCaughtUp();
@@ -339,7 +340,6 @@
     private void sweep() {
         refreshAfterClockGap();
         mPeers.tick(mReader.isStoreReachable());
-        mReader.setActive(!mPeers.isServed());
         mForwarder.sweep();
         if (mStopping) {
             completeStopIfDone();
--- a/src/main/java/org/fescueport/internal/direct/peer/Upstream.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/Upstream.java
@@ -31,7 +31,7 @@
      * Addition to the pulse timeout for each node that relays the pulse, so that when pulses stop,
      * a node that relays them takes over before the nodes below it do.
      */
-    private static final Duration TIMEOUT_PER_RELAY = Duration.ofMillis(150);
+    private static final Duration TIMEOUT_PER_RELAY = Duration.ofMillis(100);
 
     /** A connection without a pulse for so long may have been lost without a reset. */
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(2_500);
