Close the listening sockets of a router that a test ends

Cause: an event loop that is shut down without a quiet period checks for the shutdown after its last look at the channels and may end without closing them. The listening sockets then stay open until a collection of garbage, and a router that starts again at its addresses finds them taken.

Ruled out: another process. The sockets in that range belonged to the test's own JVM, 80 of them while no event loop was left in it.

Why it works: with a quiet period, the loop runs once more after it has seen the shutdown, and closes all channels.

--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -31,6 +31,10 @@
     static final int MAX_CALLERS = 20;
     static final int MAX_BODY_BYTES = 300_000;
 
+    /** Without a quiet period, an event loop may end without closing its listening sockets. */
+    private static final int QUIET_MS = 10;
+
+    private static final int STOP_LIMIT_MS = 1_000;
     private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
     private static final Duration STOP_TIME = Duration.ofSeconds(8);
 
@@ -160,10 +164,11 @@
         return mRouter.stop();
     }
 
-    /** Ends at once, as when the process is killed. */
+    /** Ends at once, as when the process is killed; its addresses are free afterwards. */
     @Override
     public void close() {
-        mLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        mLoop.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
         mLog.close();
     }
 }
