Record each request that arrives at a stopping node

Each such request now has a line while-stopping with the decision, the time since the signal, the time until the process ends and the caller's timeout; fescue.requests.while.stopping counts both decisions. No decision is changed.

--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescueport.internal.direct.config.CallerLimits;
+import org.fescueport.internal.direct.forward.ForwardingMetrics.WhileStopping;
 
 /**
  * One connection of a caller. Reads one complete request at a time and writes its response.
@@ -306,12 +307,17 @@
             case Resolution.Accepted accepted
                     when mConnections.mayBeCutByStop(accepted.route(), mContext.nowNanos()) -> {
                 body.release();
+                mConnections.recordWhileStopping(request, accepted.route(), WhileStopping.REFUSED);
                 var refusal =
                         Refusal.notRun(request.id(), "this node is stopping", STOPPING_RETRY_AFTER);
                 logRefused(request, refusal);
                 sendFull(mContext.protocol().writeRefusal(refusal));
             }
             case Resolution.Accepted accepted -> {
+                if (mConnections.isStopping()) {
+                    mConnections.recordWhileStopping(
+                            request, accepted.route(), WhileStopping.ACCEPTED);
+                }
                 var exchange = Exchange.begin(mContext, this, request, body, accepted);
                 if (!exchange.isEnded()) {
                     mExchange = exchange;
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
+import org.fescueport.internal.direct.forward.ForwardingMetrics.WhileStopping;
 
 /** All open connections of callers to this node. */
 final class CallerConnections {
@@ -33,6 +34,7 @@
     private Optional<AcceptPause> mAcceptPause = Optional.empty();
     private boolean mFullAfterPause;
     private boolean mStopping;
+    private long mStopStartNanos;
     private long mRefuseFromNanos;
     private long mStopDeadlineNanos;
 
@@ -160,6 +162,7 @@
      */
     void beginStop(long refuseFromNanos, long stopDeadlineNanos) {
         mStopping = true;
+        mStopStartNanos = mContext.nowNanos();
         mRefuseFromNanos = refuseFromNanos;
         mStopDeadlineNanos = stopDeadlineNanos;
     }
@@ -173,6 +176,21 @@
         return mStopping && nowNanos - mRefuseFromNanos >= 0 && left < route.timeout().toNanos();
     }
 
+    /** Records what was decided on a request that arrived while this node is stopping. */
+    void recordWhileStopping(CallerRequest request, Route route, WhileStopping decision) {
+        long now = mContext.nowNanos();
+        mContext.metrics().onWhileStopping(decision);
+        mContext.log()
+                .decision("while-stopping")
+                .with("request", request.id())
+                .with("decision", decision)
+                .with("route", route.name())
+                .with("since_ms", (now - mStopStartNanos) / 1_000_000)
+                .with("left_ms", (mStopDeadlineNanos - now) / 1_000_000)
+                .with("timeout_ms", request.timeoutMillis().orElse(route.timeout().toMillis()))
+                .write();
+    }
+
     boolean isStopping() {
         return mStopping;
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -26,6 +26,14 @@
         CUT
     }
 
+    /** What a node that is stopping did with a request. */
+    public enum WhileStopping {
+        /** It was accepted. */
+        ACCEPTED,
+        /** It was refused and has not run. */
+        REFUSED
+    }
+
     private static final Duration[] BUCKETS = {
         Duration.ofMillis(10),
         Duration.ofMillis(30),
@@ -37,6 +45,7 @@
     };
 
     private final Map<End, Counter> mEnds = new EnumMap<>(End.class);
+    private final Map<WhileStopping, Counter> mWhileStopping = new EnumMap<>(WhileStopping.class);
     private final Timer mFirstByte;
     private final Counter mSends;
     private final Counter mRetries;
@@ -49,6 +58,13 @@
                             .tag("end", end.name().toLowerCase(java.util.Locale.ROOT))
                             .register(registry));
         }
+        for (var decision : WhileStopping.values()) {
+            mWhileStopping.put(
+                    decision,
+                    Counter.builder("fescue.requests.while.stopping")
+                            .tag("decision", decision.name().toLowerCase(java.util.Locale.ROOT))
+                            .register(registry));
+        }
         mFirstByte =
                 Timer.builder("fescue.first.byte")
                         .serviceLevelObjectives(BUCKETS)
@@ -66,6 +82,11 @@
         mEnds.get(end).increment();
     }
 
+    /** Counts a request that arrived while this node was stopping. */
+    void onWhileStopping(WhileStopping decision) {
+        mWhileStopping.get(decision).increment();
+    }
+
     /** Records the time from the request's arrival to the first byte of its response. */
     void onFirstByte(long nanos) {
         mFirstByte.record(nanos, TimeUnit.NANOSECONDS);
