Show with failing tests that a stopping node takes requests that it cuts

Evidence: a stream whose route may take 15 s is accepted 2.3 and 3.05 s after the signal (200, expected 503), though the load balancer knows of the stop after two health checks and the process ends at 7.3 s; a request that has no response yet when the node has stopped gets none (504 at the route's timeout, when the process would be long gone; expected 502).

--- a/src/test/java/org/fescueport/platform/StoppingTest.java
+++ b/src/test/java/org/fescueport/platform/StoppingTest.java
@@ -3,6 +3,9 @@
 import static org.fescueport.platform.Installation.get;
 import static org.fescueport.platform.Installation.post;
 import static org.fescueport.platform.Installation.request;
+import static org.fescueport.platform.ReplicaStandIn.beginStream;
+import static org.fescueport.platform.ReplicaStandIn.chunk;
+import static org.fescueport.platform.ReplicaStandIn.events;
 import static org.fescueport.platform.Scripts.GOOD;
 import static org.fescueport.platform.Scripts.STREAM;
 import static org.hamcrest.MatcherAssert.assertThat;
@@ -17,6 +20,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fescueport.platform.RawServer.Script;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class StoppingTest {
     @Test
@@ -39,6 +44,57 @@
         }
     }
 
+    /** A request that may last far longer than the node will. */
+    private static final String LONG_REQUEST =
+            post("/stream/x", "hello").replace("Deadline-Ms: 2000", "Deadline-Ms: 15000");
+
+    private static Installation startWithLongRoutes(Script llm) throws Exception {
+        var fleet = Installation.start(GOOD, llm);
+        fleet.store().configure(Installation.configuration(2).replace("3000,\"tar", "15000,\"tar"));
+        Await.until(
+                "the longer timeouts are in force",
+                () -> fleet.router().lines().contains("\"version\":2"));
+        return fleet;
+    }
+
+    /** A stream that goes on for longer than the node will. */
+    private static final Script LONG_STREAM =
+            (request, wire) -> {
+                beginStream(request, wire);
+                for (int i = 1; i <= 100; i++) {
+                    chunk(wire, events(i, i));
+                    Await.pause(100);
+                }
+            };
+
+    @ParameterizedTest
+    @ValueSource(ints = {2_300, 3_050, 5_000})
+    void shouldNotAcceptALongRequestAndCutItOnceTheLoadBalancerKnows(int delayMs) throws Exception {
+        try (var fleet = startWithLongRoutes(LONG_STREAM);
+                var first = RawCaller.connect(fleet.router().callers())) {
+            first.send(LONG_REQUEST);
+            Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+            fleet.router().stop();
+            Await.pause(delayMs);
+            var answer = fleet.ask(LONG_REQUEST);
+            assertThat(answer.status(), is(503));
+            assertThat(answer.header("Retry-After"), notNullValue());
+            assertThat(fleet.arrivals("llm"), is(1));
+        }
+    }
+
+    @Test
+    void shouldAnswerARequestWithoutAResponseBeforeItEnds() throws Exception {
+        Script script = (request, wire) -> wire.awaitClose();
+        try (var fleet = startWithLongRoutes(script);
+                var caller = RawCaller.connect(fleet.router().callers())) {
+            caller.send(LONG_REQUEST.replace("/stream/", "/once/"));
+            Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+            fleet.router().stop().get(10, TimeUnit.SECONDS);
+            assertThat(caller.receive().status(), is(502));
+        }
+    }
+
     @Test
     void shouldServeAConnectionMadeWhileStoppingThatAsksALittleLater() throws Exception {
         try (var fleet = Installation.start(GOOD, STREAM)) {
