Refuse at a stopping node what may not end before it does

When a process ended, requests without a response were cut too.

Cause: one constant of 3.2 s served two promises: how long a node stays up for connections that the load balancer still assigns, and until when it accepts requests that it may not finish. Class of fault: the same moment stands for two bounds of different origin. The load balancer needs two health checks to notice; and it goes on using a failure domain whose nodes are all out of rotation, so callers come to a stopping node for as long as it runs. The end of the process was a constant before the kill, too, which for short grace periods lies before the last sixth in which callers expect a cut.

Ruled out: the signal was heard late (the line stopping is 6 ms behind it); the request waited before it was sent (it reached its replica 11 ms after the caller had sent it).

The fix: ShutdownSchedule derives the times of a stop from the load balancer's notice time, which platform/ states, and from the time until the kill. ShutdownAdmission accepts a request if its timeout passes before the end, and, only while the load balancer may not have noticed, if recent answers of its route took less time than is left. At the end, requests without a response get one. GracefulShutdown takes this out of DirectRouter, ExchangeLog the log lines out of Exchange.

Why it works: a request accepted after the notice time ends by its own timeout before the process does, whatever the replica does, so nothing that arrives then can be cut.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -20,6 +20,7 @@
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.admission.ResponseTimes;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
@@ -71,12 +72,6 @@
      */
     private static final Duration MAX_CLOCK_GAP = Duration.ofMillis(1_200);
 
-    /** Time within which the load balancer notices that this node is no longer ready. */
-    private static final Duration MIN_STOP_TIME = Duration.ofMillis(3_200);
-
-    /** Part of the time to stop that is left for the process to end by itself. */
-    private static final Duration STOP_MARGIN = Duration.ofMillis(700);
-
     /** Longest wait of a starting node for its peers' configuration; all of them may be lost. */
     private static final Duration MAX_CATCH_UP_TIME = Duration.ofMillis(1_500);
 
@@ -114,10 +109,9 @@
     private final SplittableRandom mRandom;
     private final Forwarder mForwarder;
     private final ReplicaConnectionPools mConnectionPools;
-    private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private final GracefulShutdown mShutdown;
+    private final CompletableFuture<Void> mStopped;
     private Channel mListener;
-    private long mStopStartedNanos;
-    private boolean mStopping;
     private long mStartedNanos;
     private boolean mCaughtUp;
     private long mLastCheckNanos;
@@ -152,13 +146,7 @@
                     health.retain(present);
                 });
         mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
-        mBudgets =
-                RetryBudgets.create(
-                        settings.retryShare(),
-                        settings.retryAllowance(),
-                        settings.retryWindow(),
-                        NODES_WHILE_UNKNOWN,
-                        parts.clock());
+        mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create();
         crashes.listen(new CrashListener());
         mPeers.listen(new PeerListener(chooser, crashes, loads));
@@ -177,10 +165,22 @@
                         crashes,
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
+                        ResponseTimes.create(),
                         parts.log(),
                         parts.mechanisms(),
                         mRandom);
         mForwarder = Forwarder.create(context);
+        mShutdown = new GracefulShutdown(mForwarder, parts.clock(), parts.log());
+        mStopped = mShutdown.finished().thenRun(this::close);
+    }
+
+    private RetryBudgets newBudgets() {
+        return RetryBudgets.create(
+                mSettings.retryShare(),
+                mSettings.retryAllowance(),
+                mSettings.retryWindow(),
+                NODES_WHILE_UNKNOWN,
+                mParts.clock());
     }
 
     private PeerGroup newPeers() {
@@ -246,13 +246,13 @@
 
     /** Begins a graceful shutdown; the future completes when nothing is left to do. */
     public CompletableFuture<Void> stop() {
-        mParts.loop().execute(this::beginStop);
+        mParts.loop().execute(() -> mShutdown.begin(mSettings.noticeTime(), mSettings.stopTime()));
         return mStopped;
     }
 
     /** Returns whether this node accepts new connections. */
     public boolean isReady() {
-        return !mStopping && mView.isComplete() && mCaughtUp;
+        return !mShutdown.isBegun() && mView.isComplete() && mCaughtUp;
     }
 
     /** Returns the number of connections to this node that other nodes have opened. */
@@ -337,6 +337,7 @@
         mReader.setActive(!mPeers.isServed());
         mPeers.reports().flush();
         mForwarder.checkTimeouts();
+        mShutdown.check(mListener);
         updateCaughtUp();
     }
 
@@ -344,9 +345,7 @@
         refreshAfterClockGap();
         mPeers.tick(mReader.isStoreReachable());
         mForwarder.sweep();
-        if (mStopping) {
-            completeStopIfDone();
-        }
+        mShutdown.finishIfIdle(mListener);
     }
 
     /** Reads the store again at once after a freeze, as the view may be outdated. */
@@ -367,37 +366,10 @@
         return mParts.clock().wallTime() - mParts.clock().monotonicTime() / 1_000_000;
     }
 
-    private void beginStop() {
-        if (mStopping) {
-            return;
-        }
-        mStopping = true;
-        mStopStartedNanos = mParts.clock().monotonicTime();
-        mParts.log().change("stopping").with("connections", mForwarder.connections()).write();
-        long late = mStopStartedNanos + MIN_STOP_TIME.toNanos();
-        mForwarder.beginStop(late, mStopStartedNanos + maxStopTime().toNanos());
-    }
-
-    private void completeStopIfDone() {
-        Duration waited = Duration.ofNanos(mParts.clock().monotonicTime() - mStopStartedNanos);
-        boolean idle = waited.compareTo(MIN_STOP_TIME) > 0 && mForwarder.isIdle();
-        boolean done = idle && !mListener.isOpen();
-        if (idle && !done) {
-            // Connections accepted until now are served before the stop completes in a later sweep.
-            mListener.close();
-        }
-        boolean late = waited.compareTo(maxStopTime()) > 0;
-        if (done || late) {
-            mReader.stop();
-            mPeers.stop();
-            mConnectionPools.closeIdle();
-            mParts.log()
-                    .change("stopped")
-                    .with("connections", mForwarder.connections())
-                    .with("ms", waited.toMillis())
-                    .write();
-            mStopped.complete(null);
-        }
+    private void close() {
+        mReader.stop();
+        mPeers.stop();
+        mConnectionPools.closeIdle();
     }
 
     /** Applies records to the view and passes on those that changed it. */
@@ -510,10 +482,6 @@
         }
     }
 
-    private Duration maxStopTime() {
-        return mSettings.stopTime().minus(STOP_MARGIN);
-    }
-
     private ChannelInitializer<Channel> adminInitializer() {
         var handler = new AdminHandler(mSettings, this::isReady, mParts.counters());
         return new ChannelInitializer<>() {
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -22,6 +22,7 @@
  * @param retryAllowance retries in a window that the fleet may send beyond the share
  * @param retryWindow in which those are counted
  * @param leaveBound longest time a replica may be used after it was told to leave
+ * @param noticeTime longest time until the load balancer notices that this node is not ready
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
  */
@@ -39,6 +40,7 @@
         double retryAllowance,
         Duration retryWindow,
         Duration leaveBound,
+        Duration noticeTime,
         Duration stopTime,
         MachineLimits limits) {
     public DirectRouterSettings {
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -23,7 +23,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescueport.internal.direct.config.CallerLimits;
-import org.fescueport.internal.direct.forward.ForwardingMetrics.WhileStopping;
 
 /**
  * One connection of a caller. Reads one complete request at a time and writes its response.
@@ -304,25 +303,36 @@
                 logRefused(request, refused.refusal());
                 sendFull(mContext.protocol().writeRefusal(refused.refusal()));
             }
-            case Resolution.Accepted accepted
-                    when mConnections.mayBeCutByStop(accepted.route(), mContext.nowNanos()) -> {
-                body.release();
-                mConnections.recordWhileStopping(request, accepted.route(), WhileStopping.REFUSED);
-                var refusal =
-                        Refusal.notRun(request.id(), "this node is stopping", STOPPING_RETRY_AFTER);
-                logRefused(request, refusal);
-                sendFull(mContext.protocol().writeRefusal(refusal));
-            }
-            case Resolution.Accepted accepted -> {
-                if (mConnections.isStopping()) {
-                    mConnections.recordWhileStopping(
-                            request, accepted.route(), WhileStopping.ACCEPTED);
-                }
-                var exchange = Exchange.begin(mContext, this, request, body, accepted);
-                if (!exchange.isEnded()) {
-                    mExchange = exchange;
-                }
-            }
+            case Resolution.Accepted accepted -> onAccepted(request, body, accepted);
+        }
+    }
+
+    private void onAccepted(CallerRequest request, ByteBuf body, Resolution.Accepted accepted) {
+        if (!mConnections.admitWhileStopping(request, accepted.route())) {
+            body.release();
+            var refusal =
+                    Refusal.notRun(request.id(), "this node is stopping", STOPPING_RETRY_AFTER);
+            logRefused(request, refusal);
+            sendFull(mContext.protocol().writeRefusal(refusal));
+            return;
+        }
+        var exchange = Exchange.begin(mContext, this, request, body, accepted);
+        if (!exchange.isEnded()) {
+            mExchange = exchange;
+        }
+    }
+
+    /**
+     * Ends the request of this connection, as the process is about to end. A request that is still
+     * being received is refused; an idle connection is closed.
+     */
+    void onNodeEnding() {
+        if (mExchange != null) {
+            mExchange.onNodeEnding();
+        } else if (mRequest != null) {
+            refuse(Refusal.Reason.NOT_RUN, "this node ends");
+        } else if (!mProcessing) {
+            mChannel.close();
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -9,10 +9,11 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.admission.ShutdownAdmission;
+import org.fescueport.internal.decision.admission.ShutdownSchedule;
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
-import org.fescueport.internal.direct.forward.ForwardingMetrics.WhileStopping;
 
 /** All open connections of callers to this node. */
 final class CallerConnections {
@@ -33,10 +34,7 @@
     private final Set<CallerConnection> mOpen = new HashSet<>();
     private Optional<AcceptPause> mAcceptPause = Optional.empty();
     private boolean mFullAfterPause;
-    private boolean mStopping;
-    private long mStopStartNanos;
-    private long mRefuseFromNanos;
-    private long mStopDeadlineNanos;
+    private Optional<ShutdownAdmission> mShutdown = Optional.empty();
 
     CallerConnections(ForwardingContext context) {
         mContext = context;
@@ -155,44 +153,47 @@
     }
 
     /**
-     * Closes each connection after the response in progress from now on.
-     *
-     * @param refuseFromNanos time from which callers should have been directed to other nodes
-     * @param stopDeadlineNanos time at which the process ends
+     * Closes each connection after the response in progress from now on, and refuses requests that
+     * the end of the process may cut off.
      */
-    void beginStop(long refuseFromNanos, long stopDeadlineNanos) {
-        mStopping = true;
-        mStopStartNanos = mContext.nowNanos();
-        mRefuseFromNanos = refuseFromNanos;
-        mStopDeadlineNanos = stopDeadlineNanos;
+    void beginStop(ShutdownSchedule schedule) {
+        mShutdown = Optional.of(ShutdownAdmission.of(schedule));
     }
 
-    /**
-     * Returns whether a request of this route that arrives now may be cut off by the end of the
-     * process.
-     */
-    boolean mayBeCutByStop(Route route, long nowNanos) {
-        long left = mStopDeadlineNanos - nowNanos;
-        return mStopping && nowNanos - mRefuseFromNanos >= 0 && left < route.timeout().toNanos();
+    /** Ends all requests, as the process is about to end. */
+    void onNodeEnding() {
+        List.copyOf(mOpen).forEach(CallerConnection::onNodeEnding);
     }
 
-    /** Records what was decided on a request that arrived while this node is stopping. */
-    void recordWhileStopping(CallerRequest request, Route route, WhileStopping decision) {
+    /**
+     * Returns whether this node accepts a request that has been received completely. A node that is
+     * not stopping accepts every request.
+     */
+    boolean admitWhileStopping(CallerRequest request, Route route) {
+        if (mShutdown.isEmpty()) {
+            return true;
+        }
         long now = mContext.nowNanos();
+        Duration timeout = RequestClock.timeout(route, request.timeoutMillis());
+        Optional<Duration> usual = mContext.responseTimes().usual(route.name());
+        var decision = mShutdown.get().decide(timeout, usual, now);
         mContext.metrics().onWhileStopping(decision);
+        var schedule = mShutdown.get().schedule();
         mContext.log()
                 .decision("while-stopping")
                 .with("request", request.id())
                 .with("decision", decision)
                 .with("route", route.name())
-                .with("since_ms", (now - mStopStartNanos) / 1_000_000)
-                .with("left_ms", (mStopDeadlineNanos - now) / 1_000_000)
-                .with("timeout_ms", request.timeoutMillis().orElse(route.timeout().toMillis()))
+                .with("since_ms", schedule.elapsed(now).toMillis())
+                .with("left_ms", schedule.timeLeft(now).toMillis())
+                .with("timeout_ms", timeout.toMillis())
+                .with("usual_ms", usual.map(Duration::toMillis).orElse(-1L))
                 .write();
+        return decision != ShutdownAdmission.Decision.REFUSED;
     }
 
     boolean isStopping() {
-        return mStopping;
+        return mShutdown.isPresent();
     }
 
     boolean isEmpty() {
@@ -216,7 +217,7 @@
      */
     void sweep(long nowNanos) {
         for (var connection : List.copyOf(mOpen)) {
-            connection.sweep(nowNanos, mStopping);
+            connection.sweep(nowNanos, isStopping());
         }
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -21,9 +21,7 @@
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
 import org.fescueport.internal.direct.forward.ForwardingMetrics.End;
-import org.fescueport.internal.direct.log.LogLine;
 import org.fescueport.internal.direct.place.AffinityKeys;
-import org.fescueport.internal.direct.place.ReplicaChooser;
 
 /**
  * Forwards one request of a caller, from the arrival of its last byte until its response has been
@@ -68,6 +66,7 @@
     private final Affinity mAffinity;
     private final PoolId mPool;
     private final RequestClock mRequestClock;
+    private final ExchangeLog mLog;
     private final ResponseRelay mRelay;
     private final Set<NodeId> mTriedReplicas = new HashSet<>();
     private int mAttemptCount;
@@ -100,6 +99,7 @@
         mAffinity = AffinityKeys.of(request.id(), request.prompt());
         mPool = mRoute.poolFor(mAffinity.key());
         mRequestClock = RequestClock.start(context.clock(), mRoute, request.timeoutMillis());
+        mLog = new ExchangeLog(context, request, mRequestClock);
         mRelay = ResponseRelay.of(mRoute.kind(), responseWriter, context.protocol());
     }
 
@@ -130,7 +130,7 @@
         var offer = mRequestClock.offer(mTicket.get().id(), team, mAccepted.urgency());
         switch (mContext.admissionControl().admit(mTicket.get(), offer, this, now)) {
             case AdmissionDecision.Admitted admitted -> sendToNextReplica("first");
-            case AdmissionDecision.Queued queued -> logQueued(queued);
+            case AdmissionDecision.Queued queued -> mLog.queued(mPool, queued);
             case AdmissionDecision.Refused refused ->
                     onRefused(Duration.ofMillis(refused.retryAfterMillis()));
         }
@@ -163,6 +163,27 @@
         end(End.CALLER_LEFT, "the caller closed its connection");
     }
 
+    /**
+     * Called when the process is about to end. A response that has not begun is replaced by a
+     * failure; one that has begun is cut off.
+     */
+    void onNodeEnding() {
+        if (mEnded) {
+            return;
+        }
+        boolean sent = mMayHaveRun || (mAttempt != null && mAttempt.isSent());
+        if (mAttempt != null) {
+            mAttempt.cancel();
+        }
+        if (mRelay.hasStarted()) {
+            cut("this node ends");
+        } else if (sent) {
+            fail(Refusal.Reason.UNKNOWN_OUTCOME, "this node ends, and the request may have run");
+        } else {
+            refuse("this node ends");
+        }
+    }
+
     /**
      * Called when the caller's connection becomes writable or stops being writable; resumes or
      * suspends reading from the replica.
@@ -201,7 +222,7 @@
         if (mayRetry() && tryAcquireRetry()) {
             mMayHaveRun = true;
             silent.cancel();
-            log("moved", silent, "the replica is silent");
+            mLog.attempt("moved", silent, "the replica is silent");
             retry("silent");
         }
     }
@@ -214,7 +235,7 @@
         mAttempt = null;
         mUnsentAttempts++;
         mAttemptCount--;
-        log("not-sent", attempt, reason);
+        mLog.attempt("not-sent", attempt, reason);
         if (mUnsentAttempts < MAX_UNSENT_ATTEMPTS) {
             sendToNextReplica("not sent before");
         } else if (mRelay.hasStarted()) {
@@ -302,6 +323,8 @@
             mContext.crashes().onSucceeded(fingerprint());
         }
         mRelay.finish();
+        mContext.responseTimes()
+                .onResponse(mRoute.name(), Duration.ofNanos(mRequestClock.elapsedNanos()));
         end(End.ANSWERED, "status " + head.status());
     }
 
@@ -311,7 +334,7 @@
      */
     private void onErrorResponse(Attempt attempt, ResponseHead head) {
         mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
-        log("failed-answer", attempt, "status " + head.status());
+        mLog.attempt("failed-answer", attempt, "status " + head.status());
         if (mayRetry() && tryAcquireRetry()) {
             mMayRepeatAtSameReplica = true;
             retry("failed answer");
@@ -330,7 +353,7 @@
         long now = mContext.nowNanos();
         mContext.chooser().onLost(attempt.replica(), now);
         mContext.crashes().onResponseLost(fingerprint(), attempt.replica(), now);
-        log("lost", attempt, reason);
+        mLog.attempt("lost", attempt, reason);
         if (mayRetry() && tryAcquireRetry()) {
             retry("lost");
         } else if (mRelay.hasStarted()) {
@@ -345,7 +368,7 @@
      * replica if attempts, time and the retry budget allow it.
      */
     private void onNotRun(Attempt attempt, ResponseHead head) {
-        log("refused-by-replica", attempt, "status " + head.status());
+        mLog.attempt("refused-by-replica", attempt, "status " + head.status());
         mContext.loads().onRefused(attempt.replica().id(), mContext.nowNanos());
         if (head.status() == SERVICE_UNAVAILABLE) {
             mTicket.ifPresent(
@@ -386,7 +409,7 @@
         checkSendAllowed();
         mAttempt = new Attempt(this, mContext, replica, mAttemptCount);
         mContext.metrics().onSend(mAttemptCount > 1);
-        logSent(chosen.get(), why);
+        mLog.sent(chosen.get(), mAttempt, why);
         if (mRequest.prompt().sharedTokens() >= MIN_REPORTED_TOKENS) {
             mContext.chooser().onPrefixSent(replica, mAffinity, now);
         }
@@ -551,37 +574,4 @@
         mTicket.ifPresent(
                 ticket -> mContext.admissionControl().onRequestEnded(ticket, mContext.nowNanos()));
     }
-
-    private void logQueued(AdmissionDecision.Queued queued) {
-        mContext.log()
-                .decision("waiting")
-                .with("request", mRequest.id())
-                .with("pool", mPool)
-                .with("expected_ms", queued.expectedWaitMillis())
-                .with("waiting", mContext.admissionControl().waiting())
-                .with("left_ms", mRequestClock.remainingMillis())
-                .write();
-    }
-
-    private void logSent(ReplicaChooser.Selection chosen, String reason) {
-        String holder = chosen.cacheHolder().map(r -> r.id().name()).orElse("");
-        line("sent", mAttempt, reason).with("cache_holder", holder).write();
-    }
-
-    private void log(String event, Attempt attempt, String reason) {
-        line(event, attempt, reason).write();
-    }
-
-    private LogLine line(String event, Attempt attempt, String reason) {
-        long now = mContext.nowNanos();
-        return mContext.log()
-                .decision(event)
-                .with("request", mRequest.id())
-                .with("replica", attempt.replica().id())
-                .with("send", attempt.number())
-                .with("reason", reason)
-                .with("prefix", mRequest.prompt().sharedPart())
-                .with("held", mContext.loads().placementLoad(attempt.replica().id(), now))
-                .with("left_ms", mRequestClock.remainingMillis());
-    }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.fescueport.internal.decision.admission.ShutdownSchedule;
 
 /** Serves the connections of callers. Entry point of the forwarding of requests. */
 public final class Forwarder {
@@ -75,17 +76,21 @@
     /**
      * Begins to stop: each connection is closed after the response in progress, and a request that
      * may not be answered before the end is refused.
-     *
-     * @param refuseFromNanos time from which callers should have been directed to other nodes;
-     *     earlier requests are still accepted
-     * @param stopDeadlineNanos time at which the process ends
      */
-    public void beginStop(long refuseFromNanos, long stopDeadlineNanos) {
-        mConnections.beginStop(refuseFromNanos, stopDeadlineNanos);
+    public void beginStop(ShutdownSchedule schedule) {
+        mConnections.beginStop(schedule);
         mContext.admissionControl().beginStop(mContext.nowNanos());
         sweep();
     }
 
+    /**
+     * Ends all requests, as the process is about to end: those without a response are answered, and
+     * responses in progress are cut off.
+     */
+    public void onNodeEnding() {
+        mConnections.onNodeEnding();
+    }
+
     /** Returns whether no caller is connected. */
     public boolean isIdle() {
         return mConnections.isEmpty();
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Clock;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.Mechanisms;
+import org.fescueport.internal.decision.admission.ResponseTimes;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.direct.log.EventLog;
@@ -27,6 +28,7 @@
         CrashingRequestDetector crashes,
         CallerQuota quota,
         ForwardingMetrics metrics,
+        ResponseTimes responseTimes,
         EventLog log,
         Mechanisms mechanisms,
         RandomGenerator random) {
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -7,6 +7,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.fescueport.internal.decision.admission.ShutdownAdmission.Decision;
 
 /** Counts forwarded requests and records their latency. */
 public final class ForwardingMetrics {
@@ -26,14 +27,6 @@
         CUT
     }
 
-    /** What a node that is stopping did with a request. */
-    public enum WhileStopping {
-        /** It was accepted. */
-        ACCEPTED,
-        /** It was refused and has not run. */
-        REFUSED
-    }
-
     private static final Duration[] BUCKETS = {
         Duration.ofMillis(10),
         Duration.ofMillis(30),
@@ -45,7 +38,7 @@
     };
 
     private final Map<End, Counter> mEnds = new EnumMap<>(End.class);
-    private final Map<WhileStopping, Counter> mWhileStopping = new EnumMap<>(WhileStopping.class);
+    private final Map<Decision, Counter> mWhileStopping = new EnumMap<>(Decision.class);
     private final Timer mFirstByte;
     private final Counter mSends;
     private final Counter mRetries;
@@ -58,7 +51,7 @@
                             .tag("end", end.name().toLowerCase(java.util.Locale.ROOT))
                             .register(registry));
         }
-        for (var decision : WhileStopping.values()) {
+        for (var decision : Decision.values()) {
             mWhileStopping.put(
                     decision,
                     Counter.builder("fescue.requests.while.stopping")
@@ -83,7 +76,7 @@
     }
 
     /** Counts a request that arrived while this node was stopping. */
-    void onWhileStopping(WhileStopping decision) {
+    void onWhileStopping(Decision decision) {
         mWhileStopping.get(decision).increment();
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -60,12 +60,20 @@
      */
     static RequestClock start(Clock clock, Route route, OptionalLong timeoutMillis) {
         long start = clock.monotonicTime();
-        long limit = route.timeout().toMillis();
-        long time = Math.min(limit, Math.max(0, timeoutMillis.orElse(limit)));
-        long end = start + Duration.ofMillis(time).toNanos();
+        long end = start + timeout(route, timeoutMillis).toNanos();
         return new RequestClock(clock, start, end, route.objective());
     }
 
+    /**
+     * Returns the time after which a request ends without a response at the latest.
+     *
+     * @param timeoutMillis how long the caller waits, if the caller states it
+     */
+    static Duration timeout(Route route, OptionalLong timeoutMillis) {
+        long limit = route.timeout().toMillis();
+        return Duration.ofMillis(Math.min(limit, Math.max(0, timeoutMillis.orElse(limit))));
+    }
+
     boolean isExpired(long nowNanos) {
         return nowNanos - mDeadlineNanos >= 0;
     }
