Count the times of a stop from the signal, and end queued requests first

Callers of a node whose event loop lags would see its times shifted by the lag: long requests accepted and cut past the load balancer's notice time, and none of the final answers if the kill comes first. An idempotent request that waits for capacity could be sent to a replica by the end of another request and be cancelled at once, 502 in place of 503.

Ruled out: answers that are late by a tick. Timeouts are checked before the end in the same tick.

Evidence: StoppingTest.shouldCountTheTimesOfAStopFromTheSignalWhenTheLoopIsBusy stalls the loop for 1.5 s. PlatformSettingsTest holds the notice time a second below what callers expect. The order of the end has no test.

Why it works: the signal's thread reads the clock; nothing is admitted once the end has begun. What the platform states of its load balancer is one value, LoadBalancerTimes, from platform/.

--- a/src/main/java/org/fescueport/internal/decision/admission/ResponseTimes.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/ResponseTimes.java
@@ -7,7 +7,9 @@
 import java.util.Optional;
 
 /**
- * Tracks how long complete responses of each route have taken recently. Not thread-safe.
+ * Tracks how long complete responses of each route have taken recently. Requests that timed out or
+ * failed are not counted, so a route whose requests time out looks faster than it is. Not
+ * thread-safe.
  *
  * <pre>{@code
  * times.onResponse("/summaries/", Duration.ofMillis(2_300));
@@ -15,7 +17,7 @@
  * }</pre>
  */
 public final class ResponseTimes {
-    /** Maximum number of routes; the one without a response for the longest time is dropped. */
+    /** Maximum number of routes; the one that was used least recently is dropped. */
     private static final int MAX_ROUTES = 1_024;
 
     /** Number of responses of each route that are kept. */
--- a/src/main/java/org/fescueport/internal/decision/admission/ShutdownAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/ShutdownAdmission.java
@@ -19,7 +19,7 @@
 
     /** The decision on a request. */
     public enum Decision {
-        /** The request is accepted; it times out before the node ends. */
+        /** The request is accepted; it is complete or times out before the node ends. */
         CERTAIN,
         /** The request is accepted; others of its route have taken less time than is left. */
         PROBABLE,
--- a/src/main/java/org/fescueport/internal/decision/admission/ShutdownSchedule.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/ShutdownSchedule.java
@@ -14,8 +14,8 @@
  */
 public record ShutdownSchedule(
         long startNanos, long noticedNanos, long idleEndNanos, long endNanos) {
-    /** Longest time in which a caller opens a connection that has been assigned to the node. */
-    private static final Duration CONNECT_TIME = Duration.ofMillis(1_200);
+    /** Time that the first request of a new connection is in transit. */
+    private static final Duration TRANSIT_TIME = Duration.ofMillis(200);
 
     /**
      * Part of the time until the process is killed after which it ends by itself. Callers are told
@@ -28,13 +28,14 @@
      * Returns the schedule of a shutdown.
      *
      * @param startNanos when the node was told to stop
-     * @param noticeTime longest time until the load balancer has noticed
      * @param killTime time until the process is killed
      */
-    public static ShutdownSchedule of(long startNanos, Duration noticeTime, Duration killTime) {
+    public static ShutdownSchedule of(
+            long startNanos, LoadBalancerTimes balancer, Duration killTime) {
         long end = startNanos + (long) (END_FRACTION * killTime.toNanos());
-        long noticed = Math.min(end, startNanos + noticeTime.toNanos());
-        long idleEnd = Math.min(end, noticed + CONNECT_TIME.toNanos());
+        long noticed = Math.min(end, startNanos + balancer.noticeTime().toNanos());
+        Duration connect = balancer.connectTime().plus(TRANSIT_TIME);
+        long idleEnd = Math.min(end, noticed + connect.toNanos());
         return new ShutdownSchedule(startNanos, noticed, idleEnd, end);
     }
 
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -171,7 +171,7 @@
                         mRandom);
         mForwarder = Forwarder.create(context);
         mShutdown = new GracefulShutdown(mForwarder, parts.clock(), parts.log());
-        mStopped = mShutdown.finished().thenRun(this::close);
+        mStopped = mShutdown.finished().thenRun(() -> guarded("stop", this::close));
     }
 
     private RetryBudgets newBudgets() {
@@ -246,7 +246,10 @@
 
     /** Begins a graceful shutdown; the future completes when nothing is left to do. */
     public CompletableFuture<Void> stop() {
-        mParts.loop().execute(() -> mShutdown.begin(mSettings.noticeTime(), mSettings.stopTime()));
+        long now = mParts.clock().monotonicTime();
+        mParts.loop()
+                .execute(
+                        () -> mShutdown.begin(now, mSettings.loadBalancer(), mSettings.stopTime()));
         return mStopped;
     }
 
@@ -321,15 +324,16 @@
     private void every(Duration interval, Runnable task) {
         long nanos = interval.toNanos();
         mParts.loop()
-                .scheduleWithFixedDelay(() -> guarded(task), nanos, nanos, TimeUnit.NANOSECONDS);
+                .scheduleWithFixedDelay(
+                        () -> guarded("timer", task), nanos, nanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Runs a periodic task; a failure must not end its later runs. */
-    private void guarded(Runnable task) {
+    /** Runs a task whose failure must end neither its later runs nor what comes after it. */
+    private void guarded(String where, Runnable task) {
         try {
             task.run();
         } catch (RuntimeException e) {
-            mParts.log().change("fault").with("where", "timer").with("cause", e).write();
+            mParts.log().change("fault").with("where", where).with("cause", e).write();
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.admission.LoadBalancerTimes;
 
 /**
  * What a router that reaches replicas directly is told at its start.
@@ -22,7 +23,7 @@
  * @param retryAllowance retries in a window that the fleet may send beyond the share
  * @param retryWindow in which those are counted
  * @param leaveBound longest time a replica may be used after it was told to leave
- * @param noticeTime longest time until the load balancer notices that this node is not ready
+ * @param loadBalancer what this node may rely on of the load balancer before it
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
  */
@@ -40,7 +41,7 @@
         double retryAllowance,
         Duration retryWindow,
         Duration leaveBound,
-        Duration noticeTime,
+        LoadBalancerTimes loadBalancer,
         Duration stopTime,
         MachineLimits limits) {
     public DirectRouterSettings {
--- a/src/main/java/org/fescueport/internal/direct/GracefulShutdown.java
+++ b/src/main/java/org/fescueport/internal/direct/GracefulShutdown.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.fescueport.internal.decision.admission.LoadBalancerTimes;
 import org.fescueport.internal.decision.admission.ShutdownSchedule;
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.log.EventLog;
@@ -30,14 +31,14 @@
     /**
      * Begins the shutdown; later calls have no effect.
      *
-     * @param noticeTime longest time until the load balancer has noticed
-     * @param killTime time until the process is killed
+     * @param startNanos when the node was told to stop
+     * @param killTime time from then until the process is killed
      */
-    void begin(Duration noticeTime, Duration killTime) {
+    void begin(long startNanos, LoadBalancerTimes balancer, Duration killTime) {
         if (isBegun()) {
             return;
         }
-        var schedule = ShutdownSchedule.of(mClock.monotonicTime(), noticeTime, killTime);
+        var schedule = ShutdownSchedule.of(startNanos, balancer, killTime);
         mSchedule = Optional.of(schedule);
         mLog.change("stopping").with("connections", mForwarder.connections()).write();
         mForwarder.beginStop(schedule);
--- a/src/main/java/org/fescueport/internal/direct/forward/AdmissionControl.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AdmissionControl.java
@@ -55,6 +55,7 @@
     private long mNextId;
     private boolean mAdmitting;
     private boolean mStopping;
+    private boolean mAdmittingStopped;
 
     private AdmissionControl(FleetView view, ReplicaLoads loads, Mechanisms mechanisms) {
         mView = view;
@@ -148,12 +149,17 @@
         admitWaiting(nowNanos);
     }
 
+    /** Admits no queued request any more, as the process is about to end. */
+    void stopAdmitting() {
+        mAdmittingStopped = true;
+    }
+
     /**
      * Admits the queued requests for which there is capacity and refuses those that have expired.
      * Must also be called every few tens of milliseconds.
      */
     public void admitWaiting(long nowNanos) {
-        if (mAdmitting) {
+        if (mAdmitting || mAdmittingStopped) {
             return;
         }
         mAdmitting = true;
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -329,7 +329,7 @@
     void onNodeEnding() {
         if (mExchange != null) {
             mExchange.onNodeEnding();
-        } else if (mRequest != null) {
+        } else if (mRequest != null && !mProcessing) {
             refuse(Refusal.Reason.NOT_RUN, "this node ends");
         } else if (!mProcessing) {
             mChannel.close();
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -88,6 +88,7 @@
      * responses in progress are cut off.
      */
     public void onNodeEnding() {
+        mContext.admissionControl().stopAdmitting();
         mConnections.onNodeEnding();
     }
 
--- a/src/test/java/org/fescueport/internal/decision/admission/ShutdownAdmissionTest.java
+++ b/src/test/java/org/fescueport/internal/decision/admission/ShutdownAdmissionTest.java
@@ -14,11 +14,12 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ShutdownAdmissionTest {
-    private static final Duration NOTICE = Duration.ofSeconds(2);
+    private static final LoadBalancerTimes BALANCER =
+            new LoadBalancerTimes(Duration.ofSeconds(2), Duration.ofSeconds(1));
     private static final Optional<Duration> UNKNOWN = Optional.empty();
 
     private static ShutdownSchedule schedule(long killMs) {
-        return ShutdownSchedule.of(nanos(1_000), NOTICE, Duration.ofMillis(killMs));
+        return ShutdownSchedule.of(nanos(1_000), BALANCER, Duration.ofMillis(killMs));
     }
 
     /** Returns the decision at a time since the beginning of the shutdown. */
--- a/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
+++ b/src/test/java/org/fescueport/platform/PlatformSettingsTest.java
@@ -4,11 +4,13 @@
 import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -41,6 +43,13 @@
         assertThat(settings.sockets().getAsInt(), is(3_900));
     }
 
+    /** Callers expect that what they send up to 3 s after the signal alone may be cut. */
+    @Test
+    void shouldLeaveASecondForALateSignalBeforeCallersExpectNoCut() {
+        Duration notice = PlatformSettings.LOAD_BALANCER.noticeTime();
+        assertThat(notice.plusSeconds(1), is(lessThanOrEqualTo(Duration.ofSeconds(3))));
+    }
+
     @Test
     void shouldUseDefaultDrainTimeoutIfNoneIsStated() throws Exception {
         Path file =
--- a/src/test/java/org/fescueport/platform/StoppingTest.java
+++ b/src/test/java/org/fescueport/platform/StoppingTest.java
@@ -14,6 +14,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -95,6 +96,19 @@
         }
     }
 
+    @Test
+    void shouldCountTheTimesOfAStopFromTheSignalWhenTheLoopIsBusy() throws Exception {
+        try (var fleet = startWithLongRoutes(LONG_STREAM);
+                var first = RawCaller.connect(fleet.router().callers())) {
+            first.send(LONG_REQUEST);
+            Await.until("a request is under way", () -> fleet.arrivals("llm") == 1);
+            fleet.router().stall(Duration.ofMillis(1_500));
+            fleet.router().stop();
+            Await.pause(2_300);
+            assertThat(fleet.ask(LONG_REQUEST).status(), is(503));
+        }
+    }
+
     @Test
     void shouldServeAConnectionMadeWhileStoppingThatAsksALittleLater() throws Exception {
         try (var fleet = Installation.start(GOOD, STREAM)) {
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -36,7 +36,6 @@
 
     private static final int STOP_LIMIT_MS = 1_000;
     private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
-    private static final Duration NOTICE_TIME = Duration.ofSeconds(2);
     private static final Duration STOP_TIME = Duration.ofSeconds(8);
 
     private final DirectRouter mRouter;
@@ -115,7 +114,7 @@
                 AMPLE_RETRIES,
                 Duration.ofSeconds(10),
                 LEAVE_BOUND,
-                NOTICE_TIME,
+                PlatformSettings.LOAD_BALANCER,
                 STOP_TIME,
                 new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
     }
--- a/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
+++ b/src/test/java/org/fescueport/platform/soak/DirectSoakTest.java
@@ -126,7 +126,7 @@
             mEdges.add(edge);
             edge.start();
         }
-        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, edge::isReady));
     }
 
     private static List<InetSocketAddress> others(List<InetSocketAddress> all, int own) {
@@ -187,7 +187,7 @@
     private void callAgainAndAgain(SplittableRandom random) {
         while (!mStopped.get()) {
             EdgeProcess edge = mEdges.get(random.nextInt(EDGES));
-            if (!isReady(edge)) {
+            if (!edge.isReady()) {
                 Await.pause(20);
                 continue;
             }
@@ -352,7 +352,7 @@
         startWhatEnded();
         mDrill.await();
         Await.pause(SETTLING_MS);
-        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, () -> isReady(edge)));
+        mEdges.forEach(edge -> Await.until(edge.node() + " is ready", 15_000, edge::isReady));
         mRecords.calm(true);
         SoakReplica leaving = mReplicas.getFirst();
         addReplica(leaving.id().startsWith("llm") ? "llm" : "api");
@@ -369,13 +369,4 @@
         mRecords.onDeparted(leaving.id(), ack + TimeUnit.MILLISECONDS.toNanos(BOUND_MS));
         mRecords.calm(false);
     }
-
-    private static boolean isReady(EdgeProcess edge) {
-        try (var caller = RawCaller.connect(edge.ready())) {
-            caller.send("GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n");
-            return caller.receive().status() == 200;
-        } catch (IOException e) {
-            return false;
-        }
-    }
 }
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.platform.EdgeMain;
 import org.fescueport.platform.FreePorts;
+import org.fescueport.platform.RawCaller;
 
 /** A router as a process of its own; it is signalled by its id and by nothing else. */
 final class EdgeProcess implements AutoCloseable {
@@ -60,6 +61,16 @@
         return mProcess != null && mProcess.isAlive();
     }
 
+    /** Returns whether the process says that it is ready. */
+    boolean isReady() {
+        try (var caller = RawCaller.connect(mReady)) {
+            caller.send("GET /api/readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+            return caller.receive().status() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Returns whether a signal has ended the process before it wrote its first line. */
     boolean hasEndedWhileStarting() {
         try {
