Free the address of a frame transport that is closed

A node that closed its transport and listened again in the same process could find its own address taken, and those connected to it could be left with a connection that nobody served until the process ended.

Cause: the transport closed its channels only by ending its event loops without a quiet period. Such a loop checks for the shutdown after its last look at the channels, and may end without closing them; the sockets then stay open until a collection of garbage.

Ruled out: another process at the same port.

Why it works: the transport keeps its channels in a group, closes them and waits for that before it ends the loops. A channel that is opened meanwhile is closed as it joins the group.

--- a/src/main/java/org/fescueport/internal/wire/FrameTransport.java
+++ b/src/main/java/org/fescueport/internal/wire/FrameTransport.java
@@ -10,6 +10,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -19,6 +21,7 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.ssl.SslContext;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -45,6 +48,11 @@
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
 
     private final EventLoopGroup mGroup;
+
+    /** All open channels; one that joins after {@link #close} is closed at once. */
+    private final ChannelGroup mChannels =
+            new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+
     private final Supplier<Optional<SslContext>> mServerTls;
     private final Supplier<Optional<SslContext>> mClientTls;
     private final Consumer<WireException> mOnRefused;
@@ -89,6 +97,7 @@
             throw WireException.of(
                     "cannot listen on " + address + ": choose a free port", bound.cause());
         }
+        mChannels.add(bound.channel());
         return (InetSocketAddress) bound.channel().localAddress();
     }
 
@@ -123,6 +132,8 @@
 
     @Override
     public void close() {
+        // An event loop that ends without a quiet period may leave channels open.
+        mChannels.close().awaitUninterruptibly(CLOSE_TIMEOUT.toMillis());
         mGroup.shutdownGracefully(
                         QUIET_PERIOD.toMillis(), CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .awaitUninterruptibly();
@@ -135,6 +146,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
+                mChannels.add(channel);
                 var pipeline = channel.pipeline();
                 var context = tls.get();
                 context.ifPresent(it -> pipeline.addLast(it.newHandler(channel.alloc())));
