Accept a replica's response only if it names the request

What callers saw: on a kept connection, a replica wrote an earlier refusal once more, without a request id, and then ran the next request.

Cause: a refusal was used before the check that a response names its request, and a response with two ids counted by the first of them.

Ruled out: an earlier response that bears its own, earlier id (any status, also behind an interim response) was and is skipped; one that comes on an idle connection, or at once after the first, closed the connection before and does so now.

Why it works: exactly one id that is not blank names a request. A response that names none ends the connection, and its outcome is unknown (502; repeatable requests go on elsewhere). The one exception is 421 as the first response to the first request of a connection: the server at a reused address need not echo ids, and no earlier request was sent there. Such a connection is not reused.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -16,10 +16,10 @@
 /**
  * One connection to a replica, with at most one request in progress.
  *
- * <p>Only the response to that request is accepted. Bytes that arrive while no request is in
- * progress close the connection, and complete responses to other requests are skipped. The
- * connection is reused only after a response whose end was given by its framing, that is, by a
- * content length or chunked transfer coding.
+ * <p>Only the response that names that request is accepted. Bytes that arrive while no request is
+ * in progress close the connection, and so does a response that names no request. Complete
+ * responses to other requests are skipped. The connection is reused only after a response whose end
+ * was given by its framing, that is, by a content length or chunked transfer coding.
  */
 final class ReplicaConnection extends ChannelInboundHandlerAdapter {
     /** Responses to other requests that are skipped; one more closes the connection. */
@@ -49,6 +49,7 @@
     private ReadState mReadState = ReadState.IDLE;
     private ResponseHead mHead;
     private boolean mRequestWritten;
+    private int mRequestsSent;
     private boolean mReusable;
     private int mUnrelatedResponses;
     private int mInterimResponses;
@@ -81,6 +82,7 @@
         mInterimResponses = 0;
         mDiscardedBytes = 0;
         mRequestWritten = false;
+        mRequestsSent++;
         // Reading may still be suspended for the previous caller, if it read its response slowly.
         setReading(true);
         listener.onSending(this);
@@ -189,22 +191,46 @@
             }
             return;
         }
-        ResponseHead head = mProtocol.readResponseHead(response);
-        boolean unrelated = head.requestId().map(id -> !id.equals(mRequestId)).orElse(false);
-        if (unrelated) {
-            mUnrelatedResponses++;
-            mReusable = false;
-            mReadState = ReadState.UNRELATED;
-            if (mUnrelatedResponses > MAX_UNRELATED_RESPONSES || head.closeDelimited()) {
-                fail("answers to other requests");
-            }
+        onFinalHead(mProtocol.readResponseHead(response));
+    }
+
+    private void onFinalHead(ResponseHead head) {
+        boolean named = head.requestId().isPresent();
+        if (!named && !isMisdirectedFirstRequest(head)) {
+            fail("an answer that names no request");
             return;
         }
+        if (named && !head.requestId().get().equals(mRequestId)) {
+            onUnrelatedHead(head);
+            return;
+        }
+        mReusable = mReusable && named;
         mReadState = ReadState.BODY;
         mHead = head;
         mListener.onHead(head);
     }
 
+    private void onUnrelatedHead(ResponseHead head) {
+        mUnrelatedResponses++;
+        mReusable = false;
+        mReadState = ReadState.UNRELATED;
+        if (mUnrelatedResponses > MAX_UNRELATED_RESPONSES || head.closeDelimited()) {
+            fail("answers to other requests");
+        }
+    }
+
+    /**
+     * Returns whether a response without a request id is accepted. A server that has taken over the
+     * address of the replica need not echo the id; on the first request of the connection, its
+     * response can be to no other request.
+     */
+    private boolean isMisdirectedFirstRequest(ResponseHead head) {
+        return head.isMisdirected()
+                && mRequestsSent == 1
+                && mRequestWritten
+                && mUnrelatedResponses == 0;
+    }
+
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             content.release();
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -10,7 +10,7 @@
  * The head of a replica's response.
  *
  * @param headers to be forwarded to the caller unchanged
- * @param requestId echoed by the replica; absent if it sent none
+ * @param requestId echoed by the replica; absent if it sent none, or more than one
  * @param notRun whether the replica states that it has not run the request and never will
  * @param signed whether the response bears the replica's stamp
  * @param load that the replica reports of itself
@@ -33,6 +33,8 @@
         boolean keepAlive,
         Optional<Duration> keepAliveTimeout,
         ReplicaNotice notice) {
+    private static final int MISDIRECTED = 421;
+
     /**
      * The load of a replica.
      *
@@ -46,7 +48,12 @@
      * Returns whether callers take this status to mean that the request has not run and never will.
      */
     public boolean statusImpliesNotRun() {
-        return status == 408 || status == 421 || status == 429 || status == 503;
+        return status == 408 || status == MISDIRECTED || status == 429 || status == 503;
+    }
+
+    /** Returns whether the server is not the replica that the request was sent to. */
+    public boolean isMisdirected() {
+        return status == MISDIRECTED;
     }
 
     /**
