Close a replica connection at the first byte behind a response

What callers saw: a replica wrote a few bytes, or the beginning of an earlier answer, behind a complete response or while the connection was idle. The next request on that connection got 502 although the replica had run it, or no answer until its time was over (504).

Cause: Netty's decoder keeps bytes until they make up a message, so that the check for bytes behind a response saw only complete ones. The kept bytes became the beginning of the next response.

Why it works: the decoder asks whether a request is in progress before it decodes anything, and reports what arrives otherwise.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -21,7 +22,8 @@
  * responses to other requests are skipped. The connection is reused only after a response whose end
  * was given by its framing, that is, by a content length or chunked transfer coding.
  */
-final class ReplicaConnection extends ChannelInboundHandlerAdapter {
+final class ReplicaConnection extends ChannelInboundHandlerAdapter
+        implements StrictResponseDecoder.Requests {
     /** Responses to other requests that are skipped; one more closes the connection. */
     private static final int MAX_UNRELATED_RESPONSES = 2;
 
@@ -46,6 +48,7 @@
     private Channel mChannel;
     private ResponseListener mListener;
     private String mRequestId;
+    private HttpMethod mMethod;
     private ReadState mReadState = ReadState.IDLE;
     private ResponseHead mHead;
     private boolean mRequestWritten;
@@ -75,6 +78,7 @@
     void send(FullHttpRequest message, String requestId, ResponseListener listener) {
         mListener = listener;
         mRequestId = requestId;
+        mMethod = message.method();
         mReadState = ReadState.HEAD;
         mHead = null;
         mReusable = true;
@@ -135,6 +139,21 @@
         mChannel.close();
     }
 
+    @Override
+    public boolean isResponseExpected() {
+        return mListener != null;
+    }
+
+    @Override
+    public HttpMethod method() {
+        return mMethod;
+    }
+
+    @Override
+    public void onStrayBytes() {
+        close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (mListener == null) {
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -7,8 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -27,9 +26,6 @@
      */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-    private static final int MAX_RESPONSE_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 16_384;
-
     private final WireProtocol mProtocol;
     private final Clock mClock;
     private final Bootstrap mBootstrap;
@@ -148,11 +144,8 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                var limits =
-                        new HttpDecoderConfig()
-                                .setMaxHeaderSize(MAX_RESPONSE_HEADER_BYTES)
-                                .setMaxChunkSize(MAX_CHUNK_BYTES);
-                channel.pipeline().addLast(new HttpClientCodec(limits, true, true));
+                channel.pipeline().addLast(new StrictResponseDecoder(connection));
+                channel.pipeline().addLast(new HttpRequestEncoder());
                 channel.pipeline().addLast(connection);
             }
         };
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/StrictResponseDecoder.java
@@ -0,0 +1,64 @@
+package org.fescueport.internal.direct.forward;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.List;
+
+/**
+ * Decodes the responses of one connection to a replica. Bytes that arrive while no response is
+ * expected are reported at once, even if they are only the beginning of a response.
+ */
+final class StrictResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    /** What the decoder needs to know about the request in progress. */
+    interface Requests {
+        /** Returns whether a request is in progress, so that a response may arrive. */
+        boolean isResponseExpected();
+
+        /** Returns the method of the request in progress. */
+        HttpMethod method();
+
+        /** Bytes have arrived that belong to no response; they are skipped. */
+        void onStrayBytes();
+    }
+
+    private final Requests mRequests;
+
+    StrictResponseDecoder(Requests requests) {
+        super(
+                new HttpDecoderConfig()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxChunkSize(MAX_CHUNK_BYTES));
+        mRequests = requests;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
+            throws Exception {
+        if (mRequests.isResponseExpected()) {
+            super.decode(context, bytes, messages);
+            return;
+        }
+        bytes.skipBytes(bytes.readableBytes());
+        mRequests.onStrayBytes();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return isFinalResponseToHead(message) || super.isContentAlwaysEmpty(message);
+    }
+
+    private boolean isFinalResponseToHead(HttpMessage message) {
+        return message instanceof HttpResponse response
+                && response.status().codeClass() != HttpStatusClass.INFORMATIONAL
+                && mRequests.method().equals(HttpMethod.HEAD);
+    }
+}
