Reject a replica's response with a transfer coding that is not read

What callers saw: a response with a length and `Transfer-Encoding: gzip` came through as complete (200), its encoded bytes in place of the replica's body, and the connection was reused.

Cause: the coding was dropped as a header of one connection, and the length was believed, though a transfer coding takes precedence over it.

Ruled out: two lengths, a length with chunks, and codings beside chunked are rejected by the decoder already; tests show it.

Evidence: shouldNotAcceptResponseWhoseEndIsAmbiguous failed before for a length with gzip ("Expected: is <502> but: was <200>"). The case of gzip without a length was added with the fix and was not run before it.

Why it works: requests and responses follow one rule, which stood in the reading of requests alone: no coding, or chunked by itself. Any other response ends its connection, and its outcome is unknown.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -202,6 +202,10 @@
             fail("a second answer to one request");
             return;
         }
+        if (!TransferCoding.isReadable(response.headers())) {
+            fail("a transfer coding that is not read");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             mReadState = ReadState.INTERIM;
             mInterimResponses++;
--- a/src/test/java/org/fescueport/platform/StrayBytesTest.java
+++ b/src/test/java/org/fescueport/platform/StrayBytesTest.java
@@ -94,6 +94,8 @@
                 "Content-Length: 5, 4\r\n\r\nwhole",
                 "Content-Length: -5\r\n\r\nwhole",
                 "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+                "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n\r\nwhole",
+                "Transfer-Encoding: gzip\r\n\r\nwhole",
                 "Transfer-Encoding: chunked, gzip\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
                 "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n"
                         + "5\r\nwhole\r\n0\r\n\r\n",
