End an attempt whose replica switches to another protocol

What callers saw: after a 101 that nobody had asked for, the request got no answer until its time was over (504), also when the replica's answer followed.

Cause: 101 counted as an interim response, but the decoder passes on what comes after it as plain bytes, which nobody read or released.

Evidence: shouldNotAcceptBytesBehindAnInterimResponse failed before in both cases of 101 ("Expected: is <502> but: was <504>"). Bytes behind another interim response (103 with a length) had an unknown outcome before, as the same test shows.

Why it works: the outcome is unknown as soon as the 101 arrives, and the connection is closed with whatever it carries.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -207,14 +208,20 @@
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            mReadState = ReadState.INTERIM;
-            mInterimResponses++;
-            if (mInterimResponses > MAX_INTERIM_RESPONSES) {
-                fail("interim answers without end");
-            }
-            return;
+            onInterimHead(response);
+        } else {
+            onFinalHead(mProtocol.readResponseHead(response));
+        }
+    }
+
+    private void onInterimHead(HttpResponse response) {
+        mReadState = ReadState.INTERIM;
+        mInterimResponses++;
+        if (mInterimResponses > MAX_INTERIM_RESPONSES) {
+            fail("interim answers without end");
+        } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("another protocol, for which nobody asked");
         }
-        onFinalHead(mProtocol.readResponseHead(response));
     }
 
     private void onFinalHead(ResponseHead head) {
--- a/src/test/java/org/fescueport/platform/StrayBytesTest.java
+++ b/src/test/java/org/fescueport/platform/StrayBytesTest.java
@@ -121,6 +121,8 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
+                "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+                "HTTP/1.1 101 X\r\n\r\n",
                 "HTTP/1.1 103 X\r\nContent-Length: 2\r\n\r\nno"
             })
     void shouldNotAcceptBytesBehindAnInterimResponse(String interim) throws Exception {
