Send a repeated attempt to the same replica on a new connection

What callers saw: a repeatable request whose only or best replica had answered 500 was sent there again, and a repeated copy of the first 500 was taken for the answer to the second attempt: the caller got 500, although the replica had then run the request well.

Cause: both attempts bear the id of the caller's request, so that on one kept connection nothing tells an earlier response from the newer one.

Ruled out: a false "not run" by this way. A request is sent to the same replica again only if it is repeatable and a replica has answered it with an error; from then on the router never says "not run". A request that may run only once never returns to a replica.

Evidence: shouldNotTakeRepeatedResponseToAnEarlierAttemptForThatToThe LaterOne failed before for a first answer of 500 ("Expected: is <200> but: was <500>"). The case of a first refusal passed before too: there the later attempt went elsewhere.

Why it works: a connection carries an id of one exchange once, so that an id names one attempt on it. An idle connection is not used for a replica that the request was sent to before.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -381,7 +381,7 @@
             return;
         }
         var replica = chosen.get().replica();
-        mTriedReplicas.add(replica.id());
+        boolean triedBefore = !mTriedReplicas.add(replica.id());
         mAttemptCount++;
         checkSendAllowed();
         mAttempt = new Attempt(this, mContext, replica, mAttemptCount);
@@ -399,10 +399,18 @@
                         chosen.get().cacheHolder(),
                         mRelay.lastEventId().or(mRequest::resumeAfterEventId));
         var message = mContext.protocol().writeRequest(mRequest, mBody, dispatch);
-        boolean nonRepeatable = !mRoute.kind().isRepeatable();
         int connections = mConfiguration.maxConnections().getOrDefault(mPool, Integer.MAX_VALUE);
         var connectionPool = mContext.connectionPools().connectionPool(replica);
-        connectionPool.send(message, mRequest.id(), nonRepeatable, connections, mAttempt);
+        connectionPool.send(message, mRequest.id(), reuse(triedBefore), connections, mAttempt);
+    }
+
+    private ReplicaConnectionPool.Reuse reuse(boolean triedBefore) {
+        if (triedBefore) {
+            return ReplicaConnectionPool.Reuse.NONE;
+        }
+        return mRoute.kind().isRepeatable()
+                ? ReplicaConnectionPool.Reuse.ANY
+                : ReplicaConnectionPool.Reuse.RECENT;
     }
 
     private void checkSendAllowed() {
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPool.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPool.java
@@ -23,11 +23,29 @@
     /** Idle connections are used and kept up to this fraction of their idle timeout. */
     private static final double MAX_IDLE_FRACTION = 0.9;
 
-    /**
-     * Requests that must not be sent twice use only connections that the replica is certainly not
-     * closing at the time, idle up to this fraction of their idle timeout.
-     */
-    private static final double NON_REPEATABLE_MAX_IDLE_FRACTION = 0.5;
+    /** Which idle connections a request may be sent on. */
+    enum Reuse {
+        /** All that are kept. */
+        ANY(MAX_IDLE_FRACTION),
+
+        /**
+         * Those that the replica is certainly not closing at the time, for requests that must not
+         * be sent twice.
+         */
+        RECENT(0.5),
+
+        /**
+         * None, for a request that the replica has answered before: its id does not tell an earlier
+         * response from that to the new attempt.
+         */
+        NONE(0);
+
+        private final double mMaxIdleFraction;
+
+        Reuse(double maxIdleFraction) {
+            mMaxIdleFraction = maxIdleFraction;
+        }
+    }
 
     private final ReplicaConnectionPools mPools;
     private final ReplicaEntry mReplica;
@@ -47,19 +65,18 @@
     /**
      * Sends a request on an idle connection, or on a new one. Takes ownership of the message.
      *
-     * @param nonRepeatable whether the request may run at most once
+     * @param reuse which idle connections may be used
      * @param maxConnections largest number of connections from this node to the replica; the
      *     request is not sent if all are in use
      */
     void send(
             FullHttpRequest message,
             String requestId,
-            boolean nonRepeatable,
+            Reuse reuse,
             int maxConnections,
             ResponseListener listener) {
         mMaxConnections = maxConnections;
-        ReplicaConnection idle =
-                takeIdle(nonRepeatable ? NON_REPEATABLE_MAX_IDLE_FRACTION : MAX_IDLE_FRACTION);
+        ReplicaConnection idle = takeIdle(reuse.mMaxIdleFraction);
         if (idle != null) {
             idle.send(message, requestId, listener);
             return;
--- a/src/test/java/org/fescueport/platform/KeptConnectionTest.java
+++ b/src/test/java/org/fescueport/platform/KeptConnectionTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fescueport.platform.RawServer.Request;
 import org.fescueport.platform.RawServer.Script;
 import org.fescueport.platform.RawServer.Wire;
@@ -211,6 +212,38 @@
         }
     }
 
+    /** The id alone does not tell two sends to one replica apart. */
+    @ParameterizedTest
+    @EnumSource(names = {"FULL", "FAILED"})
+    void shouldNotTakeRepeatedResponseToAnEarlierAttemptForThatToTheLaterOne(Earlier earlier)
+            throws Exception {
+        var arrivals = new AtomicInteger();
+        Map<Socket, String> sent = new ConcurrentHashMap<>();
+        Script script =
+                (request, wire) -> {
+                    String own = ID + request.header("Fescueport-Attempt-Id") + "\r\n";
+                    int arrival = arrivals.incrementAndGet();
+                    String before = sent.get(wire.socket());
+                    if (arrival <= 2) {
+                        Earlier first = arrival == 1 ? earlier : Earlier.FAILED;
+                        sent.put(wire.socket(), first.text(own));
+                        wire.write(first.text(own));
+                        return;
+                    }
+                    if (before != null) {
+                        wire.write(before);
+                        Await.pause(20);
+                    }
+                    wire.answer(200, headersFor(request), "own".getBytes());
+                };
+        try (var fleet = withAttempts(3, script)) {
+            var answer = fleet.ask(request("GET", "/safe/x", "own", ""));
+            assertThat(answer.status(), is(200));
+            assertThat(answer.body(), is("own"));
+            assertThat(arrivals.get(), is(3));
+        }
+    }
+
     private static void assertSkipped(Earlier earlier, String before) throws Exception {
         var script = new RepeatingScript(earlier, Ids.EARLIER, before);
         try (var fleet = warmed(script)) {
