Close a caller's connection at the first byte that belongs to no answer

What callers saw, between agents and their engines, services and lists: a server that wrote the beginning of an answer behind a complete one, "HTTP/1.1 503 Ser", made the next call on that connection end with 503, although that call was answered with 200. A beginning of one whole line made the next call fail.

Cause: the HTTP library keeps bytes until they make up the head of an answer; those bytes and the next answer became one head.

Ruled out: a complete answer behind another one, at once or later. The library closes the connection ("whole", 3 cases, held before).

Evidence: KeptCallerConnectionTest failed before in the 6 cases with only the beginning of an answer ("Expected: is <200> but: was <503>" in three, a failed call in three). AsyncHttpCallerTest passes.

Why it works: each connection notes whether the answer to a written request is due; the parser ends the connection on any byte that arrives otherwise. A call that was not sent because of this says so.

What remains: these answers bear no id, so that an extra answer which arrives after the next request was sent can't be told from its own.

--- a/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
+++ b/src/main/java/org/fescueport/internal/http/AsyncHttpCaller.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -17,9 +16,11 @@
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
+import org.apache.hc.core5.pool.DefaultDisposalCallback;
 import org.apache.hc.core5.pool.PoolReusePolicy;
+import org.apache.hc.core5.pool.StrictConnPool;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 
 /**
@@ -101,27 +102,34 @@
     }
 
     private HttpAsyncRequester createRequester() {
-        return AsyncRequesterBootstrap.bootstrap()
-                .setIOReactorConfig(
-                        IOReactorConfig.custom()
-                                .setIoThreadCount(mSettings.ioThreads())
-                                .setTcpNoDelay(true)
-                                .setSoKeepAlive(true)
-                                .build())
-                .setHttpProcessor(PROCESSOR)
-                .setHttp1Config(
-                        Http1Config.custom()
-                                .setInitialWindowSize(ClientExchange.WINDOW_BYTES)
-                                .build())
-                .setIOSessionDecorator(mConnections::gate)
-                .setIOSessionListener(mConnections)
-                .setExceptionCallback(failure -> {})
-                .setDefaultMaxPerRoute(mSettings.maxConnectionsPerHost())
-                .setMaxTotal(mSettings.maxConnections())
-                .setTimeToLive(Timeout.of(mSettings.keepAlive()))
-                .setPoolReusePolicy(PoolReusePolicy.LIFO)
-                .setPoolConcurrencyPolicy(PoolConcurrencyPolicy.STRICT)
-                .create();
+        var config = Http1Config.custom().setInitialWindowSize(ClientExchange.WINDOW_BYTES).build();
+        var reactor =
+                IOReactorConfig.custom()
+                        .setIoThreadCount(mSettings.ioThreads())
+                        .setTcpNoDelay(true)
+                        .setSoKeepAlive(true)
+                        .build();
+        return new HttpAsyncRequester(
+                reactor,
+                CallerConnectionFactory.of(PROCESSOR, config),
+                mConnections::gate,
+                failure -> {},
+                mConnections,
+                createPool(),
+                null,
+                null,
+                null,
+                null);
+    }
+
+    private StrictConnPool<HttpHost, IOSession> createPool() {
+        return new StrictConnPool<>(
+                mSettings.maxConnectionsPerHost(),
+                mSettings.maxConnections(),
+                Timeout.of(mSettings.keepAlive()),
+                PoolReusePolicy.LIFO,
+                new DefaultDisposalCallback<>(),
+                null);
     }
 
     /** Gathers a whole answer within a bound. */
