--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -16,12 +18,13 @@
 /**
  * One connection to a replica, with at most one request in progress.
  *
- * <p>Only the response to that request is accepted. Bytes that arrive while no request is in
- * progress close the connection, and complete responses to other requests are skipped. The
- * connection is reused only after a response whose end was given by its framing, that is, by a
- * content length or chunked transfer coding.
+ * <p>Only the response that names that request is accepted. Bytes that arrive while no request is
+ * in progress close the connection, and so does a response that names no request. Complete
+ * responses to other requests are skipped. The connection is reused only after a response whose end
+ * was given by its framing, that is, by a content length or chunked transfer coding.
  */
-final class ReplicaConnection extends ChannelInboundHandlerAdapter {
+final class ReplicaConnection extends ChannelInboundHandlerAdapter
+        implements StrictResponseDecoder.Requests {
     /** Responses to other requests that are skipped; one more closes the connection. */
     private static final int MAX_UNRELATED_RESPONSES = 2;
 
@@ -46,9 +49,11 @@
     private Channel mChannel;
     private ResponseListener mListener;
     private String mRequestId;
+    private HttpMethod mMethod;
     private ReadState mReadState = ReadState.IDLE;
     private ResponseHead mHead;
     private boolean mRequestWritten;
+    private int mRequestsSent;
     private boolean mReusable;
     private int mUnrelatedResponses;
     private int mInterimResponses;
@@ -74,6 +79,7 @@
     void send(FullHttpRequest message, String requestId, ResponseListener listener) {
         mListener = listener;
         mRequestId = requestId;
+        mMethod = message.method();
         mReadState = ReadState.HEAD;
         mHead = null;
         mReusable = true;
@@ -81,6 +87,7 @@
         mInterimResponses = 0;
         mDiscardedBytes = 0;
         mRequestWritten = false;
+        mRequestsSent++;
         // Reading may still be suspended for the previous caller, if it read its response slowly.
         setReading(true);
         listener.onSending(this);
@@ -133,6 +140,21 @@
         mChannel.close();
     }
 
+    @Override
+    public boolean isResponseExpected() {
+        return mListener != null;
+    }
+
+    @Override
+    public HttpMethod method() {
+        return mMethod;
+    }
+
+    @Override
+    public void onStrayBytes() {
+        close();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (mListener == null) {
@@ -181,30 +203,64 @@
             fail("a second answer to one request");
             return;
         }
+        if (!TransferCoding.isReadable(response.headers())) {
+            fail("a transfer coding that is not read");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            mReadState = ReadState.INTERIM;
-            mInterimResponses++;
-            if (mInterimResponses > MAX_INTERIM_RESPONSES) {
-                fail("interim answers without end");
-            }
+            onInterimHead(response);
+        } else {
+            onFinalHead(mProtocol.readResponseHead(response));
+        }
+    }
+
+    private void onInterimHead(HttpResponse response) {
+        mReadState = ReadState.INTERIM;
+        mInterimResponses++;
+        if (mInterimResponses > MAX_INTERIM_RESPONSES) {
+            fail("interim answers without end");
+        } else if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            fail("another protocol, for which nobody asked");
+        }
+    }
+
+    private void onFinalHead(ResponseHead head) {
+        boolean named = head.requestId().isPresent();
+        if (!named && !isMisdirectedFirstRequest(head)) {
+            fail("an answer that names no request");
             return;
         }
-        ResponseHead head = mProtocol.readResponseHead(response);
-        boolean unrelated = head.requestId().map(id -> !id.equals(mRequestId)).orElse(false);
-        if (unrelated) {
-            mUnrelatedResponses++;
-            mReusable = false;
-            mReadState = ReadState.UNRELATED;
-            if (mUnrelatedResponses > MAX_UNRELATED_RESPONSES || head.closeDelimited()) {
-                fail("answers to other requests");
-            }
+        if (named && !head.requestId().get().equals(mRequestId)) {
+            onUnrelatedHead(head);
             return;
         }
+        mReusable = mReusable && named;
         mReadState = ReadState.BODY;
         mHead = head;
         mListener.onHead(head);
     }
 
+    private void onUnrelatedHead(ResponseHead head) {
+        mUnrelatedResponses++;
+        mReusable = false;
+        mReadState = ReadState.UNRELATED;
+        if (mUnrelatedResponses > MAX_UNRELATED_RESPONSES || head.closeDelimited()) {
+            fail("answers to other requests");
+        }
+    }
+
+    /**
+     * Returns whether a response without a request id is accepted. A server that has taken over the
+     * address of the replica need not echo the id; on the first request of the connection, its
+     * response can be to no other request.
+     */
+    private boolean isMisdirectedFirstRequest(ResponseHead head) {
+        return head.isMisdirected()
+                && mRequestsSent == 1
+                && mRequestWritten
+                && mUnrelatedResponses == 0;
+    }
+
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             content.release();
