Follow the store behind a record on which the node fails

What callers would see: a node that no longer learns of replicas and configurations, and answers from a view that grows older; a node that starts does not become ready. A peer that relays such a record loses its connections again and again.

Cause: an unexpected exception while one record is decoded or applied ended the whole batch, before the position of the next record moved. In the reader it also ended the chain of calls: the next one is scheduled behind the listener, and the future swallowed the exception. An unexpected failure of the store's client did the same through the IllegalStateException of asStoreException. A read of records that cannot be decoded was repeated from the same offset without end.

Ruled out: no entry is known that reaches this today; fuzzing of the decoder found only unusable records. It is a fault one level up.

Why it works: each record is decoded and applied under a guard of its own, which logs "fault" or the unusable record, so the position moves on; the reader guards its listener and takes every failure as one of the call; behind a page that cannot be decoded it reads the newest records.

--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -317,7 +317,7 @@
                     .with("position", record.position())
                     .write();
             return true;
-        } catch (StateDecoder.UnusableRecordException e) {
+        } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
             mLog.change("configuration-unusable")
                     .with("position", record.position())
                     .with("reason", e.getMessage())
--- a/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
+++ b/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
@@ -172,7 +172,7 @@
                 NodeRecord node = mDecoder.node(record.value().orElseThrow());
                 StorePosition rank = node.rank().orElse(record.position());
                 entries.add(new NodeEntry(record.key(), node.address(), node.domain(), rank));
-            } catch (StateDecoder.UnusableRecordException e) {
+            } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
                 mLog.change("node-unusable")
                         .with("key", record.key())
                         .with("reason", e.getMessage())
--- a/src/main/java/org/fescueport/internal/direct/state/ReplicaRecords.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaRecords.java
@@ -139,7 +139,7 @@
         }
         boolean changed = false;
         for (var record : batch.records()) {
-            changed |= apply(record, nowNanos, updates);
+            changed |= applyGuarded(record, nowNanos, updates);
         }
         if (batch.whole() && !batch.end().isBefore(mNext)) {
             if (!mListed || batch.end().era() > mRemovalsFrom.era()) {
@@ -234,6 +234,16 @@
         return changes;
     }
 
+    /** A fault while one record is applied must not keep the node from following the others. */
+    private boolean applyGuarded(StateRecord record, long nowNanos, List<StateRecord> updates) {
+        try {
+            return apply(record, nowNanos, updates);
+        } catch (RuntimeException e) {
+            mLog.change("fault").with("where", "replica " + record.key()).with("cause", e).write();
+            return true;
+        }
+    }
+
     /** Returns whether the replicas that accept requests may have changed. */
     private boolean apply(StateRecord record, long nowNanos, List<StateRecord> updates) {
         NodeId id = NodeId.of(record.key());
@@ -326,7 +336,7 @@
     private Optional<ReplicaEntry> decode(StateRecord record) {
         try {
             return Optional.of(mDecoder.replica(record.key(), record.value().orElseThrow()));
-        } catch (StateDecoder.UnusableRecordException e) {
+        } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
             mLog.change("replica-unusable")
                     .with("replica", record.key())
                     .with("reason", e.getMessage())
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -190,7 +190,7 @@
 
         private void onPart(List<StateRecord> records) {
             if (mTopic == StateTopic.REPLICAS && !mView.areReplicasListed()) {
-                mListener.onFirstReplicas(records);
+                guarded(() -> mListener.onFirstReplicas(records));
             }
         }
 
@@ -227,10 +227,19 @@
                                 "the requested offset is of an earlier era"));
             }
             onStoreAnswered();
-            mListener.onBatch(batch);
+            guarded(() -> mListener.onBatch(batch));
             return Optional.empty();
         }
 
+        /** Runs a part of the listener; a failure must not end the reading. */
+        private void guarded(Runnable task) {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                mLog.change("fault").with("where", "read " + mTopic).with("cause", e).write();
+            }
+        }
+
         private Duration interval() {
             return mTopic == StateTopic.REPLICAS ? REPLICA_INTERVAL : Duration.ZERO;
         }
@@ -252,7 +261,7 @@
                 return;
             }
             if (mTopic == StateTopic.REPLICAS) {
-                mListener.onReplicasRead(failure.isEmpty());
+                guarded(() -> mListener.onReplicasRead(failure.isEmpty()));
             }
             if (failure.isEmpty()) {
                 mFailures = 0;
@@ -266,7 +275,9 @@
             }
             onFailure(mTopic, failure.get());
             mFailures++;
-            schedule(generation, retryPause(mFailures), retry);
+            boolean unreadable = failure.get().reason() == StoreException.Cause.UNREADABLE;
+            // The records of the newest entries may be readable although those of a page are not.
+            schedule(generation, retryPause(mFailures), unreadable ? this::readNewest : retry);
         }
 
         /** Returns the pause before the next call after this many consecutive failures. */
@@ -289,7 +300,7 @@
         }
     }
 
-    private static Optional<StoreException> asStoreException(Throwable failure) {
+    private Optional<StoreException> asStoreException(Throwable failure) {
         if (failure == null) {
             return Optional.empty();
         }
@@ -297,6 +308,8 @@
         if (cause instanceof StoreException known) {
             return Optional.of(known);
         }
-        throw new IllegalStateException("the store client failed in an unexpected way", cause);
+        mLog.change("fault").with("where", "store client").with("cause", cause).write();
+        return Optional.of(
+                StoreException.of(StoreException.Cause.UNREADABLE, String.valueOf(cause)));
     }
 }
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
@@ -117,6 +117,42 @@
         assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
     }
 
+    @Test
+    void shouldFollowTheRecordsBehindOneOnWhichTheDecoderFails() {
+        replicas(
+                whole(
+                        StateTopic.REPLICAS,
+                        3,
+                        record(0, "a", "ready"),
+                        record(1, "x", PlainDecoder.FAULTY),
+                        record(2, "b", "ready")));
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(2));
+        var batch =
+                batch(
+                        StateTopic.REPLICAS,
+                        3,
+                        record(3, "a", PlainDecoder.FAULTY),
+                        record(4, "c", "ready"),
+                        record(5, "b", "leaving"));
+        var news = replicas(batch);
+        assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
+        assertThat(news.stream().map(StateRecord::key).toList(), contains("a", "a", "c", "b"));
+        assertThat(mView.next(StateTopic.REPLICAS), is(at(6)));
+    }
+
+    @Test
+    void shouldFollowTheConfigurationsBehindOneOnWhichTheDecoderFails() {
+        replicas(
+                batch(
+                        StateTopic.CONFIGURATION,
+                        0,
+                        record(0, "config", "3"),
+                        record(1, "config", PlainDecoder.FAULTY),
+                        record(2, "config", "4")));
+        assertThat(version(), is(4L));
+        assertThat(mView.next(StateTopic.CONFIGURATION), is(at(3)));
+    }
+
     @Test
     void shouldReturnOnlyRecordsThatChangedSomething() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -20,6 +20,9 @@
     /** Remaining warm-up time of a replica whose state is "cold". */
     public static final long COLD_MS = 3_000;
 
+    /** A value on which decoding fails in an unexpected way. */
+    static final String FAULTY = "faulty";
+
     private static final double COLD_RATE = 10;
 
     @Override
@@ -36,6 +39,9 @@
 
     @Override
     public FleetConfiguration configuration(byte[] value) throws UnusableRecordException {
+        if (text(value).equals(FAULTY)) {
+            throw new IllegalStateException("a fault of the decoder");
+        }
         try {
             long version = Long.parseLong(text(value));
             var routes = RouteTable.of(List.of());
@@ -61,6 +67,9 @@
         if (text(value).equals("unusable")) {
             throw UnusableRecordException.of("unusable");
         }
+        if (text(value).equals(FAULTY)) {
+            throw new IllegalStateException("a fault of the decoder");
+        }
         return new ReplicaEntry(
                 NodeId.of(key),
                 POOL,
