Keep entries that are too long out of memory

What callers would see: no node, in the worst case. When another writer leaves some hundred entries of the largest size among those of the replicas (or nodes), each process ends while it reads the list, and again after each start.

Cause: all values of a list were held until its last page had come, and a usable entry of any size was kept as it came and sent to the peers, whose frames are limited.

Ruled out: deep nesting. The parser stops at 32 levels, and a million of them, closed or not, are rejected on a stack of 256 KB.

The test's process gets the flag to exit on this error, as the one in service has it.

--- a/src/main/java/org/fescueport/internal/direct/state/StateRecord.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateRecord.java
@@ -1,5 +1,6 @@
 package org.fescueport.internal.direct.state;
 
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -19,6 +20,12 @@
         return new StateRecord(position, key, Optional.empty());
     }
 
+    /** Returns the record with no more than the first bytes of its value. */
+    public StateRecord truncated(int maxBytes) {
+        boolean fits = value.isEmpty() || value.get().length <= maxBytes;
+        return fits ? this : set(position, key, Arrays.copyOf(value.get(), maxBytes));
+    }
+
     /** Returns the same key and value at another position. */
     public StateRecord at(StorePosition other) {
         return new StateRecord(other, key, value);
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -37,6 +37,10 @@
     }
 
     private static final long SLOW_MS = 200;
+
+    /** Size in bytes of the records in a page, which only the last record may exceed. */
+    private static final int PAGE_BYTES = 1_024 * 1_024;
+
     private static final String NODES = "keyed.status";
 
     private record Entry(String key, byte[] value) {}
@@ -127,7 +131,8 @@
         put("keyed.op", "config", configuration);
     }
 
-    synchronized long append(String topic, String key, byte[] value) {
+    /** Writes a record; an empty value removes the key. */
+    public synchronized long append(String topic, String key, byte[] value) {
         Topic records = topic(topic);
         records.mEntries.add(new Entry(key, value));
         notifyAll();
@@ -241,7 +246,7 @@
     /**
      * Gives out lists of newest records in pages of this size, each but the first after a pause.
      */
-    void pages(int size, int pauseMillis) {
+    public void pages(int size, int pauseMillis) {
         mPageSize = size;
         mPagePauseMillis = pauseMillis;
     }
@@ -256,7 +261,11 @@
         last.values().removeIf(offset -> entries.get(offset).value().length == 0);
         List<String> keys = new ArrayList<>(last.keySet());
         int from = after == null ? 0 : keys.indexOf(after) + 1;
-        int to = (int) Math.min(keys.size(), (long) from + mPageSize);
+        int most = (int) Math.min(keys.size(), (long) from + mPageSize);
+        int to = from;
+        for (int bytes = 0; to < most && bytes < PAGE_BYTES; to++) {
+            bytes += entries.get(last.get(keys.get(to))).value().length;
+        }
         keys.subList(from, to)
                 .forEach(
                         key -> {
@@ -297,7 +306,7 @@
         var page = new ByteArrayOutputStream();
         ByteBuffer head = ByteBuffer.allocate(16).putLong(topic.mEntries.size());
         page.writeBytes(head.putLong(topic.mFirst).array());
-        for (int i = from; i < topic.mEntries.size(); i++) {
+        for (int i = from; i < topic.mEntries.size() && page.size() < PAGE_BYTES; i++) {
             Entry entry = topic.mEntries.get(i);
             page.writeBytes(LogStore.keyedRecord(entry.key(), entry.value()));
         }
--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -93,6 +93,7 @@
                         "-Xmx64m",
                         "-Xss256k",
                         "-XX:+UseSerialGC",
+                        "-XX:+ExitOnOutOfMemoryError",
                         "-XX:TieredStopAtLevel=1",
                         "--sun-misc-unsafe-memory-access=allow",
                         "-cp",
