--- a/src/test/java/org/fescueport/internal/direct/peer/PeerRecordsCodecTest.java
+++ b/src/test/java/org/fescueport/internal/direct/peer/PeerRecordsCodecTest.java
@@ -10,6 +10,7 @@
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateTopic;
 import org.fescueport.internal.direct.state.StorePosition;
+import org.fescueport.internal.wire.generated.PeerMessage;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -38,4 +39,24 @@
         assertThat(batch.records().getFirst().value().orElseThrow(), is(noise));
         assertThat(batch.records().getLast().value().isEmpty(), is(true));
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\u0000", "a\r\nb", "x-\ud800", "x-\udfff\ud800y", "\ufffd"})
+    void shouldDecodeTheRecordsAroundAnOddKey(String key) throws Exception {
+        var position = StorePosition.of(0, 1);
+        var batch =
+                RecordBatch.incremental(
+                        StateTopic.CONFIGURATION,
+                        StorePosition.START,
+                        position,
+                        List.of(
+                                StateRecord.removed(position, "a"),
+                                StateRecord.set(position, key, new byte[0]),
+                                StateRecord.removed(position, "b")));
+        byte[] sent = PeerRecordsCodec.encode(batch, Duration.ZERO).toByteArray();
+        var received = PeerRecordsCodec.decode(PeerMessage.parseFrom(sent).getRecords());
+        assertThat(received.records().size(), is(3));
+        assertThat(received.records().getFirst().key(), is("a"));
+        assertThat(received.records().getLast().key(), is("b"));
+    }
 }
--- a/src/test/java/org/fescueport/platform/OddEntriesTest.java
+++ b/src/test/java/org/fescueport/platform/OddEntriesTest.java
@@ -105,6 +105,15 @@
                 });
     }
 
+    @ParameterizedTest
+    @MethodSource(FIXTURE + "unusableKeys")
+    void shouldFollowTheEntriesAroundAnUnusableKey(String key) {
+        apply(next("a", good(1)), next(key, good(9)), next("b", good(2)));
+        assertThat(mView.replicaIds(), is(ids("a", "b")));
+        apply(next(key, good(8)), next("c", good(3)));
+        assertThat(mView.replicaIds(), is(ids("a", "b", "c")));
+    }
+
     @ParameterizedTest
     @MethodSource(FIXTURE + "doubtfulValues")
     void shouldFollowTheEntriesAroundADoubtfulOne(byte[] odd) {
--- a/src/test/java/org/fescueport/platform/StoreStandIn.java
+++ b/src/test/java/org/fescueport/platform/StoreStandIn.java
@@ -274,7 +274,7 @@
                             String encoded = Base64.getEncoder().encodeToString(value);
                             items.add(
                                     "{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%d}"
-                                            .formatted(key, encoded, offset));
+                                            .formatted(escaped(key), encoded, offset));
                         });
         String json =
                 "{\"items\":[%s],\"has_more\":%b,\"end\":%d}"
@@ -282,6 +282,16 @@
         return json.getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Returns a text for a JSON string, in ASCII alone, as the platform's store writes it. */
+    private static String escaped(String text) {
+        var escaped = new StringBuilder();
+        for (char c : text.toCharArray()) {
+            boolean plain = c > ' ' && c < 0x7f && c != '"' && c != '\\';
+            escaped.append(plain ? String.valueOf(c) : "\\u%04x".formatted((int) c));
+        }
+        return escaped.toString();
+    }
+
     private void read(Request request, Wire wire) throws Exception {
         String wait = request.parameter("wait_ms");
         int from = Integer.parseInt(request.parameter("from"));
