Log an unusable entry once for each reason, and count it

What operators would see: a replica-unusable line for each heartbeat of each odd entry, which pushes other changes out of the budget of the log, and lines as long as the entry, as the reason quotes it.

Cause: every record that could not be decoded was logged, with the whole message, whatever had been logged of its key before.

Why it works: UnusableEntries remembers the last reason of each key, for replicas, configurations and nodes alike, and logs and counts a key when it becomes unusable or for another reason. Reasons end after 200 characters. The counters fescue.unusable.replicas and fescue.unusable.configurations also count what the log leaves out.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -48,6 +48,7 @@
 import org.fescueport.internal.direct.state.StateReader;
 import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateStore;
+import org.fescueport.internal.direct.state.ViewMetrics;
 import org.fescueport.internal.wire.generated.PeerStrike;
 
 /**
@@ -133,6 +134,7 @@
         mNodeRegistrar = newNodeRegistrar();
         parts.eras().listen(this::onNewEra);
         EraMetrics.register(parts.registry(), parts.eras());
+        ViewMetrics.register(parts.registry(), mView);
         mConnectionPools =
                 ReplicaConnectionPools.create(
                         parts.loop(), parts.protocol(), parts.clock(), mRandom);
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -43,6 +43,7 @@
     private Optional<FleetConfiguration> mConfiguration = Optional.empty();
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private final DrainedDomains mDrained = new DrainedDomains();
+    private final UnusableEntries mUnusable;
     private StorePosition mNextConfiguration = StorePosition.START;
     private ReplicaListener mListener = () -> {};
 
@@ -51,6 +52,7 @@
         mLog = log;
         mRemovalGrace = grace;
         mReplicas = new ReplicaRecords(decoder, log, grace);
+        mUnusable = new UnusableEntries(log, "configuration-unusable", "key");
     }
 
     /**
@@ -134,6 +136,16 @@
         return mReplicas.entry(id);
     }
 
+    /** Returns how often the entry of a replica became unusable, or for another reason. */
+    public long unusableReplicas() {
+        return mReplicas.unusableCount();
+    }
+
+    /** Returns how often the newest configuration became unusable, or for another reason. */
+    public long unusableConfigurations() {
+        return mUnusable.count();
+    }
+
     /** Returns the version of the configuration in force, or empty if none has been read yet. */
     public OptionalLong configurationVersion() {
         return mConfiguration.stream().mapToLong(FleetConfiguration::version).findFirst();
@@ -306,6 +318,7 @@
         }
         try {
             var configuration = mDecoder.configuration(record.value().get());
+            mUnusable.remove(record);
             long current = mConfiguration.map(FleetConfiguration::version).orElse(-1L);
             if (configuration.version() <= current) {
                 return false;
@@ -318,10 +331,7 @@
                     .write();
             return true;
         } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
-            mLog.change("configuration-unusable")
-                    .with("position", record.position())
-                    .with("reason", e.getMessage())
-                    .write();
+            mUnusable.add(record, e);
             return false;
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
+++ b/src/main/java/org/fescueport/internal/direct/state/NodeRegistrar.java
@@ -43,7 +43,7 @@
     private final StateStore mStore;
     private final StateDecoder mDecoder;
     private final ScheduledExecutorService mLoop;
-    private final EventLog mLog;
+    private final UnusableEntries mUnusable;
     private final RandomGenerator mRandom;
     private final String mNode;
     private final InetSocketAddress mAddress;
@@ -65,7 +65,7 @@
         mStore = store;
         mDecoder = decoder;
         mLoop = loop;
-        mLog = log;
+        mUnusable = new UnusableEntries(log, "node-unusable", "key");
         mRandom = random;
         mNode = node;
         mAddress = address;
@@ -172,11 +172,9 @@
                 NodeRecord node = mDecoder.node(record.value().orElseThrow());
                 StorePosition rank = node.rank().orElse(record.position());
                 entries.add(new NodeEntry(record.key(), node.address(), node.domain(), rank));
+                mUnusable.remove(record);
             } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
-                mLog.change("node-unusable")
-                        .with("key", record.key())
-                        .with("reason", e.getMessage())
-                        .write();
+                mUnusable.add(record, e);
             }
         }
         return entries;
--- a/src/main/java/org/fescueport/internal/direct/state/ReplicaRecords.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ReplicaRecords.java
@@ -75,6 +75,7 @@
     private final Map<NodeId, KnownReplica> mReplicas = new HashMap<>();
     private final Map<NodeId, Long> mRetainedUntilNanos = new HashMap<>();
     private final LinkedHashMap<NodeId, DepartedReplica> mDeparted = new LinkedHashMap<>();
+    private final UnusableEntries mUnusable;
     private boolean mListed;
 
     /** Position from which on all removals are known. */
@@ -86,6 +87,12 @@
         mDecoder = decoder;
         mLog = log;
         mRemovalGrace = grace;
+        mUnusable = new UnusableEntries(log, "replica-unusable", "replica");
+    }
+
+    /** Returns how often an entry became unusable, or unusable for another reason. */
+    long unusableCount() {
+        return mUnusable.count();
     }
 
     /** Returns whether a whole list has been read. */
@@ -253,6 +260,7 @@
             return false;
         }
         if (record.value().isEmpty()) {
+            mUnusable.remove(record);
             recordDeparture(id, known, record.position(), updates);
             return known != null && remove(id, known, nowNanos);
         }
@@ -261,6 +269,7 @@
             recordDeparture(id, known, record.position(), updates);
             return known != null && drop(id, "unusable");
         }
+        mUnusable.remove(record);
         if (known == null && departed != null && departed.supersedes(entry.get(), record)) {
             mDeparted.put(id, new DepartedReplica(record.position(), departed.last()));
             updates.add(StateRecord.removed(record.position(), record.key()));
@@ -337,10 +346,7 @@
         try {
             return Optional.of(mDecoder.replica(record.key(), record.value().orElseThrow()));
         } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
-            mLog.change("replica-unusable")
-                    .with("replica", record.key())
-                    .with("reason", e.getMessage())
-                    .write();
+            mUnusable.add(record, e);
             return Optional.empty();
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateDecoder.java
@@ -10,13 +10,18 @@
     final class UnusableRecordException extends Exception {
         private static final long serialVersionUID = 1L;
 
+        /** Messages quote what is wrong, which may be as long as the record. */
+        private static final int MAX_MESSAGE_LENGTH = 200;
+
         private UnusableRecordException(String message) {
             super(message);
         }
 
-        /** Returns the exception with this message. */
+        /** Returns the exception with this message, cut off if it is long. */
         public static UnusableRecordException of(String message) {
-            return new UnusableRecordException(message);
+            String text = String.valueOf(message);
+            int length = Math.min(text.length(), MAX_MESSAGE_LENGTH);
+            return new UnusableRecordException(text.substring(0, length));
         }
     }
 
--- a/src/test/java/org/fescueport/platform/OddEntriesTest.java
+++ b/src/test/java/org/fescueport/platform/OddEntriesTest.java
@@ -3,10 +3,11 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.micrometer.core.instrument.MockClock;
-import java.io.OutputStream;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
@@ -36,10 +37,11 @@
     private static final long STACK_BYTES = 256 * 1_024;
 
     private static final int MUTATIONS = 3_000;
+    private static final int MAX_LINE_LENGTH = 1_000;
 
     private final RecordDecoder mDecoder = new RecordDecoder();
-    private final EventLog mLog =
-            EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 1_000);
+    private final ByteArrayOutputStream mLines = new ByteArrayOutputStream();
+    private final EventLog mLog = EventLog.start(mLines, new MockClock(), "test", 1_000);
     private final FleetView mView = FleetView.create(mDecoder, mLog, Duration.ofSeconds(2));
     private long mEnd;
 
@@ -90,6 +92,11 @@
         return Set.of(List.of(names).stream().map(NodeId::of).toArray(NodeId[]::new));
     }
 
+    private long linesAbout(String event) {
+        mLog.close();
+        return mLines.toString(UTF_8).lines().filter(line -> line.contains(event)).count();
+    }
+
     @ParameterizedTest
     @MethodSource(FIXTURE + "unusableValues")
     void shouldFollowTheEntriesAroundAnUnusableOne(byte[] odd) throws Exception {
@@ -103,6 +110,35 @@
                     assertThat(mView.replicaIds(), is(ids("a", "b", "c", "x")));
                     assertThat(mView.replica(NodeId.of("a")).orElseThrow().leaving(), is(true));
                 });
+        assertThat(mView.unusableReplicas(), is(2L));
+        assertThat(linesAbout("replica-unusable"), is(2L));
+        mLines.toString(UTF_8)
+                .lines()
+                .forEach(line -> assertThat(line.length(), lessThan(MAX_LINE_LENGTH)));
+    }
+
+    @Test
+    void shouldLogAnUnusableEntryOnceForEachReason() {
+        String odd = good(9).replace("8080", "0");
+        var odds = new StateRecord[] {next("a", good(1)), next("x", odd)};
+        for (int i = 0; i < 3; i++) {
+            mView.applyBatch(
+                    new RecordBatch(
+                            StateTopic.REPLICAS,
+                            StorePosition.START,
+                            StorePosition.of(0, mEnd),
+                            true,
+                            List.of(odds)),
+                    0);
+        }
+        apply(next("x", odd.replace("\"seq\":4", "\"seq\":5")));
+        assertThat(mView.unusableReplicas(), is(1L));
+        apply(next("x", odd.replace("ready", "asleep")));
+        apply(next("x", odd.replace("\"api\"", "7")));
+        apply(next("x", good(9)), next("x", odd));
+        apply(StateRecord.removed(StorePosition.of(0, mEnd++), "x"), next("x", odd));
+        assertThat(mView.unusableReplicas(), is(4L));
+        assertThat(linesAbout("replica-unusable"), is(4L));
     }
 
     @ParameterizedTest
