Read on a kept connection that was paused for a slow caller

What callers saw: after a large response, 502 for the next request on the connection, although the replica had closed it long before, or had written bytes behind the response.

Cause: reading is suspended while the caller's connection takes no more. If the response was complete by then, nothing resumed it before the next request was sent, so the idle connection noticed neither bytes nor its end.

Evidence: shouldNoticeBytesAndEndOfConnectionThatWasPausedForASlowCaller failed before in both cases ("HTTP/1.1 502 Bad Gateway").

A new connection reads from its start, so that sending need not resume it.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -88,8 +88,6 @@
         mDiscardedBytes = 0;
         mRequestWritten = false;
         mRequestsSent++;
-        // Reading may still be suspended for the previous caller, if it read its response slowly.
-        setReading(true);
         listener.onSending(this);
         mChannel.writeAndFlush(message)
                 .addListener(
@@ -324,6 +322,8 @@
         }
         boolean endedByClose = mHead.closeDelimited();
         if (mReusable && mHead.keepAlive() && !endedByClose && mRequestWritten) {
+            // It may still be suspended for a caller that reads the response slowly.
+            setReading(true);
             markIdle(mHead.keepAliveTimeout());
             mReturnToPool = true;
         } else {
--- a/src/test/java/org/fescueport/platform/StrayBytesTest.java
+++ b/src/test/java/org/fescueport/platform/StrayBytesTest.java
@@ -87,6 +87,22 @@
                 });
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"x", ""})
+    void shouldNoticeBytesAndEndOfConnectionThatWasPausedForASlowCaller(String stray)
+            throws Exception {
+        assertNotReused(
+                Framing.LENGTH,
+                (request, wire) -> {
+                    wire.answer(200, headersFor(request), new byte[99_000]);
+                    Await.pause(30);
+                    wire.write(stray);
+                    if (stray.isEmpty()) {
+                        wire.socket().shutdownOutput();
+                    }
+                });
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {
