Do not believe a refusal that runs into another response

What callers saw: a replica wrote the beginning of an earlier refusal after the next request had arrived, then ran that request and answered it. The router read both as one refusal with the id of the second: it sent the request to a second replica, which ran it too.

Cause: the two heads were joined within one line, "HTTP/1.1 421 X" or "Fescueport-Not-Executed: 1" followed by "HTTP/1.1 200 OK", so that the rest of the second head, and its request id, belonged to the refusal.

Ruled out: a cut between two lines, within the name of a header, or in the body. Such a response had an unknown outcome before, as the other cases of the test show.

Evidence: shouldNotBelieveRepeatedResponseThatRunsIntoTheResponseToThe Request failed before in 3 of 8 cases (421 after its status line, 503 and 429 after the header; the request ran at two replicas).

Why it works: a statement that a request has not run counts only if no other status line begins within its head; else the outcome is unknown (502) and the connection is closed.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -36,6 +36,8 @@
      */
     private static final int MAX_DISCARDED_BYTES = 65_536;
 
+    private static final String STATUS_LINE_START = "HTTP/1.";
+
     private enum ReadState {
         IDLE,
         HEAD,
@@ -208,7 +210,7 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             onInterimHead(response);
         } else {
-            onFinalHead(mProtocol.readResponseHead(response));
+            onFinalHead(response);
         }
     }
 
@@ -222,7 +224,12 @@
         }
     }
 
-    private void onFinalHead(ResponseHead head) {
+    private void onFinalHead(HttpResponse response) {
+        ResponseHead head = mProtocol.readResponseHead(response);
+        if (head.notRun() && containsStatusLine(response)) {
+            fail("a refusal that another answer runs into");
+            return;
+        }
         boolean named = head.requestId().isPresent();
         if (!named && !isMisdirectedFirstRequest(head)) {
             fail("an answer that names no request");
@@ -238,6 +245,16 @@
         mListener.onHead(head);
     }
 
+    /**
+     * Returns whether another response begins within this head. The first one is cut then, and the
+     * request id may be that of the second.
+     */
+    private static boolean containsStatusLine(HttpResponse response) {
+        return response.status().reasonPhrase().contains(STATUS_LINE_START)
+                || response.headers().entries().stream()
+                        .anyMatch(header -> header.getValue().contains(STATUS_LINE_START));
+    }
+
     private void onUnrelatedHead(ResponseHead head) {
         mUnrelatedResponses++;
         mReusable = false;
--- a/src/test/java/org/fescueport/platform/KeptConnectionTest.java
+++ b/src/test/java/org/fescueport/platform/KeptConnectionTest.java
@@ -83,6 +83,7 @@
         private final Map<Socket, String> mFirstIds = new ConcurrentHashMap<>();
         private final List<Wire> mWires = new CopyOnWriteArrayList<>();
         private final List<String> mRuns = new CopyOnWriteArrayList<>();
+        private volatile String mCutAfter = "\r\n\r\nno";
         private volatile int mCopies = 1;
         private volatile int mGapMillis;
         private volatile boolean mRepeats;
@@ -107,7 +108,9 @@
             }
             mRuns.add(id);
             if (mRepeats && earlier != null) {
-                wire.write(mBefore + mEarlier.text(mIds.headers(earlier, id)));
+                String text = mEarlier.text(mIds.headers(earlier, id));
+                wire.write(
+                        mBefore + text.substring(0, text.indexOf(mCutAfter) + mCutAfter.length()));
                 Await.pause(20);
             }
             wire.answer(200, headersFor(request), "own".getBytes());
@@ -158,6 +161,29 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "MISDIRECTED, ' X'",
+        "FULL, ' X'",
+        "FULL, 'Executed: 1'",
+        "FULL, 'Executed'",
+        "LIMITED, 'Executed: 1'",
+        "LIMITED, 'Executed: 1\r\n'",
+        "LIMITED, 'Length'",
+        "LIMITED, '\r\n\r\n'"
+    })
+    void shouldNotBelieveRepeatedResponseThatRunsIntoTheResponseToTheRequest(
+            Earlier earlier, String cutAfter) throws Exception {
+        var script = new RepeatingScript(earlier, Ids.NONE, "");
+        script.mCutAfter = cutAfter;
+        try (var fleet = warmed(script)) {
+            script.mRepeats = true;
+            int status = fleet.ask(request("POST", "/unsafe/x", "own", "siren")).status();
+            assertThat("runs, status " + status, script.mRuns, contains("own"));
+            assertThat(status, is(502));
+        }
+    }
+
     @ParameterizedTest
     @EnumSource
     void shouldSkipRepeatedResponseToAnEarlierRequest(Earlier earlier) throws Exception {
