Close connections that a stand-in accepts while it is closed

Tests' servers and proxies could leave connections open that nobody served and that no later close reached; a program connected to one waited for its own time limit in place of seeing the connection end.

Cause: close() ends the listening socket and closes the connections known by then. One that had been accepted and not been noted yet was noted behind that, and stayed open. RawServer and FaultProxy had the same lines.

Ruled out: connections that were never accepted; the system resets these, and the test takes a reset for an end.

Why it works: a connection is noted first and the server asked then whether it is closed, so that one side or the other closes it.

--- a/src/test/java/org/fescueport/platform/FaultProxy.java
+++ b/src/test/java/org/fescueport/platform/FaultProxy.java
@@ -79,6 +79,9 @@
                     continue;
                 }
                 mOpen.add(caller);
+                if (mServer.isClosed()) {
+                    caller.close();
+                }
                 Thread.ofVirtual().start(() -> join(caller));
             }
         } catch (IOException e) {
--- a/src/test/java/org/fescueport/platform/RawServer.java
+++ b/src/test/java/org/fescueport/platform/RawServer.java
@@ -118,6 +118,9 @@
             while (true) {
                 Socket socket = mServer.accept();
                 mOpen.add(socket);
+                if (mServer.isClosed()) {
+                    socket.close();
+                }
                 Thread.ofVirtual().start(() -> serve(socket));
             }
         } catch (IOException e) {
