Keep a scenario's proxy in service after its target refused a connection

In scenarios with proxies, a program that connected to an agent that had ended saw the connection open and then nothing, where without the proxy it is refused; connections to a target that was back were not served either.

Cause: a connection to the target that failed ended the proxy's accepting thread, with the listening socket still open. The system went on taking connections that nobody accepted.

Evidence: SocketProxyTest failed before: 'Accept timed out' at the target 5 s after it listened; it passes now. The scenarios were not run.

Why it works: only the connection whose target is down is closed, and the proxy accepts the next.

--- a/src/test/java/org/fescueport/scenarios/SocketProxy.java
+++ b/src/test/java/org/fescueport/scenarios/SocketProxy.java
@@ -65,13 +65,18 @@
         }
     }
 
-    private void join(Socket near) throws IOException {
-        var far = new Socket(InetAddress.getLoopbackAddress(), mTarget);
-        near.setTcpNoDelay(true);
-        far.setTcpNoDelay(true);
-        mSockets.add(far);
-        Thread.ofVirtual().start(() -> copy(near, far));
-        Thread.ofVirtual().start(() -> copy(far, near));
+    /** Connects a caller to the target, or closes its connection when the target is down. */
+    private void join(Socket near) {
+        try {
+            var far = new Socket(InetAddress.getLoopbackAddress(), mTarget);
+            near.setTcpNoDelay(true);
+            far.setTcpNoDelay(true);
+            mSockets.add(far);
+            Thread.ofVirtual().start(() -> copy(near, far));
+            Thread.ofVirtual().start(() -> copy(far, near));
+        } catch (IOException e) {
+            closeQuietly(near);
+        }
     }
 
     private static void copy(Socket from, Socket to) {
