End the event loops of two tests before the next test starts

LogStoreTest left the event loop of each of its cases running behind it, and FrameConnectionTest ended its loop only when it passed.

Cause: the loops were told to end without waiting for it, which takes two seconds by default.

Why it works: each loop is ended after every case and waited for.

--- a/src/test/java/org/fescueport/internal/wire/FrameConnectionTest.java
+++ b/src/test/java/org/fescueport/internal/wire/FrameConnectionTest.java
@@ -8,40 +8,50 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
 import io.netty.channel.local.LocalChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.wire.generated.Call;
 import org.fescueport.internal.wire.generated.Frame;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class FrameConnectionTest {
     private static final int FRAMES = 100;
+    private static final int QUIET_MS = 10;
+    private static final int STOP_LIMIT_MS = 1_000;
 
+    private final EventLoop mLoop = new DefaultEventLoop();
     private final List<Long> mWritten = new ArrayList<>();
     private int mFlushes;
 
+    @AfterEach
+    void stop() {
+        mLoop.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
+    }
+
     @Test
     void shouldFlushOnceWhatWasSentWhileTheIoThreadWasBusy() throws Exception {
-        var loop = new DefaultEventLoop();
         var channel = new LocalChannel();
         channel.pipeline().addLast(new Recorder());
-        loop.register(channel).sync();
+        mLoop.register(channel).sync();
         var connection = FrameConnection.over(channel);
         var isBusy = new CountDownLatch(1);
-        loop.execute(() -> awaitQuietly(isBusy));
+        mLoop.execute(() -> awaitQuietly(isBusy));
 
         for (long i = 0; i < FRAMES; i++) {
             connection.send(Frame.newBuilder().setCall(Call.newBuilder().setId(i)).build());
         }
         isBusy.countDown();
-        loop.submit(() -> {}).sync();
+        mLoop.submit(() -> {}).sync();
 
         assertThat(mWritten.size(), is(FRAMES));
         assertThat(mWritten, is(mWritten.stream().sorted().toList()));
         assertThat(mFlushes, lessThan(3));
-        loop.shutdownGracefully();
     }
 
     private static void awaitQuietly(CountDownLatch latch) {
--- a/src/test/java/org/fescueport/platform/LogStoreTest.java
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -16,6 +16,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.direct.log.EventLog;
@@ -34,6 +35,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class LogStoreTest {
+    private static final int QUIET_MS = 10;
+    private static final int STOP_LIMIT_MS = 1_000;
+
     private MultiThreadIoEventLoopGroup mLoop;
     private StoreStandIn mStandIn;
     private static final FailureDomain DOMAIN = FailureDomain.of("north");
@@ -55,7 +59,8 @@
     void stop() throws Exception {
         mStandIn.close();
         mLog.close();
-        mLoop.shutdownGracefully();
+        mLoop.shutdownGracefully(QUIET_MS, STOP_LIMIT_MS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
     }
 
     /** Makes the call on the event loop, as the store requires, and waits for its result. */
