Cut a started stream when the next replica has not run it

A caller whose stream had begun and broken off got neither the rest nor an end when the replica that was to continue it refused (503, 429 or 400 with the statement that it has not run it, or 421): its connection stayed open and silent.

Cause: Exchange.onNotRun asked whether the request may have run before it asked whether the answer had started, and wrote a whole 502 into the middle of it. The encoder throws on a second head, so nothing more came, not even the close.

Ruled out: other errors (500, 502, 503 without the statement, 404, 302, also long, in chunks or ending with their connection), garbage, silence, a foreign or unstamped answer; these cut the stream before as well, and the test shows it.

Evidence: BrokenStreamTest.shouldGoOnOnlyWithEventsThatFollow failed in nine cases with "Read timed out" after 10 s.

Why it works: fail() itself now cuts what has started, so that no path can write a head behind another one, whatever it asked before. The same question at its callers is no longer needed.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -217,8 +217,6 @@
         log("not-sent", attempt, reason);
         if (mUnsentAttempts < MAX_UNSENT_ATTEMPTS) {
             sendToNextReplica("not sent before");
-        } else if (mRelay.hasStarted()) {
-            cut(reason);
         } else if (mMayHaveRun) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "it may have run, and no replica is reached now");
         } else {
@@ -333,8 +331,6 @@
         log("lost", attempt, reason);
         if (mayRetry() && tryAcquireRetry()) {
             retry("lost");
-        } else if (mRelay.hasStarted()) {
-            cut(reason);
         } else {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "the replica's answer was lost: " + reason);
         }
@@ -357,8 +353,6 @@
             sendToNextReplica("refused by a replica");
         } else if (mMayHaveRun) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "it may have run, and no replica answers now");
-        } else if (mRelay.hasStarted()) {
-            cut("no replica goes on with it");
         } else {
             refuse("the replica has no room");
         }
@@ -420,9 +414,7 @@
     }
 
     private void onNoReplica() {
-        if (mRelay.hasStarted()) {
-            cut("no other replica is there");
-        } else if (mMayHaveRun) {
+        if (mMayHaveRun) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "it may have run, and no other replica is there");
         } else {
             refuse("no replica of " + mPool + " takes work");
@@ -520,7 +512,12 @@
         end(End.REFUSED, message);
     }
 
+    /** Fails the request; a response that has been started is cut off instead. */
     private void fail(Refusal.Reason reason, String message) {
+        if (mRelay.hasStarted()) {
+            cut(message);
+            return;
+        }
         var refusal = Refusal.of(reason, Optional.of(mRequest.id()), message);
         mResponseWriter.sendFull(mContext.protocol().writeRefusal(refusal));
         end(reason == Refusal.Reason.TIME_OVER ? End.TIME_OVER : End.FAILED, message);
