Find events whose lines end with CR, and ids behind a byte order mark

A caller of a resumable stream whose lines end with CR alone got its events only at the end of the stream, and a cut where the stream ended with its connection.

Cause: EventSplitter looked for LF only; a byte order mark hid the id of the first event from it.

Ruled out: CR LF, also split between reads, held before.

Evidence: BrokenStreamTest.shouldForwardEventsWhoseLinesEndWithCarriageReturnsAsTheyArrive failed with "Read timed out".

Why it works: EventScanner reads the three line ends byte by byte. A CR may be half of a CR LF; it ends a line at once only when a lone CR has ended one before, so neither kind of stream waits for its next event, and no LF is left behind.

--- a/src/main/java/org/fescueport/internal/direct/forward/EventSplitter.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/EventSplitter.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
 /**
@@ -13,14 +12,10 @@
  */
 final class EventSplitter {
     private static final int MAX_EVENT_BYTES = 262_144;
-    private static final byte LINE_FEED = '\n';
-    private static final byte CARRIAGE_RETURN = '\r';
-    private static final String ID_FIELD = "id:";
 
     private final ByteBuf mPending = Unpooled.buffer(0);
+    private EventScanner mScanner = new EventScanner();
     private int mScanned;
-    private int mLineStart;
-    private Optional<String> mPendingId = Optional.empty();
     private Optional<String> mLastId = Optional.empty();
 
     /** Returns all events that these bytes complete; may be empty. Takes ownership of the bytes. */
@@ -28,19 +23,15 @@
         mPending.writeBytes(bytes);
         bytes.release();
         int whole = 0;
-        for (; mScanned < mPending.writerIndex(); mScanned++) {
-            if (mPending.getByte(mScanned) == LINE_FEED && endsEvent(mScanned)) {
-                whole = mScanned + 1;
+        while (mScanned < mPending.writerIndex()) {
+            var end = mScanner.feed(mPending.getByte(mScanned));
+            if (end != EventScanner.End.NONE) {
+                mLastId = mScanner.takeEndedEvent().id().or(() -> mLastId);
+                whole = end == EventScanner.End.WITH_BYTE ? mScanned + 1 : mScanned;
             }
+            mScanned++;
         }
-        if (whole == 0) {
-            return Unpooled.EMPTY_BUFFER;
-        }
-        ByteBuf events = Unpooled.buffer(whole).writeBytes(mPending, whole);
-        mPending.discardReadBytes();
-        mScanned -= whole;
-        mLineStart -= whole;
-        return events;
+        return take(whole);
     }
 
     /** Returns whether the incomplete event exceeds the largest size that is forwarded. */
@@ -68,30 +59,17 @@
     /** Discards the incomplete event; the next bytes begin a new one. */
     void discardPartial() {
         mPending.clear();
+        mScanner = new EventScanner();
         mScanned = 0;
-        mLineStart = 0;
-        mPendingId = Optional.empty();
     }
 
-    /**
-     * Processes the line that ends here; returns whether it is the empty line that ends an event.
-     */
-    private boolean endsEvent(int lineFeed) {
-        int end = lineFeed;
-        if (end > mLineStart && mPending.getByte(end - 1) == CARRIAGE_RETURN) {
-            end--;
-        }
-        int length = end - mLineStart;
-        String line = mPending.toString(mLineStart, length, StandardCharsets.UTF_8);
-        mLineStart = lineFeed + 1;
-        if (line.startsWith(ID_FIELD)) {
-            mPendingId = Optional.of(line.substring(ID_FIELD.length()).strip());
-        }
-        if (length > 0) {
-            return false;
+    private ByteBuf take(int length) {
+        if (length == 0) {
+            return Unpooled.EMPTY_BUFFER;
         }
-        mLastId = mPendingId.or(() -> mLastId);
-        mPendingId = Optional.empty();
-        return true;
+        ByteBuf events = Unpooled.buffer(length).writeBytes(mPending, length);
+        mPending.discardReadBytes();
+        mScanned -= length;
+        return events;
     }
 }
--- a/src/test/java/org/fescueport/internal/direct/forward/EventSplitterTest.java
+++ b/src/test/java/org/fescueport/internal/direct/forward/EventSplitterTest.java
@@ -15,7 +15,7 @@
             "id: 1\ndata: one\n\n:comment\n\nid:2\r\ndata: two\r\n\r\n"
                     + "event: x\nid: 30\ndata: a\ndata: b\n\n";
 
-    private final EventSplitter mSplitter = new EventSplitter();
+    private EventSplitter mSplitter = new EventSplitter();
 
     private String feed(String text) {
         var bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
@@ -33,6 +33,41 @@
         assertThat(mSplitter.lastId(), is(Optional.of("30")));
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+                "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+                "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\n\r\n",
+                "id: 1\r\ndata: a\r\n\rid: 2\rdata: b\r\n\r\n",
+                "id: 1\r\ndata: a\r\n\r\rid: 2\rdata: b\r\r\n",
+                "\uFEFFid: 1\ndata: a\n\n\nid: 2\ndata: b\n\n",
+            })
+    void shouldFindEventsByAnyLineEndHoweverTheyAreChunked(String stream) {
+        for (int size = 1; size <= stream.length(); size++) {
+            var passed = new StringBuilder();
+            for (int at = 0; at < stream.length(); at += size) {
+                passed.append(feed(stream.substring(at, Math.min(stream.length(), at + size))));
+            }
+            assertThat(passed.toString(), is(stream));
+            assertThat(mSplitter.lastId(), is(Optional.of("2")));
+            mSplitter = new EventSplitter();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"id: 1\rdata: a\r\r", "id: 1\ndata: a\n\n"})
+    void shouldForwardAnEventBeforeTheNextOneBegins(String event) {
+        assertThat(feed(event), is(event));
+        assertThat(mSplitter.hasPartialEvent(), is(false));
+    }
+
+    @Test
+    void shouldTakeACarriageReturnAmongPairsForHalfOfALineEnd() {
+        assertThat(feed("id: 1\r\ndata: a\r\n\r"), is(""));
+        assertThat(mSplitter.hasPartialEvent(), is(true));
+    }
+
     @Test
     void shouldBufferAnEventUntilItIsComplete() {
         assertThat(feed("id: 1\ndata: one\n\nid: 2\ndata: tw"), is("id: 1\ndata: one\n\n"));
--- a/src/test/java/org/fescueport/platform/BrokenStreamTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStreamTest.java
@@ -1,6 +1,7 @@
 package org.fescueport.platform;
 
 import static org.fescueport.platform.Installation.post;
+import static org.fescueport.platform.ReplicaStandIn.beginStream;
 import static org.fescueport.platform.ReplicaStandIn.chunk;
 import static org.fescueport.platform.ReplicaStandIn.events;
 import static org.fescueport.platform.ReplicaStandIn.headersFor;
@@ -14,6 +15,7 @@
 import org.fescueport.platform.RawServer.Request;
 import org.fescueport.platform.RawServer.Script;
 import org.fescueport.platform.RawServer.Wire;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -239,6 +241,21 @@
         }
     }
 
+    @Test
+    void shouldForwardEventsWhoseLinesEndWithCarriageReturnsAsTheyArrive() throws Exception {
+        Script script =
+                (request, wire) -> {
+                    beginStream(request, wire);
+                    chunk(wire, "id: 1\rdata: a\r\r");
+                    wire.awaitClose();
+                };
+        try (var fleet = Installation.start(GOOD, script);
+                var caller = RawCaller.connect(fleet.router().callers())) {
+            caller.send(post("/stream/x", "hello"));
+            caller.receiveThrough("id: 1\rdata: a\r\r");
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {5, LONG})
     void shouldTellACutFromTheEndOfAPlainAnswerThatEndsWithItsConnection(int length)
