Refuse requests with a prompt part that crashes replicas

Cause: strikes were kept by a fingerprint of the whole request, so requests that share only a deadly prompt part never added up. Also a crash was noticed only if another request happened to find the replica unreachable within 3 s, though requests avoid a replica that has lost an answer.

Now a loss of which no byte had come makes suspects of the shared parts of the prompt, and a connection is opened to see whether the replica is gone. Strikes are a set by part and life of a replica, told to all peers and again when a connection opens; an answered request clears them everywhere. Two lives are refused; below five lives single requests try again after drawn pauses.

Why it works: the deadly part is the only one that is lost again and again and never answered.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -27,6 +27,7 @@
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
 import org.fescueport.internal.direct.forward.CallerQuota;
+import org.fescueport.internal.direct.forward.CrashCheck;
 import org.fescueport.internal.direct.forward.Forwarder;
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
@@ -36,6 +37,8 @@
 import org.fescueport.internal.direct.peer.PeerGroup;
 import org.fescueport.internal.direct.peer.StrikeCodec;
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
+import org.fescueport.internal.direct.place.PartStrike;
+import org.fescueport.internal.direct.place.PromptPartId;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaLiveness;
 import org.fescueport.internal.direct.place.RetryBudgets;
@@ -159,7 +162,7 @@
                         settings.retryWindow(),
                         NODES_WHILE_UNKNOWN,
                         parts.clock());
-        var crashes = CrashingRequestDetector.create();
+        var crashes = CrashingRequestDetector.create(mRandom);
         crashes.listen(new CrashListener());
         mPeers.listen(new PeerListener(chooser, crashes, loads));
         var context =
@@ -175,6 +178,7 @@
                         mAdmissionControl,
                         mBudgets,
                         crashes,
+                        CrashCheck.of(mConnectionPools, crashes),
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
                         ForwardingMetrics.create(parts.registry()),
                         parts.log(),
@@ -436,6 +440,17 @@
             mParts.log().change("request-cleared").with("team", request.team()).write();
             mPeers.reports().onStrike(StrikeCodec.encodeAnswered(request));
         }
+
+        @Override
+        public void onPartStrike(PartStrike strike, Optional<PromptPartId> part, int crashes) {
+            mParts.log()
+                    .change(strike.cleared() ? "part-cleared" : "replica-died-of-part")
+                    .with("replica", strike.replica())
+                    .with("part", part.map(PromptPartId::part).orElse(""))
+                    .with("crashes", crashes)
+                    .write();
+            mPeers.reports().onStrike(StrikeCodec.encode(strike));
+        }
     }
 
     /** Receives what this node reads from the store itself. */
@@ -474,15 +489,23 @@
         }
 
         @Override
-        public void onStrike(PeerStrike strike) {
+        public boolean onStrike(PeerStrike strike) {
+            long now = mParts.clock().monotonicTime();
+            if (StrikeCodec.isAgainstPart(strike)) {
+                return mCrashes.onPartStrike(StrikeCodec.partStrike(strike), now);
+            }
             if (strike.getAnswered()) {
                 mCrashes.onCleared(StrikeCodec.request(strike));
-                return;
+            } else {
+                var request = StrikeCodec.request(strike);
+                mCrashes.onStrike(request, StrikeCodec.replica(strike), now);
             }
-            mCrashes.onStrike(
-                    StrikeCodec.request(strike),
-                    StrikeCodec.replica(strike),
-                    mParts.clock().monotonicTime());
+            return true;
+        }
+
+        @Override
+        public List<PeerStrike> knownStrikes() {
+            return mCrashes.partStrikes().stream().map(StrikeCodec::encode).toList();
         }
 
         @Override
@@ -507,6 +530,7 @@
             mAdmissionControl.onNodes(nodes);
             mColdReplicaLimiter.onNodes(nodes);
             mConnectionPools.onNodes(nodes);
+            mCrashes.onNodes(nodes);
         }
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -21,6 +21,7 @@
     private boolean mSent;
     private boolean mEnded;
     private ResponseHead mHead;
+    private boolean mHasContent;
 
     Attempt(Exchange exchange, ForwardingContext context, ReplicaEntry replica, int number) {
         mExchange = exchange;
@@ -57,6 +58,11 @@
         return mHead;
     }
 
+    /** Returns whether part of the response's body has been received. */
+    boolean hasContent() {
+        return mHasContent;
+    }
+
     /** Stops the work at the replica; nothing more is reported. */
     void cancel() {
         if (end() && mConnection != null) {
@@ -120,6 +126,7 @@
 
     @Override
     public void onContent(ByteBuf content) {
+        mHasContent = true;
         mContext.health().onDataReceived(mReplica.id(), mContext.nowNanos());
         mExchange.onContent(this, content);
     }
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
@@ -0,0 +1,116 @@
+package org.fescueport.internal.direct.forward;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.fescueport.internal.decision.Mechanism;
+import org.fescueport.internal.decision.TeamId;
+import org.fescueport.internal.decision.claim.ContentHash;
+import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.place.PartVerdict;
+import org.fescueport.internal.direct.place.PromptPartId;
+
+/** What one request shows of crashes of replicas, and whether it must be refused for them. */
+final class CrashEvidence {
+    private final ForwardingContext mContext;
+    private final CallerRequest mRequest;
+    private final ByteBuf mBody;
+    private final TeamId mTeam;
+    private final List<PromptPartId> mParts;
+
+    /** Parts that are suspected if a replica crashes; only the first loss is evidence. */
+    private List<PromptPartId> mSuspects;
+
+    private boolean mIsTrial;
+
+    /**
+     * @param body of the request; read while the request is in progress only
+     */
+    CrashEvidence(ForwardingContext context, CallerRequest request, ByteBuf body, TeamId team) {
+        mContext = context;
+        mRequest = request;
+        mBody = body;
+        mTeam = team;
+        mParts = request.prompt().sharedParts();
+        mSuspects = mParts;
+    }
+
+    /** Returns why a new request must be refused, if replicas have crashed on its like. */
+    Optional<String> admit() {
+        if (!isEnabled()) {
+            return Optional.empty();
+        }
+        if (isPoison()) {
+            return Optional.of("replicas have died of this request");
+        }
+        return switch (mContext.crashes().admitParts(mParts, mContext.nowNanos())) {
+            case PartVerdict.Refused refused -> Optional.of(refuse(refused.part()));
+            case PartVerdict.Allowed allowed -> {
+                mIsTrial = allowed.isTrial();
+                yield Optional.empty();
+            }
+        };
+    }
+
+    /**
+     * Returns why the request must not be sent, if replicas have crashed on a part of its prompt
+     * since it was admitted.
+     *
+     * @param mayHaveRun whether it has been sent before
+     */
+    Optional<String> checkBeforeSend(boolean mayHaveRun) {
+        boolean isFirstOfTrial = mIsTrial && !mayHaveRun;
+        if (isFirstOfTrial || !isEnabled()) {
+            return Optional.empty();
+        }
+        return mContext.crashes().refusedPart(mParts, mContext.nowNanos()).map(this::refuse);
+    }
+
+    /** Records that the response was lost; the replica may have crashed on the request. */
+    void onLost(Attempt attempt) {
+        List<PromptPartId> suspects = attempt.hasContent() ? List.of() : mSuspects;
+        mSuspects = List.of();
+        long now = mContext.nowNanos();
+        mContext.crashes().onResponseLost(fingerprint(), suspects, attempt.replica(), now);
+        if (!suspects.isEmpty()) {
+            mContext.crashCheck().begin(attempt.replica());
+        }
+    }
+
+    /** Records that the request was answered with success. */
+    void onSucceeded() {
+        var crashes = mContext.crashes();
+        if (crashes.hasStrikes()) {
+            crashes.onSucceeded(fingerprint());
+        }
+        crashes.onPartsAnswered(mParts, mContext.nowNanos());
+    }
+
+    private String refuse(PromptPartId part) {
+        mContext.metrics().onPartRefused();
+        return "a part of the prompt crashes replicas: " + part.part();
+    }
+
+    private boolean isEnabled() {
+        return mContext.mechanisms().isEnabled(Mechanism.POISON);
+    }
+
+    private boolean isPoison() {
+        var crashes = mContext.crashes();
+        return crashes.hasStrikes() && crashes.isPoison(fingerprint(), mContext.nowNanos());
+    }
+
+    /**
+     * Identifies the request by its team, method, target and body, so that all copies that a caller
+     * sends have the same fingerprint on every node.
+     */
+    private Fingerprint fingerprint() {
+        byte[] start = (mRequest.method() + " " + mRequest.target() + "\n").getBytes(UTF_8);
+        byte[] content = Arrays.copyOf(start, start.length + mBody.readableBytes());
+        mBody.getBytes(mBody.readerIndex(), content, start.length, mBody.readableBytes());
+        return Fingerprint.of(mTeam, ContentHash.of(content));
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -1,10 +1,7 @@
 package org.fescueport.internal.direct.forward;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
-import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -14,9 +11,7 @@
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.admission.AdmissionDecision;
-import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.placement.Affinity;
-import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
@@ -69,6 +64,7 @@
     private final PoolId mPool;
     private final RequestClock mRequestClock;
     private final ResponseRelay mRelay;
+    private final CrashEvidence mCrashEvidence;
     private final Set<NodeId> mTriedReplicas = new HashSet<>();
     private int mAttemptCount;
     private int mUnsentAttempts;
@@ -101,6 +97,7 @@
         mPool = mRoute.poolFor(mAffinity.key());
         mRequestClock = RequestClock.start(context.clock(), mRoute, request.timeoutMillis());
         mRelay = ResponseRelay.of(mRoute.kind(), responseWriter, context.protocol());
+        mCrashEvidence = new CrashEvidence(context, request, body, teamId());
     }
 
     /**
@@ -115,19 +112,16 @@
             Resolution.Accepted accepted) {
         var exchange = new Exchange(context, responseWriter, request, body, accepted);
         context.budgets().onRequest(exchange.mPool);
-        if (exchange.isPoison()) {
-            exchange.refuse("replicas have died of this request");
-        } else {
-            exchange.requestAdmission();
-        }
+        exchange.mCrashEvidence
+                .admit()
+                .ifPresentOrElse(exchange::refuse, exchange::requestAdmission);
         return exchange;
     }
 
     private void requestAdmission() {
         long now = mContext.nowNanos();
-        TeamId team = mTeam.map(Team::id).orElse(NO_TEAM);
         mTicket = Optional.of(mContext.admissionControl().ticket(mPool));
-        var offer = mRequestClock.offer(mTicket.get().id(), team, mAccepted.urgency());
+        var offer = mRequestClock.offer(mTicket.get().id(), teamId(), mAccepted.urgency());
         switch (mContext.admissionControl().admit(mTicket.get(), offer, this, now)) {
             case AdmissionDecision.Admitted admitted -> sendToNextReplica("first");
             case AdmissionDecision.Queued queued -> logQueued(queued);
@@ -298,8 +292,8 @@
             return;
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
-        if (head.isSuccess() && mContext.crashes().hasStrikes()) {
-            mContext.crashes().onSucceeded(fingerprint());
+        if (head.isSuccess()) {
+            mCrashEvidence.onSucceeded();
         }
         mRelay.finish();
         end(End.ANSWERED, "status " + head.status());
@@ -329,7 +323,7 @@
         mMayHaveRun = true;
         long now = mContext.nowNanos();
         mContext.chooser().onLost(attempt.replica(), now);
-        mContext.crashes().onResponseLost(fingerprint(), attempt.replica(), now);
+        mCrashEvidence.onLost(attempt);
         log("lost", attempt, reason);
         if (mayRetry() && tryAcquireRetry()) {
             retry("lost");
@@ -370,6 +364,11 @@
     }
 
     private void sendToNextReplica(String why) {
+        var crashing = mCrashEvidence.checkBeforeSend(mMayHaveRun);
+        if (crashing.isPresent()) {
+            endUnsent(crashing.get());
+            return;
+        }
         long now = mContext.nowNanos();
         var chosen = mContext.chooser().choose(mPool, mAffinity, mTriedReplicas, now);
         if (chosen.isEmpty() && mMayRepeatAtSameReplica) {
@@ -429,6 +428,17 @@
         }
     }
 
+    /** Ends a request that is not sent any more. */
+    private void endUnsent(String reason) {
+        if (mRelay.hasStarted()) {
+            cut(reason);
+        } else if (mMayHaveRun) {
+            fail(Refusal.Reason.UNKNOWN_OUTCOME, reason);
+        } else {
+            refuse(reason);
+        }
+    }
+
     private void onTimeout() {
         boolean sent = mMayHaveRun || (mAttempt != null && mAttempt.isSent());
         if (mAttempt != null) {
@@ -458,23 +468,8 @@
                 .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
     }
 
-    private boolean isPoison() {
-        var crashes = mContext.crashes();
-        return mContext.mechanisms().isEnabled(Mechanism.POISON)
-                && crashes.hasStrikes()
-                && crashes.isPoison(fingerprint(), mContext.nowNanos());
-    }
-
-    /**
-     * Identifies the request by its team, method, target and body, so that all copies that a caller
-     * sends have the same fingerprint on every node.
-     */
-    private Fingerprint fingerprint() {
-        byte[] start = (mRequest.method() + " " + mRequest.target() + "\n").getBytes(UTF_8);
-        byte[] content = Arrays.copyOf(start, start.length + mBody.readableBytes());
-        mBody.getBytes(mBody.readerIndex(), content, start.length, mBody.readableBytes());
-        TeamId team = mTeam.map(Team::id).orElse(NO_TEAM);
-        return Fingerprint.of(team, ContentHash.of(content));
+    private TeamId teamId() {
+        return mTeam.map(Team::id).orElse(NO_TEAM);
     }
 
     private boolean mayRetry() {
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -25,6 +25,7 @@
         AdmissionControl admissionControl,
         RetryBudgets budgets,
         CrashingRequestDetector crashes,
+        CrashCheck crashCheck,
         CallerQuota quota,
         ForwardingMetrics metrics,
         EventLog log,
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -40,6 +40,7 @@
     private final Timer mFirstByte;
     private final Counter mSends;
     private final Counter mRetries;
+    private final Counter mPartRefusals;
 
     private ForwardingMetrics(MeterRegistry registry) {
         for (var end : End.values()) {
@@ -55,6 +56,7 @@
                         .register(registry);
         mSends = registry.counter("fescue.sends");
         mRetries = registry.counter("fescue.retries");
+        mPartRefusals = registry.counter("fescue.part.refusals");
     }
 
     /** Returns metrics that are registered in this registry. */
@@ -71,6 +73,11 @@
         mFirstByte.record(nanos, TimeUnit.NANOSECONDS);
     }
 
+    /** Counts a request that was not sent, because one of its prompt parts crashes replicas. */
+    void onPartRefused() {
+        mPartRefusals.increment();
+    }
+
     void onSend(boolean retry) {
         mSends.increment();
         if (retry) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.direct.forward;
 
 import java.util.List;
+import org.fescueport.internal.direct.place.PromptPartId;
 
 /**
  * The description of a request's prompt.
@@ -26,6 +27,14 @@
         return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(Part::tokens).sum();
     }
 
+    /** Returns the parts that other requests may share. */
+    public List<PromptPartId> sharedParts() {
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(part -> PromptPartId.of(model, part.id()))
+                .toList();
+    }
+
     /** Returns the id of the last part that other requests may share; empty if there is none. */
     public String sharedPart() {
         return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -13,6 +14,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.KeepAliveLimit;
@@ -144,6 +147,25 @@
                 });
     }
 
+    /** Opens a connection to a replica, closes it, and reports whether it could be opened. */
+    void probe(ReplicaEntry replica, Consumer<Boolean> reached) {
+        mOpenedCount++;
+        mBootstrap
+                .clone()
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(replica.address())
+                .addListener(
+                        (ChannelFuture done) -> {
+                            done.channel().close();
+                            reached.accept(done.isSuccess());
+                        });
+    }
+
+    /** Runs a task on the event loop after a delay. */
+    void schedule(Runnable task, Duration delay) {
+        mBootstrap.config().group().schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
     private static ChannelInitializer<Channel> initializer(ReplicaConnection connection) {
         return new ChannelInitializer<>() {
             @Override
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -264,6 +264,7 @@
     void onOpened(PeerConnection peer) {
         mOpen.add(peer);
         sendHello(peer);
+        mReports.onOpened(peer);
     }
 
     void onClosed(PeerConnection peer) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerReports.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerReports.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.direct.peer;
 
 import io.micrometer.core.instrument.Clock;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -20,8 +21,15 @@
 public final class PeerReports {
     /** Receives the reports of other nodes. */
     public interface Listener {
-        /** A request was lost with a replica at another node. */
-        void onStrike(PeerStrike strike);
+        /**
+         * A request was lost with a replica at another node.
+         *
+         * @return whether further nodes may not know this
+         */
+        boolean onStrike(PeerStrike strike);
+
+        /** Returns the strikes that a node which this one has just met may lack. */
+        List<PeerStrike> knownStrikes();
 
         /**
          * A replica has a prompt prefix cached.
@@ -100,9 +108,15 @@
         mLosses.clear();
     }
 
+    /** Tells a node what it may have missed while there was no connection to it. */
+    void onOpened(PeerConnection peer) {
+        for (var strike : mListener.knownStrikes()) {
+            peer.send(PeerMessage.newBuilder().setStrike(strike).build());
+        }
+    }
+
     void onStrike(PeerConnection from, PeerMessage message) {
-        if (mRecentStrikes.add(message.getStrike())) {
-            mListener.onStrike(message.getStrike());
+        if (mRecentStrikes.add(message.getStrike()) && mListener.onStrike(message.getStrike())) {
             sendToAll(message, peer -> peer != from);
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
@@ -5,10 +5,14 @@
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.place.PartStrike;
 import org.fescueport.internal.wire.generated.PeerStrike;
 
 /** Writes for peers what a replica has died of, and reads it. */
 public final class StrikeCodec {
+    /** In place of a team; a team's name has no line break. */
+    private static final String PART_MARK = "\npart";
+
     private StrikeCodec() {}
 
     /** Writes a strike. */
@@ -32,6 +36,29 @@
                 .build();
     }
 
+    /** Writes a strike against a prompt part. */
+    public static PeerStrike encode(PartStrike strike) {
+        return PeerStrike.newBuilder()
+                .setTeam(PART_MARK)
+                .setRequestHigh(strike.part().high())
+                .setRequestLow(strike.part().low())
+                .setReplica(strike.replica().node().name())
+                .setReplicaLife(strike.replica().number())
+                .setAnswered(strike.cleared())
+                .build();
+    }
+
+    /** Returns whether a strike is against a prompt part rather than a whole request. */
+    public static boolean isAgainstPart(PeerStrike strike) {
+        return strike.getTeam().equals(PART_MARK);
+    }
+
+    /** Reads a strike against a prompt part. */
+    public static PartStrike partStrike(PeerStrike strike) {
+        var part = ContentHash.of(strike.getRequestHigh(), strike.getRequestLow());
+        return new PartStrike(part, replica(strike), strike.getAnswered());
+    }
+
     /** Reads which request it was. */
     public static Fingerprint request(PeerStrike strike) {
         var content = ContentHash.of(strike.getRequestHigh(), strike.getRequestLow());
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.poison.Fingerprint;
@@ -12,13 +14,15 @@
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /**
- * Detects requests that crash replicas.
+ * Detects requests, and prompt parts of requests, that crash replicas.
  *
  * <p>A lost response alone is no evidence, as connections are lost for many reasons. It counts as a
  * strike if the replica cannot be reached shortly afterwards or has started a new incarnation, and
  * is dropped if the replica responds to anything sent later. A request that has succeeded since is
  * a frequent one that merely happened to be running when replicas crashed, so its strikes are
- * cleared. Not thread-safe; used only on the event loop.
+ * cleared. The same holds for the prompt parts of requests that had not begun to be answered, less
+ * those that have just been answered in other requests. Not thread-safe; used only on the event
+ * loop.
  */
 public final class CrashingRequestDetector {
     /** A crashed replica is unreachable within seconds; a later failure has another cause. */
@@ -36,19 +40,39 @@
 
         /** Called when a request that had strikes has succeeded. */
         default void onCleared(Fingerprint request) {}
+
+        /**
+         * Called for each new strike against a prompt part, and for each that is cleared.
+         *
+         * @param crashes number of crashes that count against the part now
+         */
+        default void onPartStrike(PartStrike strike, Optional<PromptPartId> part, int crashes) {}
     }
 
-    private record Suspicion(Fingerprint request, ReplicaEntry replica, long atNanos) {}
+    private record Suspicion(
+            Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long atNanos) {}
 
     private final PoisonTracker mPoisonTracker = PoisonTracker.create(LIMITS);
     private final List<Suspicion> mSuspicions = new ArrayList<>();
+    private final PartStrikes mPartStrikes;
     private Listener mListener = (request, replica) -> {};
 
-    private CrashingRequestDetector() {}
+    private CrashingRequestDetector(RandomGenerator random) {
+        mPartStrikes = PartStrikes.create(random);
+    }
+
+    /**
+     * Returns a detector without any strikes.
+     *
+     * @param random spreads the tries of refused prompt parts over the nodes
+     */
+    public static CrashingRequestDetector create(RandomGenerator random) {
+        return new CrashingRequestDetector(random);
+    }
 
-    /** Returns a detector without any strikes. */
-    public static CrashingRequestDetector create() {
-        return new CrashingRequestDetector();
+    /** Sets the number of nodes of the fleet. */
+    public void onNodes(int nodes) {
+        mPartStrikes.onNodes(nodes);
     }
 
     /** Sets the listener for what this node detects; it replaces the previous one. */
@@ -68,13 +92,37 @@
                 instanceof PoisonAdmission.Poison;
     }
 
-    /** Records that the response to a request was lost with its connection. */
-    public void onResponseLost(Fingerprint request, ReplicaEntry replica, long nowNanos) {
+    /**
+     * Returns the prompt part because of which a new request must be refused, if there is one. A
+     * request that may try a refused part is told so once.
+     */
+    public PartVerdict admitParts(List<PromptPartId> parts, long nowNanos) {
+        return mPartStrikes.admit(parts, nowNanos);
+    }
+
+    /** Returns the prompt part because of which a request must not be sent again. */
+    public Optional<PromptPartId> refusedPart(List<PromptPartId> parts, long nowNanos) {
+        return mPartStrikes.firstRefused(parts, nowNanos);
+    }
+
+    /**
+     * Records that the response to a request was lost with its connection.
+     *
+     * @param parts prompt parts that may be the cause
+     */
+    public void onResponseLost(
+            Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long nowNanos) {
         if (mSuspicions.size() < MAX_SUSPICIONS) {
-            mSuspicions.add(new Suspicion(request, replica, nowNanos));
+            mSuspicions.add(new Suspicion(request, parts, replica, nowNanos));
         }
     }
 
+    /** Returns whether it is still open if the replica crashed with one of its requests. */
+    public boolean isSuspected(ReplicaEntry replica, long nowNanos) {
+        return mSuspicions.stream()
+                .anyMatch(s -> s.replica().id().equals(replica.id()) && !isExpired(s, nowNanos));
+    }
+
     /**
      * Records that a replica processes something that was sent to it at the given time. Suspicions
      * from before that time are dropped.
@@ -120,10 +168,43 @@
         mPoisonTracker.forget(request);
     }
 
+    /** Records that a request with these prompt parts has been answered with success. */
+    public void onPartsAnswered(List<PromptPartId> parts, long nowNanos) {
+        for (PromptPartId part : parts) {
+            for (PartStrike cleared : mPartStrikes.onAnswered(part.hash(), nowNanos)) {
+                mListener.onPartStrike(cleared, Optional.of(part), 0);
+            }
+        }
+    }
+
+    /**
+     * Records a strike against a prompt part that another node knows. If this node has seen the
+     * part answered a short time ago, it clears the strike for all nodes.
+     *
+     * @return whether it was new, so that further nodes may lack it
+     */
+    public boolean onPartStrike(PartStrike strike, long nowNanos) {
+        if (!mPartStrikes.add(strike, nowNanos)) {
+            return false;
+        }
+        if (!strike.cleared() && mPartStrikes.isSound(strike.part(), nowNanos)) {
+            PartStrike cleared = strike.asCleared();
+            mPartStrikes.add(cleared, nowNanos);
+            mListener.onPartStrike(cleared, Optional.empty(), mPartStrikes.crashes(strike.part()));
+        }
+        return true;
+    }
+
+    /** Returns all strikes against prompt parts, for a node that may not know them. */
+    public List<PartStrike> partStrikes() {
+        return mPartStrikes.all();
+    }
+
     /** Drops expired suspicions and strikes. */
     public void sweep(long nowNanos) {
         mSuspicions.removeIf(suspicion -> isExpired(suspicion, nowNanos));
         mPoisonTracker.sweep(millis(nowNanos));
+        mPartStrikes.sweep(nowNanos);
     }
 
     private void strike(Suspicion suspicion, long nowNanos) {
@@ -132,6 +213,14 @@
         if (onStrike(suspicion.request(), life, nowNanos)) {
             mListener.onStrike(suspicion.request(), life);
         }
+        for (PromptPartId part : suspicion.parts()) {
+            var strike = PartStrike.of(part.hash(), life);
+            if (!mPartStrikes.isSound(strike.part(), nowNanos)
+                    && mPartStrikes.add(strike, nowNanos)) {
+                int crashes = mPartStrikes.crashes(strike.part());
+                mListener.onPartStrike(strike, Optional.of(part), crashes);
+            }
+        }
     }
 
     private static boolean isExpired(Suspicion suspicion, long nowNanos) {
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
@@ -21,10 +23,13 @@
 class CrashingRequestDetectorTest {
     private static final Fingerprint REQUEST =
             Fingerprint.of(TeamId.of("team"), ContentHash.of(1, 2));
+    private static final PromptPartId PART = PromptPartId.of("m", "part");
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
-    private final CrashingRequestDetector mDetector = CrashingRequestDetector.create();
+    private final CrashingRequestDetector mDetector =
+            CrashingRequestDetector.create(new SplittableRandom(1));
     private final List<String> mStrikes = new ArrayList<>();
+    private final List<PartStrike> mPartStrikes = new ArrayList<>();
 
     CrashingRequestDetectorTest() {
         mDetector.listen(
@@ -38,6 +43,12 @@
                     public void onCleared(Fingerprint request) {
                         mStrikes.add("cleared");
                     }
+
+                    @Override
+                    public void onPartStrike(
+                            PartStrike strike, Optional<PromptPartId> part, int crashes) {
+                        mPartStrikes.add(strike);
+                    }
                 });
     }
 
@@ -55,7 +66,7 @@
     }
 
     private void crashWith(String id, long atNanos) {
-        mDetector.onResponseLost(REQUEST, replica(id), atNanos);
+        mDetector.onResponseLost(REQUEST, List.of(), replica(id), atNanos);
         mDetector.onUnreachable(replica(id), atNanos + SECOND);
     }
 
@@ -81,7 +92,7 @@
     @Test
     void shouldIgnoreALostResponseWhileTheReplicaLives() {
         for (String id : List.of("a", "b", "c")) {
-            mDetector.onResponseLost(REQUEST, replica(id), 0);
+            mDetector.onResponseLost(REQUEST, List.of(), replica(id), 0);
             mDetector.onReplicaAlive(replica(id), SECOND);
             mDetector.onUnreachable(replica(id), 2 * SECOND);
         }
@@ -90,7 +101,7 @@
 
     @Test
     void shouldNotTreatAResponseToAnEarlierRequestAsASignOfLife() {
-        mDetector.onResponseLost(REQUEST, replica("a"), SECOND);
+        mDetector.onResponseLost(REQUEST, List.of(), replica("a"), SECOND);
         mDetector.onReplicaAlive(replica("a"), SECOND / 2);
         mDetector.onUnreachable(replica("a"), 2 * SECOND);
         assertThat(mStrikes, is(List.of("a")));
@@ -98,17 +109,17 @@
 
     @Test
     void shouldNotBlameARequestForALaterCrash() {
-        mDetector.onResponseLost(REQUEST, replica("a"), 0);
+        mDetector.onResponseLost(REQUEST, List.of(), replica("a"), 0);
         mDetector.onUnreachable(replica("a"), 10 * SECOND);
         assertThat(mStrikes, is(List.of()));
     }
 
     @Test
     void shouldCountStrikesFromOtherNodes() {
-        var other = CrashingRequestDetector.create();
+        var other = CrashingRequestDetector.create(new SplittableRandom(1));
         other.listen((request, replica) -> mDetector.onStrike(request, replica, 0));
         for (String id : List.of("a", "b")) {
-            other.onResponseLost(REQUEST, replica(id), 0);
+            other.onResponseLost(REQUEST, List.of(), replica(id), 0);
             other.onUnreachable(replica(id), SECOND);
         }
         assertThat(mDetector.isPoison(REQUEST, SECOND), is(true));
@@ -121,4 +132,42 @@
         mDetector.sweep(70 * SECOND);
         assertThat(mDetector.isPoison(REQUEST, 70 * SECOND), is(false));
     }
+
+    private void crashWithParts(String id, PromptPartId... parts) {
+        mDetector.onResponseLost(REQUEST, List.of(parts), replica(id), 0);
+        mDetector.onUnreachable(replica(id), SECOND);
+    }
+
+    @Test
+    void shouldRefuseAPartOfRequestsThatCrashedTwoReplicas() {
+        crashWithParts("a", PART);
+        assertThat(mDetector.refusedPart(List.of(PART), SECOND), is(Optional.empty()));
+        crashWithParts("b", PART);
+        assertThat(mDetector.refusedPart(List.of(PART), SECOND), is(Optional.of(PART)));
+    }
+
+    @Test
+    void shouldNotSuspectAPartThatWasJustAnswered() {
+        mDetector.onPartsAnswered(List.of(PART), 0);
+        crashWithParts("a", PART);
+        crashWithParts("b", PART);
+        assertThat(mDetector.refusedPart(List.of(PART), SECOND), is(Optional.empty()));
+    }
+
+    @Test
+    void shouldClearForAllNodesAStrikeAgainstAPartThatWasJustAnsweredHere() {
+        mDetector.onPartsAnswered(List.of(PART), 0);
+        var strike = PartStrike.of(PART.hash(), replica("a").life());
+        assertThat(mDetector.onPartStrike(strike, SECOND), is(true));
+        assertThat(mPartStrikes, is(List.of(strike.asCleared())));
+    }
+
+    @Test
+    void shouldTellANewNodeAllStrikesAgainstParts() {
+        crashWithParts("a", PART);
+        crashWithParts("b", PART);
+        var other = CrashingRequestDetector.create(new SplittableRandom(1));
+        mDetector.partStrikes().forEach(strike -> other.onPartStrike(strike, SECOND));
+        assertThat(other.refusedPart(List.of(PART), SECOND), is(Optional.of(PART)));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/fescueport/internal/direct/place/PartStrikesTest.java
@@ -0,0 +1,153 @@
+package org.fescueport.internal.direct.place;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PartStrikesTest {
+    private static final PromptPartId DEADLY = PromptPartId.of("m", "dead");
+    private static final PromptPartId SOUND = PromptPartId.of("m", "sound");
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+    private static final long LONG = 200 * SECOND;
+    private static final PartVerdict REFUSED = new PartVerdict.Refused(DEADLY);
+    private static final PartVerdict TRIAL = new PartVerdict.Allowed(true);
+    private static final PartVerdict ALLOWED = new PartVerdict.Allowed(false);
+
+    private final PartStrikes mStrikes = create();
+
+    private static PartStrikes create() {
+        return PartStrikes.create(new SplittableRandom(1));
+    }
+
+    private static PartStrike strike(PromptPartId part, int life) {
+        return PartStrike.of(part.hash(), AgentIncarnation.of(NodeId.of("r"), life));
+    }
+
+    private void crash(PromptPartId part, int first, int last) {
+        for (int life = first; life <= last; life++) {
+            mStrikes.add(strike(part, life), 0);
+        }
+    }
+
+    @Test
+    void shouldAllowAPartThatOneReplicaCrashedWith() {
+        crash(DEADLY, 1, 1);
+        assertThat(mStrikes.admit(List.of(DEADLY), 0), is(ALLOWED));
+    }
+
+    @Test
+    void shouldRefuseAPartThatTwoReplicasCrashedWithWhateverElseIsInTheRequest() {
+        crash(DEADLY, 1, 2);
+        assertThat(mStrikes.admit(List.of(SOUND, DEADLY), 0), is(REFUSED));
+        assertThat(mStrikes.firstRefused(List.of(DEADLY), 0), is(Optional.of(DEADLY)));
+        assertThat(mStrikes.admit(List.of(SOUND), 0), is(ALLOWED));
+    }
+
+    @Test
+    void shouldCountOneLifeOnceHoweverManyNodesReportIt() {
+        assertThat(mStrikes.add(strike(DEADLY, 1), 0), is(true));
+        assertThat(mStrikes.add(strike(DEADLY, 1), 0), is(false));
+        assertThat(mStrikes.crashes(DEADLY.hash()), is(1));
+    }
+
+    @Test
+    void shouldClearAPartThatIsAnsweredAndKeepItCleared() {
+        crash(DEADLY, 1, 2);
+        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0), hasSize(2));
+        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0), hasSize(0));
+        crash(DEADLY, 1, 2);
+        assertThat(mStrikes.admit(List.of(DEADLY), 0), is(ALLOWED));
+    }
+
+    @Test
+    void shouldKnowAPartAsSoundForAShortTime() {
+        mStrikes.onAnswered(SOUND.hash(), 0);
+        assertThat(mStrikes.isSound(SOUND.hash(), SECOND), is(true));
+        assertThat(mStrikes.isSound(SOUND.hash(), 10 * SECOND), is(false));
+    }
+
+    @Test
+    void shouldLetOneRequestTryARefusedPartAfterAPause() {
+        crash(DEADLY, 1, 2);
+        assertThat(mStrikes.admit(List.of(DEADLY), SECOND / 2), is(REFUSED));
+        assertThat(mStrikes.admit(List.of(DEADLY), 10 * SECOND), is(TRIAL));
+        assertThat(mStrikes.admit(List.of(DEADLY), 10 * SECOND), is(REFUSED));
+    }
+
+    @Test
+    void shouldNotTryAPartAgainAfterFiveCrashes() {
+        crash(DEADLY, 1, 5);
+        assertThat(mStrikes.admit(List.of(DEADLY), LONG), is(REFUSED));
+    }
+
+    @Test
+    void shouldTryNoRequestWithTwoRefusedParts() {
+        crash(DEADLY, 1, 2);
+        crash(SOUND, 1, 2);
+        assertThat(mStrikes.admit(List.of(DEADLY, SOUND), LONG), is(REFUSED));
+        assertThat(mStrikes.admit(List.of(SOUND), LONG), is(TRIAL));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 330})
+    void shouldNotTryAtManyNodesAtOnce(int nodes) {
+        int tries = 0;
+        for (int node = 0; node < nodes; node++) {
+            var strikes = PartStrikes.create(new SplittableRandom(node));
+            strikes.onNodes(nodes);
+            strikes.add(strike(DEADLY, 1), 0);
+            strikes.add(strike(DEADLY, 2), 0);
+            tries += strikes.admit(List.of(DEADLY), 3 * SECOND).equals(TRIAL) ? 1 : 0;
+        }
+        assertThat(tries, lessThanOrEqualTo(4));
+    }
+
+    @Test
+    void shouldAgreeAtAllNodesWhateverTheOrderInWhichStrikesArrive() {
+        crash(DEADLY, 1, 4);
+        mStrikes.onAnswered(DEADLY.hash(), 0);
+        crash(DEADLY, 5, 6);
+        for (int order = 0; order < 20; order++) {
+            List<PartStrike> shuffled = new ArrayList<>(mStrikes.all());
+            crash(DEADLY, 1, 4);
+            shuffled.add(strike(DEADLY, 1));
+            Collections.shuffle(shuffled, new java.util.Random(order));
+            var other = create();
+            shuffled.forEach(strike -> other.add(strike, 0));
+            assertThat(other.crashes(DEADLY.hash()), is(2));
+        }
+    }
+
+    @Test
+    void shouldKeepAPartRefusedWhileRequestsWithItStillCome() {
+        crash(DEADLY, 1, 5);
+        for (long now = 0; now < 10 * LONG; now += LONG) {
+            mStrikes.sweep(now);
+            assertThat(mStrikes.admit(List.of(DEADLY), now), is(REFUSED));
+        }
+        mStrikes.sweep(20 * LONG);
+        assertThat(mStrikes.isEmpty(), is(true));
+    }
+
+    @Test
+    void shouldForgetPartsThatAreNotRefusedFirst() {
+        crash(DEADLY, 1, 2);
+        for (int i = 0; i < 1_000; i++) {
+            crash(PromptPartId.of("m", "p" + i), 1, 1);
+        }
+        assertThat(mStrikes.admit(List.of(DEADLY), 0), is(REFUSED));
+    }
+}
