--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -26,6 +26,7 @@
         AdmissionControl admissionControl,
         RetryBudgets budgets,
         CrashingRequestDetector crashes,
+        CrashCheck crashCheck,
         CallerQuota quota,
         ForwardingMetrics metrics,
         ResponseTimes responseTimes,
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -42,6 +42,7 @@
     private final Timer mFirstByte;
     private final Counter mSends;
     private final Counter mRetries;
+    private final Counter mPartRefusals;
 
     private ForwardingMetrics(MeterRegistry registry) {
         for (var end : End.values()) {
@@ -64,6 +65,7 @@
                         .register(registry);
         mSends = registry.counter("fescue.sends");
         mRetries = registry.counter("fescue.retries");
+        mPartRefusals = registry.counter("fescue.part.refusals");
     }
 
     /** Returns metrics that are registered in this registry. */
@@ -85,6 +87,11 @@
         mFirstByte.record(nanos, TimeUnit.NANOSECONDS);
     }
 
+    /** Counts a request that was not sent, because one of its prompt parts crashes replicas. */
+    void onPartRefused() {
+        mPartRefusals.increment();
+    }
+
     void onSend(boolean retry) {
         mSends.increment();
         if (retry) {
