Let one place cut a started answer in Exchange

Cause: three ways to end a request each asked whether its answer had begun, since fail() cuts such an answer itself. No change of behaviour: an answer that has begun implies that the request may have run. ForwardingTest, StreamsTest, StoppingTest, KeptConnectionTest, CrashingPartTest and PoisonTest pass.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -169,9 +169,7 @@
         if (mAttempt != null) {
             mAttempt.cancel();
         }
-        if (mRelay.hasStarted()) {
-            cut("this node ends");
-        } else if (sent) {
+        if (sent) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "this node ends, and the request may have run");
         } else {
             refuse("this node ends");
@@ -453,9 +451,7 @@
 
     /** Ends a request that is not sent any more. */
     private void endUnsent(String reason) {
-        if (mRelay.hasStarted()) {
-            cut(reason);
-        } else if (mMayHaveRun) {
+        if (mMayHaveRun) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, reason);
         } else {
             refuse(reason);
@@ -541,7 +537,8 @@
     /** Fails the request; a response that has been started is cut off instead. */
     private void fail(Refusal.Reason reason, String message) {
         if (mRelay.hasStarted()) {
-            cut(message);
+            mResponseWriter.abort();
+            end(End.CUT, message);
             return;
         }
         var refusal = Refusal.of(reason, Optional.of(mRequest.id()), message);
@@ -549,11 +546,6 @@
         end(reason == Refusal.Reason.TIME_OVER ? End.TIME_OVER : End.FAILED, message);
     }
 
-    private void cut(String reason) {
-        mResponseWriter.abort();
-        end(End.CUT, reason);
-    }
-
     private void end(End end, String reason) {
         mEnded = true;
         mAttempt = null;
