Don't take a replica for crashed because all connections to it are in use

Callers could be refused for a crash that never was: a request whose answer was lost got a strike as soon as another request found all connections of this node to that replica in use. Cause: one call told both that and a failed connection.

Evidence: ReplicaConnectionPoolTest fails ("unreachable" in place of "not sent") when both are told by one call, as before. It works because only a failed connection confirms a suspicion now.

--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -103,11 +103,18 @@
     public void onNotSent(String reason) {
         if (end()) {
             mContext.chooser().onFailure(mReplica, mContext.nowNanos());
-            mContext.crashes().onUnreachable(mReplica, mContext.nowNanos());
             mExchange.onNotSent(this, reason);
         }
     }
 
+    @Override
+    public void onUnreachable(String reason) {
+        if (!mEnded) {
+            mContext.crashes().onUnreachable(mReplica, mContext.nowNanos());
+        }
+        onNotSent(reason);
+    }
+
     @Override
     public void onHead(ResponseHead head) {
         mHead = head;
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -142,7 +142,7 @@
                     } else {
                         message.release();
                         connectionPool.onClosing(connection);
-                        listener.onNotSent("no connection: " + done.cause().getMessage());
+                        listener.onUnreachable("no connection: " + done.cause().getMessage());
                     }
                 });
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseListener.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseListener.java
@@ -16,9 +16,12 @@
     /** The request is about to be sent on this connection. */
     void onSending(ReplicaConnection connection);
 
-    /** No connection was available; the request was not sent. */
+    /** All connections that may be opened are in use; the request was not sent. */
     void onNotSent(String reason);
 
+    /** No connection could be opened; the request was not sent. */
+    void onUnreachable(String reason);
+
     /** The head of the response has been received. */
     void onHead(ResponseHead head);
 
