Test that a wrong verdict on a prompt part is taken back at all nodes

Callers of a sound part that was lost with two replicas by chance are served again once a single try is answered. Cause for the test: no other one goes the whole way from the verdict by the try to the clearing. Ruled out by it: that a verdict lasts though a try was answered.

--- a/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
@@ -170,4 +170,17 @@
         mDetector.partStrikes().forEach(strike -> other.onPartStrike(strike, SECOND));
         assertThat(other.refusedPart(List.of(PART), SECOND), is(Optional.of(PART)));
     }
+
+    @Test
+    void shouldTakeBackAWrongVerdictForAllNodesOnceATryIsAnswered() {
+        crashWithParts("a", PART);
+        crashWithParts("b", PART);
+        long later = 60 * SECOND;
+        assertThat(mDetector.admitParts(List.of(PART), SECOND), is(new PartVerdict.Refused(PART)));
+        assertThat(mDetector.admitParts(List.of(PART), later), is(new PartVerdict.Allowed(true)));
+        mPartStrikes.clear();
+        mDetector.onPartsAnswered(List.of(PART), later);
+        assertThat(mDetector.admitParts(List.of(PART), later), is(new PartVerdict.Allowed(false)));
+        assertThat(mPartStrikes.stream().filter(PartStrike::cleared).count(), is(2L));
+    }
 }
