Read the pages of a list behind a key that is not valid Unicode

What callers would see: a node that starts never becomes ready, and reads the list from the store without a pause.

Cause: the next page is asked for by the last key of the one before. A key that is not UTF-8 is a lone surrogate in the JSON of a page, which becomes "?" in the call; the store then goes on behind another key, where it may begin again.

Evidence: OddEntriesRoutersTest, before: "not within 10000 ms: the router is ready", with the stand-in of the store, which begins again behind a key that it does not know. How the platform's own store names such a key was not seen.

A page without any such key is an error of the call, so that the list is not taken for whole.

--- a/src/test/java/org/fescueport/platform/LogStoreTest.java
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -14,13 +14,17 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.EraTracker;
 import org.fescueport.internal.direct.state.NodeRecord;
+import org.fescueport.internal.direct.state.StateRecord;
 import org.fescueport.internal.direct.state.StateStore.Page;
 import org.fescueport.internal.direct.state.StateTopic;
 import org.fescueport.internal.direct.state.StoreException;
@@ -89,6 +93,27 @@
         assertThat(new String(page.records().getFirst().value().orElseThrow()), is("3"));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"x-\udcff", "x-\ufffd", "\ud800"})
+    void shouldReadAllPagesAroundKeysThatCannotBeNamedInACall(String odd) throws Exception {
+        for (var key : List.of("a", odd, odd + odd, "b", "c", odd + "c", "d")) {
+            mStandIn.put("keyed.servers", key, "1");
+        }
+        mStandIn.pages(4, 0);
+        var page = await(() -> mStore.newest(StateTopic.REPLICAS));
+        var keys = page.records().stream().map(StateRecord::key).collect(Collectors.toSet());
+        assertThat(keys, is(Set.of("a", odd, odd + odd, "b", "c", odd + "c", "d")));
+    }
+
+    @Test
+    void shouldReportAPageWithoutAKeyThatCanBeNamedInACall() {
+        mStandIn.put("keyed.servers", "x-\udcff", "1");
+        mStandIn.put("keyed.servers", "a", "1");
+        mStandIn.pages(1, 0);
+        var failure = failure(() -> mStore.newest(StateTopic.REPLICAS));
+        assertThat(failure.reason(), is(StoreException.Cause.UNREADABLE));
+    }
+
     @Test
     void shouldReadRecordsFromAnOffsetOn() throws Exception {
         mStandIn.put("keyed.servers", "a", "1");
--- a/src/test/java/org/fescueport/platform/OddEntriesRoutersTest.java
+++ b/src/test/java/org/fescueport/platform/OddEntriesRoutersTest.java
@@ -123,4 +123,26 @@
             }
         }
     }
+
+    @Test
+    void shouldReadThePagesBehindAKeyThatCannotBeNamedInACall() throws Exception {
+        try (var store = StoreStandIn.start();
+                var first = ReplicaStandIn.start("a", "api", GOOD);
+                var last = ReplicaStandIn.start("z", "api", GOOD)) {
+            store.configure(Installation.configuration(1));
+            first.register(store, "ready");
+            store.put(REPLICAS, "x-\udcff", OddEntries.good(9));
+            last.register(store, "ready");
+            // The odd entry is the last one of a page.
+            store.pages(2, 0);
+            try (var router = TestRouter.start("edge-1", store.address()).awaitReady()) {
+                first.register(store, "draining");
+                Await.until("the last one is used", () -> isUsed(last, router));
+            }
+        }
+    }
+
+    private static boolean isUsed(ReplicaStandIn replica, TestRouter router) {
+        return status(router) == 200 && !replica.requests().isEmpty();
+    }
 }
