Reword the guard against crashing requests (text and names only)

Cause: comments and names of log/poison and of its test were figurative (dies, killer, tells) where the trackers that it uses say crash, strike and trial, and some parameters were not documented.

What changed: doc comments, private names, and names in the test. Nothing that leaves the process and no behaviour; the checks are the same.

Ruled out: a name that is written out; the record kinds that the codec writes by name are unchanged.

--- a/src/main/java/org/fescueport/internal/log/poison/PoisonCodec.java
+++ b/src/main/java/org/fescueport/internal/log/poison/PoisonCodec.java
@@ -12,28 +12,28 @@
 import org.fescueport.internal.wire.generated.PoisonEntry;
 import org.fescueport.internal.wire.generated.PoisonKind;
 
-/** Binary form of records about poison. */
+/** Encodes and decodes {@link PoisonRecord}s for the log and for messages between processes. */
 public final class PoisonCodec {
     private PoisonCodec() {}
 
-    /** Returns the bytes of a record, as they stand in the log. */
+    /** Encodes one record for the log. */
     public static byte[] encode(PoisonRecord record) {
         return entry(record).toByteArray();
     }
 
-    /** Reads a record; fails on bytes that are none. */
+    /** Decodes one record of the log; fails if the data is not a valid record. */
     public static Try<PoisonRecord> decode(byte[] data) {
         return Try.of(() -> record(PoisonEntry.parseFrom(data)));
     }
 
-    /** Returns the bytes of records that one process tells another. */
+    /** Encodes the records of one message between processes. */
     public static byte[] encodeAll(List<PoisonRecord> records) {
         PoisonEntries.Builder entries = PoisonEntries.newBuilder();
         records.forEach(record -> entries.addEntries(entry(record)));
         return entries.build().toByteArray();
     }
 
-    /** Reads what another process told; fails on bytes that are none. */
+    /** Decodes the records of a message; fails if any of them is invalid. */
     public static Try<List<PoisonRecord>> decodeAll(byte[] data) {
         return Try.of(
                 () ->
--- a/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
+++ b/src/main/java/org/fescueport/internal/log/poison/PoisonGuard.java
@@ -22,11 +22,12 @@
 import org.fescueport.port.LogService;
 
 /**
- * Protects backend servers from requests that kill them; the agent's side.
+ * Protects the backend server of an agent from requests that crash it.
  *
- * <p>When the server dies, what was in flight on it becomes suspect, here at once, at the peers by
- * a message, and everywhere by the log. A suspect runs again only after a trial was won in the log,
- * so while the log is down suspects wait.
+ * <p>When the backend server crashes, a strike is recorded against each request that was in flight
+ * on it. Strikes take effect locally at once, at the agents of the same pool through a message, and
+ * at all other agents through the log. A suspected request runs again only after its agent has won
+ * the trial in the log, so suspected requests wait while the log is unavailable.
  *
  * <pre>{@code
  * guard.admit(fingerprint).thenAccept(admission -> ...);
@@ -44,13 +45,13 @@
     private final Clock mClock;
     private final ScheduledExecutorService mExecutor;
     private final PoisonSettings mSettings;
-    private final Consumer<byte[]> mPeers;
-    private final Consumer<List<AttemptId>> mSuspects;
+    private final Consumer<byte[]> mPeerSender;
+    private final Consumer<List<AttemptId>> mOnSuspects;
     private final PoisonTracker mTracker;
     private final Map<AttemptId, Fingerprint> mInFlight = new HashMap<>();
     private final Map<AttemptId, Fingerprint> mTrials = new HashMap<>();
     private final ArrayDeque<PoisonRecord> mUnsent = new ArrayDeque<>();
-    private long mGeneration;
+    private long mServerRestarts;
     private long mLastTrialMillis;
     private long mNextOffset;
     private long mAppendingUntilMillis;
@@ -68,17 +69,18 @@
         mClock = clock;
         mExecutor = executor;
         mSettings = settings;
-        mPeers = peers;
-        mSuspects = suspects;
+        mPeerSender = peers;
+        mOnSuspects = suspects;
         mTracker = PoisonTracker.create(settings.limits());
     }
 
     /**
-     * Starts the guard.
+     * Creates a guard and starts polling the log.
      *
-     * @param peers tells the other agents of the pool, which pass it to {@link #receive}
-     * @param suspects gets attempts in flight here that became suspect elsewhere: their streams are
-     *     to be cancelled at once and the attempts submitted anew
+     * @param peers sends a message to the other agents of the pool, which pass it to {@link
+     *     #receive}
+     * @param suspects receives attempts in flight here that became suspect because of a crash
+     *     elsewhere: the receiver cancels their streams at once and submits the attempts again
      */
     public static PoisonGuard start(
             AgentIncarnation agent,
@@ -94,7 +96,7 @@
         return guard;
     }
 
-    /** Tells whether a request may run; asks the log for the trial of a suspect. */
+    /** Decides whether a request may run; requests the trial in the log for a suspected one. */
     public CompletableFuture<PoisonAdmission> admit(Fingerprint fingerprint) {
         PoisonAdmission admission = decide(fingerprint);
         if (!(admission instanceof PoisonAdmission.NeedsTrial)) {
@@ -102,19 +104,20 @@
         }
         CompletableFuture<PoisonAdmission> result = new CompletableFuture<>();
         mExecutor.schedule(
-                () -> result.complete(waitAWhile()),
+                () -> result.complete(retryLater()),
                 mSettings.callTimeoutMillis(),
                 TimeUnit.MILLISECONDS);
         List<PoisonRecord> records = new ArrayList<>(mTracker.strikes(fingerprint));
         records.add(new PoisonRecord(Kind.TRIAL, fingerprint, server(), nextTrialMillis()));
         mLog.append(STREAM, records.stream().map(PoisonCodec::encode).toList())
-                .whenComplete((offset, error) -> readTrial(fingerprint, result));
+                .whenComplete((offset, error) -> decideTrial(fingerprint, result));
         return result;
     }
 
     /**
-     * The gate before the backend server: returns false when the request became suspect since it
-     * was admitted, or when another attempt took its trial.
+     * Registers an attempt as in flight, just before it is sent to the backend server. Returns
+     * false if the request became suspect after it was admitted, or if another attempt started its
+     * trial.
      */
     public synchronized boolean started(AttemptId attempt, Fingerprint fingerprint) {
         PoisonAdmission admission = decide(fingerprint);
@@ -128,19 +131,19 @@
         return true;
     }
 
-    /** Notes that the backend server is done with an attempt and lives. */
+    /** Records that an attempt ended without a crash, which clears the request of a trial. */
     public void ended(AttemptId attempt) {
         end(attempt, Kind.CLEARED);
     }
 
-    /** Notes that an attempt's stream was cancelled: a trial has then shown nothing. */
+    /** Records that an attempt was cancelled; a trial is released without a result. */
     public void cancelled(AttemptId attempt) {
         end(attempt, Kind.RELEASED);
     }
 
     /**
-     * Notes that the backend server died: what was in flight on it becomes suspect. Call it before
-     * any router is told of the failure.
+     * Records a crash of the backend server: the requests in flight on it become suspect. Must be
+     * called before any router learns of the failure.
      */
     public void serverDied() {
         List<PoisonRecord> strikes = new ArrayList<>();
@@ -149,45 +152,47 @@
             long now = mClock.wallTime();
             suspects.forEach(f -> strikes.add(new PoisonRecord(Kind.STRIKE, f, server(), now)));
             strikes.forEach(s -> mTracker.strike(s.fingerprint(), s.server(), s.atMillis()));
-            strikes.forEach(this::send);
-            mTracker.releaseTrials(server(), Long.MAX_VALUE).forEach(this::send);
+            strikes.forEach(this::enqueue);
+            mTracker.releaseTrials(server(), Long.MAX_VALUE).forEach(this::enqueue);
             mInFlight.clear();
             mTrials.clear();
-            mGeneration++;
+            mServerRestarts++;
         }
         if (!strikes.isEmpty()) {
-            mPeers.accept(PoisonCodec.encodeAll(strikes));
+            mPeerSender.accept(PoisonCodec.encodeAll(strikes));
             mExecutor.execute(this::flush);
         }
     }
 
-    /** Takes in what a peer or a router tells; returns how many records could be read. */
+    /** Applies the strikes in a message of a peer or a router and returns their number. */
     public int receive(byte[] payload) {
         List<PoisonRecord> records =
                 PoisonCodec.decodeAll(payload).getOrElse(List.of()).stream()
                         .filter(record -> record.kind() == Kind.STRIKE)
                         .toList();
-        records.forEach(this::strike);
+        records.forEach(this::applyStrike);
         return records.size();
     }
 
-    /** Returns the message by which a router tells an agent that a server died of a request. */
+    /**
+     * Encodes the message by which a router reports to an agent that a request crashed a server.
+     */
     public static byte[] strikeMessage(
             Fingerprint fingerprint, AgentIncarnation server, long nowMillis) {
         return PoisonCodec.encodeAll(
                 List.of(new PoisonRecord(Kind.STRIKE, fingerprint, server, nowMillis)));
     }
 
-    /** Returns the life of the backend server beside this agent. */
+    /** Returns the present incarnation of this agent's backend server. */
     public synchronized AgentIncarnation server() {
-        return AgentIncarnation.of(mAgent.node(), mAgent.number() + mGeneration);
+        return AgentIncarnation.of(mAgent.node(), mAgent.number() + mServerRestarts);
     }
 
     private synchronized void end(AttemptId attempt, Kind kind) {
         mInFlight.remove(attempt);
         Fingerprint tried = mTrials.remove(attempt);
         if (tried != null) {
-            send(new PoisonRecord(kind, tried, server(), mTracker.trialAtMillis(tried)));
+            enqueue(new PoisonRecord(kind, tried, server(), mTracker.trialAtMillis(tried)));
         }
     }
 
@@ -195,23 +200,23 @@
         return mTracker.admit(fingerprint, server(), mClock.wallTime());
     }
 
-    private PoisonAdmission waitAWhile() {
+    private PoisonAdmission retryLater() {
         return new PoisonAdmission.RetryLater(mSettings.pollMillis());
     }
 
-    /** Names a trial of this server: no two have the same time. */
+    /** Returns the time that identifies a trial of this server; no two trials share one. */
     private synchronized long nextTrialMillis() {
         mLastTrialMillis = Math.max(mLastTrialMillis + 1, mClock.wallTime());
         return mLastTrialMillis;
     }
 
-    private void strike(PoisonRecord record) {
+    private void applyStrike(PoisonRecord record) {
         if (mTracker.strike(record.fingerprint(), record.server(), record.atMillis())) {
-            tellSuspects(record.fingerprint());
+            reportSuspects(record.fingerprint());
         }
     }
 
-    private void tellSuspects(Fingerprint fingerprint) {
+    private void reportSuspects(Fingerprint fingerprint) {
         List<AttemptId> attempts = new ArrayList<>();
         synchronized (this) {
             mInFlight.forEach(
@@ -222,16 +227,16 @@
                     });
         }
         if (!attempts.isEmpty()) {
-            mSuspects.accept(attempts);
+            mOnSuspects.accept(attempts);
         }
     }
 
-    private void readTrial(Fingerprint fingerprint, CompletableFuture<PoisonAdmission> result) {
+    private void decideTrial(Fingerprint fingerprint, CompletableFuture<PoisonAdmission> result) {
         read().whenComplete(
                         (atEnd, error) -> {
                             PoisonAdmission admission = decide(fingerprint);
                             boolean open = admission instanceof PoisonAdmission.NeedsTrial;
-                            result.complete(open ? waitAWhile() : admission);
+                            result.complete(open ? retryLater() : admission);
                         });
     }
 
@@ -239,7 +244,7 @@
         long now = mClock.wallTime();
         mTracker.sweep(now);
         synchronized (this) {
-            mTracker.releaseTrials(server(), now - mSettings.pollMillis()).forEach(this::send);
+            mTracker.releaseTrials(server(), now - mSettings.pollMillis()).forEach(this::enqueue);
         }
         read().whenComplete((atEnd, error) -> flush());
     }
@@ -250,15 +255,18 @@
             from = mNextOffset;
         }
         return mLog.read(STREAM, from, PAGE_RECORDS)
-                .thenCompose(page -> foldPage(page) ? done() : read());
+                .thenCompose(page -> applyPage(page) ? done() : read());
     }
 
     private static CompletableFuture<Boolean> done() {
         return CompletableFuture.completedFuture(true);
     }
 
-    /** Takes a page in; two readings at once may overlap, and no record is taken in twice. */
-    private boolean foldPage(LogService.Page page) {
+    /**
+     * Applies the records of a page and returns whether it was the last. Concurrent reads may
+     * overlap; a record that has been applied is skipped.
+     */
+    private boolean applyPage(LogService.Page page) {
         List<Fingerprint> struck = new ArrayList<>();
         boolean atEnd;
         synchronized (this) {
@@ -272,11 +280,11 @@
             }
             atEnd = page.entries().isEmpty() || mNextOffset >= page.nextOffset();
         }
-        struck.forEach(this::tellSuspects);
+        struck.forEach(this::reportSuspects);
         return atEnd;
     }
 
-    private void send(PoisonRecord record) {
+    private void enqueue(PoisonRecord record) {
         if (mUnsent.size() >= mSettings.unsentRecords()) {
             mUnsent.poll();
         }
@@ -294,10 +302,10 @@
             batch = List.copyOf(mUnsent);
         }
         mLog.append(STREAM, batch.stream().map(PoisonCodec::encode).toList())
-                .whenComplete((offset, error) -> flushed(batch, error == null));
+                .whenComplete((offset, error) -> onFlushed(batch, error == null));
     }
 
-    private synchronized void flushed(List<PoisonRecord> batch, boolean acknowledged) {
+    private synchronized void onFlushed(List<PoisonRecord> batch, boolean acknowledged) {
         mAppendingUntilMillis = 0;
         if (acknowledged) {
             mUnsent.removeAll(batch);
--- a/src/test/java/org/fescueport/internal/log/poison/PoisonGuardTest.java
+++ b/src/test/java/org/fescueport/internal/log/poison/PoisonGuardTest.java
@@ -30,12 +30,12 @@
 
 class PoisonGuardTest {
     private static final TimeUnit MILLIS = TimeUnit.MILLISECONDS;
-    private static final Fingerprint KILLER = fingerprint(1);
-    private static final Fingerprint INNOCENT = fingerprint(2);
+    private static final Fingerprint CRASHING = fingerprint(1);
+    private static final Fingerprint SOUND = fingerprint(2);
     private static final PoisonSettings SETTINGS =
             new PoisonSettings(new PoisonTracker.Limits(100, 600_000, 5_000), 200, 100, 50);
 
-    /** Agents of one pool; each server dies of the killer and comes back after a while. */
+    /** Agents of one pool; the crashing request ends a server, which restarts after 300 ms. */
     private static final class Pool {
         final MockClock mClock = new MockClock();
         final DeterministicScheduler mScheduler = new DeterministicScheduler();
@@ -44,7 +44,7 @@
         final List<PoisonGuard> mGuards = new ArrayList<>();
         final boolean[] mUp = new boolean[6];
         final List<Map<AttemptId, Fingerprint>> mRunning = new ArrayList<>();
-        int mDeaths;
+        int mCrashes;
         int mCompleted;
         int mNextRequest;
 
@@ -81,7 +81,7 @@
             }
         }
 
-        /** Every router takes the first live server in the same order. */
+        /** Sends a request as every router does: to the first live server, in the same order. */
         void send(Fingerprint fingerprint) {
             for (int i = 0; i < mUp.length; i++) {
                 if (mUp[i]) {
@@ -113,19 +113,19 @@
 
         private void end(int number, AttemptId attempt) {
             Fingerprint fingerprint = mRunning.get(number).remove(attempt);
-            if (KILLER.equals(fingerprint)) {
-                die(number);
+            if (CRASHING.equals(fingerprint)) {
+                crash(number);
             } else if (fingerprint != null) {
                 mGuards.get(number).ended(attempt);
                 mCompleted++;
             }
         }
 
-        private void die(int number) {
-            mDeaths++;
+        private void crash(int number) {
+            mCrashes++;
             mUp[number] = false;
             List<Fingerprint> failed = new ArrayList<>(mRunning.get(number).values());
-            failed.add(KILLER);
+            failed.add(CRASHING);
             mRunning.get(number).clear();
             AgentIncarnation server = mGuards.get(number).server();
             mGuards.get(number).serverDied();
@@ -133,7 +133,7 @@
             failed.forEach(f -> mScheduler.schedule(() -> fail(f, server), 3, MILLIS));
         }
 
-        /** A router takes its request elsewhere, and says first what died of it. */
+        /** Retries a request at another server as a router does, which reports the crash first. */
         private void fail(Fingerprint fingerprint, AgentIncarnation server) {
             byte[] message = PoisonGuard.strikeMessage(fingerprint, server, mClock.wallTime());
             for (int i = 0; i < mUp.length; i++) {
@@ -155,50 +155,50 @@
     }
 
     @Test
-    void shouldRefuseForGoodAfterSecondDeath() {
+    void shouldRefusePermanentlyAfterTheSecondCrash() {
         Pool pool = new Pool(1);
         for (int i = 0; i < 20; i++) {
-            pool.send(KILLER);
+            pool.send(CRASHING);
             pool.step(400);
         }
 
-        assertThat(pool.mDeaths, is(2));
+        assertThat(pool.mCrashes, is(2));
         assertThat(
-                pool.mGuards.getLast().admit(KILLER).getNow(null),
+                pool.mGuards.getLast().admit(CRASHING).getNow(null),
                 instanceOf(PoisonAdmission.Poison.class));
     }
 
     @Test
-    void shouldClearInnocentSuspectByTrial() {
+    void shouldClearASoundSuspectByTrial() {
         Pool pool = new Pool(2);
-        pool.send(INNOCENT);
-        pool.send(KILLER);
+        pool.send(SOUND);
+        pool.send(CRASHING);
         pool.step(10_000);
         for (int i = 0; i < 5; i++) {
-            pool.send(INNOCENT);
+            pool.send(SOUND);
             pool.step(1_000);
         }
 
         assertThat(pool.mCompleted, greaterThan(3));
         assertThat(
-                pool.mGuards.getLast().admit(INNOCENT).getNow(null),
+                pool.mGuards.getLast().admit(SOUND).getNow(null),
                 instanceOf(PoisonAdmission.Allowed.class));
     }
 
     @Test
-    void shouldMakeSuspectsWaitWhileLogIsDown() {
+    void shouldMakeSuspectsWaitWhileTheLogIsDown() {
         Pool pool = new Pool(3);
         pool.mLog.setDown(true);
         for (int i = 0; i < 10; i++) {
-            pool.send(KILLER);
+            pool.send(CRASHING);
             pool.step(400);
         }
 
-        assertThat(pool.mDeaths, is(1));
+        assertThat(pool.mCrashes, is(1));
     }
 
     @Test
-    void shouldBoundItsMemory() {
+    void shouldLimitTheNumberOfTrackedRequests() {
         PoisonTracker tracker = PoisonTracker.create(new PoisonTracker.Limits(10, 1_000, 100));
         AgentIncarnation server = AgentIncarnation.of(NodeId.of("a"), 1);
         for (int i = 0; i < 50; i++) {
@@ -211,15 +211,15 @@
         assertThat(tracker.size(), is(0));
     }
 
-    /** Sent again and again through several routers at once, with outages of the log. */
+    /** Several routers send the crashing request repeatedly, with outages of the log. */
     @ParameterizedTest
     @ValueSource(longs = {31, 32, 33, 34, 35, 36, 37, 38, 39, 40})
-    void shouldLoseAtMostTwoServers(long seed) {
+    void shouldCrashAtMostTwoServers(long seed) {
         Pool pool = new Pool(seed);
         for (int round = 0; round < 150; round++) {
             int routers = 1 + pool.mRandom.nextInt(3);
             for (int i = 0; i < routers; i++) {
-                pool.send(KILLER);
+                pool.send(CRASHING);
             }
             pool.send(fingerprint(100 + round % 5));
             pool.mLog.setDown(pool.mRandom.nextInt(5) == 0);
@@ -228,7 +228,7 @@
         pool.mLog.setDown(false);
         pool.step(10_000);
 
-        assertThat(pool.mDeaths, lessThanOrEqualTo(2));
+        assertThat(pool.mCrashes, lessThanOrEqualTo(2));
         assertThat(pool.mCompleted, greaterThan(20));
     }
 
