Reword what the stand-ins share (text and names only)

Cause: comments and private names of the folder standin were figurative (strike, thaw, says that it is leaving) or vague (how it begins).

Texts that go out, settings and fields of faults stay as they are, and so does the behaviour.

Evidence: formatter, linter and compiler checks pass on a copy of this tree. Ruled out: names that are written out; Faults' components and the commands' names are unchanged.

--- a/src/main/java/org/fescueport/internal/standin/BadRequestException.java
+++ b/src/main/java/org/fescueport/internal/standin/BadRequestException.java
@@ -1,6 +1,6 @@
 package org.fescueport.internal.standin;
 
-/** A request that a stand-in cannot read; answered with status 400 and this message. */
+/** Thrown for an invalid request; the stand-in responds with status 400 and the message. */
 public final class BadRequestException extends Exception {
     private static final long serialVersionUID = 1L;
 
--- a/src/main/java/org/fescueport/internal/standin/EngineOptions.java
+++ b/src/main/java/org/fescueport/internal/standin/EngineOptions.java
@@ -58,7 +58,7 @@
             description = "Whether orders with an older fencing token are refused. Default: true")
     private String mCheckFencing;
 
-    /** Reads the options; problems are kept by the reader. */
+    /** Reads the options; the reader collects the problems. */
     EngineSettings read(SettingsReader reader) {
         int stepMillis =
                 reader.integer(
--- a/src/main/java/org/fescueport/internal/standin/FaultSwitch.java
+++ b/src/main/java/org/fescueport/internal/standin/FaultSwitch.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.Random;
 
-/** The faults that are switched on now, and the seeded chance by which they strike. */
+/** Holds the injected faults, and decides at random, from a seed, which calls they affect. */
 public final class FaultSwitch {
     private final Random mRandom;
     private volatile Faults mCurrent;
@@ -13,17 +13,17 @@
         mRandom = new Random(seed);
     }
 
-    /** Returns a switch that starts with these faults; a seed gives the same strikes again. */
+    /** Creates a switch with these initial faults; the random decisions repeat for a seed. */
     public static FaultSwitch create(Faults first, long seed) {
         return new FaultSwitch(first, seed);
     }
 
-    /** Returns the faults that are switched on. */
+    /** Returns the faults in effect. */
     public Faults current() {
         return mCurrent;
     }
 
-    /** Changes the faults that {@code change} names and leaves the others as they are. */
+    /** Sets the faults that are fields of {@code change}; the others keep their values. */
     public synchronized Faults change(JsonNode change) throws BadRequestException {
         var merged = Json.of(mCurrent);
         var names = change.fieldNames();
@@ -38,12 +38,12 @@
         return mCurrent;
     }
 
-    /** Returns whether something that strikes this share of times strikes now. */
+    /** Draws whether an event with the probability {@code share} happens. */
     public synchronized boolean happens(double share) {
         return share > 0 && mRandom.nextDouble() < share;
     }
 
-    /** Returns whether the answer to a call that took effect is to be lost. */
+    /** Decides whether to cut the connection of a call after its effect. */
     public synchronized boolean losesAnswer() {
         int left = mCurrent.loseNextAnswers();
         if (left > 0) {
--- a/src/main/java/org/fescueport/internal/standin/Faults.java
+++ b/src/main/java/org/fescueport/internal/standin/Faults.java
@@ -1,23 +1,24 @@
 package org.fescueport.internal.standin;
 
 /**
- * Faults of a stand-in that are switched while it runs; each stand-in heeds those that concern it.
+ * Faults and limits of a stand-in, which can be changed while it runs. Each kind of stand-in uses
+ * only those that apply to it.
  *
- * @param outage every call is refused with 503; the log says {@code not_appended}
- * @param freeze calls are neither answered nor refused until this ends; an engine stands still
- * @param slowMillis delay of each answer; of an engine, added to each token step
- * @param delayMillis time that a plain service takes after the effect of a call
+ * @param outage every call is refused with 503; the log's error type is {@code not_appended}
+ * @param freeze calls get no response while this is set; an engine makes no progress
+ * @param slowMillis delay before each call is handled; an engine adds it to each token step
+ * @param delayMillis delay of a plain service between the effect of a call and its response
  * @param loseAnswersAfterEffect share of calls, 0 to 1, whose connection is cut after their effect
- * @param loseNextAnswers number of next calls whose connection is cut after their effect
- * @param appendLimitPerSecond appends that the log accepts in a second
- * @param retentionMillis time for which the log keeps a record
- * @param retentionRecords records that the log keeps in a stream
- * @param lagMillis how late lists of VMs, loads and cache events are
+ * @param loseNextAnswers number of further calls whose connection is cut after their effect
+ * @param appendLimitPerSecond maximum number of appends to the log per second
+ * @param retentionMillis time after which the log drops a record
+ * @param retentionRecords maximum number of records that the log keeps per stream
+ * @param lagMillis delay after which changes show in lists of VMs, loads and cache events
  * @param dropCacheEvents share of cache events, 0 to 1, that are lost
- * @param crashOn a prompt with this word ends the engine's process; empty for none
- * @param leaving a backend server says on its health check that it is leaving
- * @param loadMillis time for which an engine serves nothing after an order to load
- * @param bytesPerSecond rate of the weight store
+ * @param crashOn word in a prompt that makes the engine's process exit; empty for none
+ * @param leaving the health check of a backend server reports that it is leaving
+ * @param loadMillis time for which an engine serves no requests after an order to load
+ * @param bytesPerSecond bandwidth of the weight store, shared by all downloads
  */
 public record Faults(
         boolean outage,
@@ -40,7 +41,7 @@
     private static final int RETENTION_RECORDS = 500_000;
     private static final long WEIGHTS_BYTES_PER_SECOND = 100_000_000;
 
-    /** Returns a stand-in's limits with no fault switched on. */
+    /** Returns the default limits without faults. */
     public static Faults none() {
         return new Faults(
                 false,
--- a/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
+++ b/src/main/java/org/fescueport/internal/standin/FaultyHandler.java
@@ -9,18 +9,19 @@
 import org.fescueport.internal.http.ResponseStream;
 
 /**
- * Lets the faults strike before and after the calls of a stand-in, and switches them at {@code
- * /v1/faults}. They never strike what a tester sets by PUT or DELETE.
+ * Injects the faults of a {@link FaultSwitch} into the calls of a stand-in, and serves {@code
+ * /v1/faults}, where they are set. Calls by which a test controls or inspects the stand-in are
+ * exempt.
  */
 public final class FaultyHandler implements HttpHandler {
     private static final String FAULTS = "/v1/faults";
-    private static final int MOST_FROZEN = 10_000;
+    private static final int MAX_FROZEN = 10_000;
 
     private final HttpHandler mNext;
     private final FaultSwitch mFaults;
     private final ScheduledExecutorService mExecutor;
     private final String mOutageError;
-    private final ArrayDeque<HttpExchange> mFrozen = new ArrayDeque<>();
+    private final ArrayDeque<HttpExchange> mHeld = new ArrayDeque<>();
 
     private FaultyHandler(
             HttpHandler next,
@@ -34,9 +35,9 @@
     }
 
     /**
-     * Returns a handler around {@code next}.
+     * Creates a handler that delegates to {@code next}.
      *
-     * @param outageError type of the error for a call that is refused in an outage
+     * @param outageError error type of the response to a call during an outage
      */
     public static FaultyHandler create(
             HttpHandler next,
@@ -49,27 +50,27 @@
     @Override
     public void handle(HttpExchange exchange) {
         if (exchange.path().equals(FAULTS)) {
-            handleSwitch(exchange);
-        } else if (isTesters(exchange)) {
+            handleFaultSettings(exchange);
+        } else if (isTestCall(exchange)) {
             mNext.handle(exchange);
-        } else if (!holdBack(exchange)) {
-            strike(exchange);
+        } else if (!holdWhileFrozen(exchange)) {
+            injectFaults(exchange);
         }
     }
 
-    /** Returns whether the call is the tester's: the fleet makes none of these. */
-    private static boolean isTesters(HttpExchange exchange) {
+    /** Returns whether the call comes from a test; the fleet makes no calls of these kinds. */
+    private static boolean isTestCall(HttpExchange exchange) {
         return switch (exchange.method()) {
             case "PUT", "DELETE" -> true;
             default -> exchange.path().equals("/v1/runs") || exchange.path().equals("/v1/stats");
         };
     }
 
-    private void handleSwitch(HttpExchange exchange) {
+    private void handleFaultSettings(HttpExchange exchange) {
         try {
             if (exchange.method().equals("PUT")) {
                 mFaults.change(Json.parse(exchange.body()));
-                thaw();
+                releaseHeld();
             }
             Json.respond(exchange, 200, Json.of(mFaults.current()));
         } catch (BadRequestException e) {
@@ -77,23 +78,23 @@
         }
     }
 
-    private synchronized boolean holdBack(HttpExchange exchange) {
+    private synchronized boolean holdWhileFrozen(HttpExchange exchange) {
         if (!mFaults.current().freeze()) {
             return false;
         }
-        if (mFrozen.size() < MOST_FROZEN) {
-            mFrozen.add(exchange);
+        if (mHeld.size() < MAX_FROZEN) {
+            mHeld.add(exchange);
         }
         return true;
     }
 
-    private synchronized void thaw() {
-        while (!mFaults.current().freeze() && !mFrozen.isEmpty()) {
-            strike(mFrozen.remove());
+    private synchronized void releaseHeld() {
+        while (!mFaults.current().freeze() && !mHeld.isEmpty()) {
+            injectFaults(mHeld.remove());
         }
     }
 
-    private void strike(HttpExchange exchange) {
+    private void injectFaults(HttpExchange exchange) {
         if (mFaults.current().outage()) {
             Json.respondError(exchange, 503, mOutageError, "outage; nothing was done");
             return;
@@ -111,7 +112,7 @@
         mNext.handle(loses ? new LostAnswer(exchange) : exchange);
     }
 
-    /** An exchange whose connection is cut instead of answered. */
+    /** Cuts the connection in place of sending the response. */
     private record LostAnswer(HttpExchange exchange) implements HttpExchange {
         @Override
         public String method() {
--- a/src/main/java/org/fescueport/internal/standin/Json.java
+++ b/src/main/java/org/fescueport/internal/standin/Json.java
@@ -10,7 +10,7 @@
 import org.fescueport.internal.http.HttpExchange;
 import org.fescueport.internal.http.JsonError;
 
-/** JSON in and out of the stand-ins' HTTP forms. */
+/** Reads JSON requests and writes JSON responses of the stand-ins. */
 public final class Json {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final Map<String, String> JSON_HEADERS =
@@ -25,7 +25,7 @@
         return MAPPER.createObjectNode();
     }
 
-    /** Reads one JSON object. */
+    /** Parses one JSON object. */
     public static JsonNode parse(byte[] body) throws BadRequestException {
         try {
             var node = MAPPER.readTree(body);
@@ -52,7 +52,7 @@
         }
     }
 
-    /** Reads a whole number from the query. */
+    /** Returns an integer parameter of the query, or its default. */
     public static long number(HttpExchange exchange, String name, long fallback)
             throws BadRequestException {
         var text = exchange.query(name, Long.toString(fallback));
@@ -63,22 +63,22 @@
         }
     }
 
-    /** Returns the text form as UTF-8. */
+    /** Serializes the value as UTF-8. */
     public static byte[] bytes(JsonNode node) {
         return node.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Answers with a JSON body. */
+    /** Sends a response with a JSON body. */
     public static void respond(HttpExchange exchange, int status, JsonNode body) {
         exchange.respond(status, JSON_HEADERS, bytes(body));
     }
 
-    /** Answers with a line of text. */
+    /** Sends a response with one line of text. */
     public static void respondText(HttpExchange exchange, int status, String text) {
         exchange.respond(status, TEXT_HEADERS, text.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Answers with an error that a program can tell by its type. */
+    /** Sends an error response with a machine-readable type. */
     public static void respondError(
             HttpExchange exchange, int status, String type, String message) {
         JsonError.respond(exchange, status, type, message);
--- a/src/main/java/org/fescueport/internal/standin/Lagging.java
+++ b/src/main/java/org/fescueport/internal/standin/Lagging.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayDeque;
 
-/** A value that its readers see late. */
+/** A value whose changes become visible to readers after a delay. */
 public final class Lagging<T> {
     private record Change<T>(T value, long atMillis) {}
 
-    private static final int KEPT_CHANGES = 1024;
+    private static final int MAX_PENDING_CHANGES = 1024;
 
     private final ArrayDeque<Change<T>> mChanges = new ArrayDeque<>();
     private T mVisible;
@@ -15,15 +15,18 @@
         mVisible = first;
     }
 
-    /** Returns a value that is {@code first} until a change becomes visible. */
+    /** Creates a value that is {@code first} until a change becomes visible. */
     public static <T> Lagging<T> of(T first) {
         return new Lagging<>(first);
     }
 
-    /** Changes the value; of very many changes within the lag, the last ones are merged. */
+    /**
+     * Changes the value. Beyond {@link #MAX_PENDING_CHANGES} changes that are not visible yet, the
+     * newest one replaces the one before it.
+     */
     public synchronized void set(T value, long nowMillis) {
         long atMillis = nowMillis;
-        if (mChanges.size() == KEPT_CHANGES) {
+        if (mChanges.size() == MAX_PENDING_CHANGES) {
             atMillis = mChanges.removeLast().atMillis();
         }
         mChanges.add(new Change<>(value, atMillis));
--- a/src/main/java/org/fescueport/internal/standin/RateLimit.java
+++ b/src/main/java/org/fescueport/internal/standin/RateLimit.java
@@ -2,7 +2,7 @@
 
 import io.micrometer.core.instrument.Clock;
 
-/** Token bucket that holds at most one second's worth. */
+/** Token bucket whose capacity is the amount of one second. */
 public final class RateLimit {
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -16,12 +16,12 @@
         mRefilledAtNanos = clock.monotonicTime();
     }
 
-    /** Returns a bucket that starts with {@code available}. */
+    /** Creates a bucket that holds {@code available} at first. */
     public static RateLimit create(Clock clock, double available) {
         return new RateLimit(clock, available);
     }
 
-    /** Takes {@code amount} if it is there at this rate. */
+    /** Refills the bucket at the given rate, and takes {@code amount} if it holds as much. */
     public synchronized boolean tryTake(double amount, double perSecond) {
         refill(perSecond);
         if (mAvailable < amount) {
--- a/src/main/java/org/fescueport/internal/standin/Standin.java
+++ b/src/main/java/org/fescueport/internal/standin/Standin.java
@@ -82,7 +82,7 @@
         return new Standin(server, faults, () -> true);
     }
 
-    /** Starts a list of VMs. */
+    /** Starts a VM list. */
     public static Standin vms(StandinSettings settings) {
         var faults = settings.newFaultSwitch();
         var vms = VmHandler.create(Clock.SYSTEM, faults);
@@ -90,7 +90,7 @@
         return new Standin(server, faults, () -> true);
     }
 
-    /** Starts a collector of traces. */
+    /** Starts a trace collector. */
     public static Standin collector(StandinSettings settings) {
         var faults = settings.newFaultSwitch();
         var server = start(settings, CollectorHandler.create(), faults, UNAVAILABLE, executor());
@@ -102,7 +102,7 @@
         return mServer.address().getAddress().getHostAddress() + ":" + mServer.port();
     }
 
-    /** Says on the health check that this stand-in is leaving. */
+    /** Makes the health check report that this stand-in is leaving. */
     public void leave() {
         try {
             mFaults.change(Json.object().put("leaving", true));
@@ -111,12 +111,12 @@
         }
     }
 
-    /** Returns whether nothing runs. */
+    /** Returns whether no run is in progress. */
     public boolean isIdle() {
         return mIdle.getAsBoolean();
     }
 
-    /** Lets the answers that are on their way end, and stops. */
+    /** Stops after the responses in progress. */
     public void stop() {
         mServer.drain(DRAIN_LIMIT);
     }
--- a/src/main/java/org/fescueport/internal/standin/StandinCommand.java
+++ b/src/main/java/org/fescueport/internal/standin/StandinCommand.java
@@ -45,7 +45,7 @@
             description = "Where an engine sends its spans by OTLP over HTTP. Default: nowhere")
     private String mCollectorUrl;
 
-    /** Checks the settings, starts the stand-ins and waits until the process is told to stop. */
+    /** Validates the settings, starts the stand-ins and waits for SIGTERM. */
     final void run() throws InterruptedException {
         if (mHelp.showHelpIfRequested()) {
             return;
@@ -68,7 +68,7 @@
     /** Reads the settings of this command. */
     abstract void readSettings(SettingsReader reader);
 
-    /** Starts the stand-ins; the settings were found valid. */
+    /** Starts the stand-ins with validated settings. */
     abstract void start(StandinProcess process, StandinSettings settings);
 
     private Faults readFaults(SettingsReader reader) {
--- a/src/main/java/org/fescueport/internal/standin/StandinProcess.java
+++ b/src/main/java/org/fescueport/internal/standin/StandinProcess.java
@@ -7,8 +7,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The stand-ins of one process: told where they listen on standard output, and stopped in order on
- * SIGTERM. A stand-in that is told to stop says first that it is leaving, and ends what it runs.
+ * Runs the stand-ins of one process, prints their addresses on standard output and stops them on
+ * SIGTERM: their health checks report that they are leaving, then runs in progress end, then they
+ * stop in the order in which they were added.
  */
 final class StandinProcess {
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(30);
@@ -22,9 +23,9 @@
     }
 
     /**
-     * Returns a process without stand-ins.
+     * Creates a process without stand-ins.
      *
-     * @param notice time for which a stand-in says that it is leaving before it stops
+     * @param notice time between the report that a stand-in is leaving and its stop
      */
     static StandinProcess create(Duration notice) {
         return new StandinProcess(notice);
@@ -42,7 +43,7 @@
         System.out.println(name + " listening " + standin.address());
     }
 
-    /** Waits until the process is told to stop. */
+    /** Waits for the process to be stopped; does not return before. */
     void run() throws InterruptedException {
         System.out.flush();
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "standin-stop"));
--- a/src/main/java/org/fescueport/internal/standin/StandinSettings.java
+++ b/src/main/java/org/fescueport/internal/standin/StandinSettings.java
@@ -6,12 +6,12 @@
 import org.fescueport.internal.telemetry.Telemetry;
 
 /**
- * Where a stand-in listens and how it begins.
+ * Address and initial state of a stand-in.
  *
- * @param port 0 takes a free port
- * @param faults faults that are switched on from the start
- * @param seed of the chance by which faults strike
- * @param collector where an engine sends its spans; empty for nowhere
+ * @param port port to listen on; 0 for any free one
+ * @param faults initial faults
+ * @param seed seed of the random decisions on faults
+ * @param collector address to which an engine sends its spans; empty for none
  */
 public record StandinSettings(
         String host, int port, Faults faults, long seed, Optional<URI> collector) {
@@ -25,7 +25,7 @@
         return new StandinSettings(host, other, faults, seed, collector);
     }
 
-    /** Returns a copy whose spans go to another collector. */
+    /** Returns a copy with another collector. */
     StandinSettings withCollector(String address) {
         var url = Optional.of(URI.create("http://" + address));
         return new StandinSettings(host, port, faults, seed, url);
--- a/src/main/java/org/fescueport/internal/standin/VmsCommand.java
+++ b/src/main/java/org/fescueport/internal/standin/VmsCommand.java
@@ -3,7 +3,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import org.fescueport.internal.settings.SettingsReader;
 
-/** Runs a stand-in list of VMs. */
+/** Runs a stand-in VM list. */
 @Command(name = "vms", description = "A lagging list of VMs")
 public final class VmsCommand extends StandinCommand {
     @Override
