Known red: an extra answer taken for that to an agent's call

What callers see: a server of an agent writes an extra answer after the next call has arrived on a kept connection, and then answers that call. The agent takes the first; if it is a 503, it is told that a generation which runs was refused.

Cause: the answers of engines and services to an agent bear no id of their request, so that nothing tells the two apart. It takes an id in that protocol, which this commit does not change.

--- a/src/test/java/org/fescueport/internal/http/KeptCallerConnectionTest.java
+++ b/src/test/java/org/fescueport/internal/http/KeptCallerConnectionTest.java
@@ -12,6 +12,7 @@
 import org.fescueport.platform.Await;
 import org.fescueport.platform.RawServer;
 import org.fescueport.platform.RawServer.Script;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -62,6 +63,26 @@
         }
     }
 
+    @Test
+    void shouldNotTakeExtraAnswerForThatToTheCallInProgress() throws Exception {
+        Set<Object> used = ConcurrentHashMap.newKeySet();
+        Script script =
+                (request, wire) -> {
+                    if (!used.add(wire.socket())) {
+                        wire.write(REFUSAL);
+                        Await.pause(20);
+                    }
+                    wire.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                };
+        try (var server = RawServer.start(script);
+                var caller = AsyncHttpCaller.create(HttpCallerSettings.defaults())) {
+            String url = "http://127.0.0.1:" + server.address().getPort() + "/";
+            var request = new HttpCaller.Request("POST", url, Map.of(), new byte[1], LIMIT);
+            assertThat(caller.call(request).join().status(), is(200));
+            assertThat(caller.call(request).join().status(), is(200));
+        }
+    }
+
     /** Calls again while the call was not sent, as when its connection was being closed. */
     private static int statusOf(HttpCaller caller, HttpCaller.Request request) {
         while (true) {
