Continue a stream only with an answer of the same kind

A caller whose stream had broken off saw it end as complete when the next replica answered 204 or an empty answer of another type, and found JSON, encoded bytes, a 206 or the events of another model version joined to it.

Cause: the only condition on the head of the continuing answer was a status of success.

Ruled out: answers without stamp or with the id of another request; they were refused before.

Evidence: six cases of BrokenStreamTest.shouldGoOnOnlyWithEventsThatFollow (NO_CONTENT to OTHER_MODEL_VERSION) failed on the body or on its being complete.

Why it works: the head must have the status, media type and encoding of the first one, and no other model version; the caller was told those in the only head it sees. Anything else counts as a lost answer: another replica is asked if the route allows, else the stream is cut.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -232,9 +232,9 @@
         if (!isAuthentic(head)) {
             attempt.cancel();
             onLost(attempt, "an answer without its stamp or id");
-        } else if (!head.isSuccess() && mRelay.hasStarted()) {
+        } else if (!mRelay.accepts(head)) {
             attempt.cancel();
-            onLost(attempt, "status " + head.status() + " in the middle of an answer");
+            onLost(attempt, "status " + head.status() + " that does not continue the answer");
         } else {
             mRelay.onHead(head);
         }
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -1,7 +1,9 @@
 package org.fescueport.internal.direct.forward;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescueport.internal.decision.placement.ReplicaNotice;
@@ -14,6 +16,7 @@
  * @param notRun whether the replica states that it has not run the request and never will
  * @param signed whether the response bears the replica's stamp
  * @param load that the replica reports of itself
+ * @param modelVersion of the weights that produce the body; absent if the replica states none
  * @param length of the body in bytes; absent if the end of the body is marked in another way
  * @param closeDelimited whether only the closing of the connection marks the end of the body
  * @param keepAlive whether the replica accepts another request on this connection
@@ -28,6 +31,7 @@
         boolean notRun,
         boolean signed,
         Optional<Load> load,
+        Optional<String> modelVersion,
         OptionalLong length,
         boolean closeDelimited,
         boolean keepAlive,
@@ -66,6 +70,7 @@
                 notRun,
                 signed,
                 load,
+                modelVersion,
                 OptionalLong.empty(),
                 closeDelimited,
                 keepAlive,
@@ -73,6 +78,30 @@
                 notice);
     }
 
+    /**
+     * Returns whether the body can follow what was received under another head, as if both were one
+     * response.
+     */
+    public boolean continues(ResponseHead first) {
+        boolean otherVersion =
+                modelVersion.isPresent()
+                        && first.modelVersion.isPresent()
+                        && !modelVersion.equals(first.modelVersion);
+        return status == first.status
+                && mediaType().equals(first.mediaType())
+                && contentEncoding().equals(first.contentEncoding())
+                && !otherVersion;
+    }
+
+    private String mediaType() {
+        String type = headers.get(HttpHeaderNames.CONTENT_TYPE, "");
+        return type.split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+    }
+
+    private String contentEncoding() {
+        return headers.get(HttpHeaderNames.CONTENT_ENCODING, "").strip().toLowerCase(Locale.ROOT);
+    }
+
     /** Returns whether the status is a success (2xx). */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
@@ -38,9 +38,19 @@
         return new ResponseRelay(kind, responseWriter, protocol);
     }
 
-    /** Receives the head of a replica's response. */
+    /**
+     * Returns whether a response with this head can be forwarded: there is none yet, or it can
+     * continue the one that has been started.
+     */
+    boolean accepts(ResponseHead head) {
+        return !mStarted || head.continues(mHead);
+    }
+
+    /** Receives the head of a replica's response, which must be acceptable. */
     void onHead(ResponseHead head) {
-        mHead = head;
+        if (!mStarted) {
+            mHead = head;
+        }
     }
 
     /** Receives part of the body. Takes ownership of the buffer. */
--- a/src/test/java/org/fescueport/platform/BrokenStreamTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStreamTest.java
@@ -60,6 +60,13 @@
         LONG_ERROR(sized(500, "", "x".repeat(LONG))),
         LONG_ERROR_NOT_EXECUTED(sized(503, NOT_EXECUTED, "x".repeat(LONG))),
         LONG_ERROR_IN_CHUNKS(chunked(500, "", "x".repeat(LONG))),
+        NO_CONTENT(
+                (request, wire) -> wire.write("HTTP/1.1 204 X\r\n" + headersFor(request) + "\r\n")),
+        PART(sized(206, EVENT_STREAM, REST)),
+        OTHER_CONTENT_TYPE(sized(200, "Content-Type: application/json\r\n", "{}")),
+        OTHER_CONTENT_TYPE_EMPTY(sized(200, "Content-Type: text/plain\r\n", "")),
+        ENCODED(chunked(200, EVENT_STREAM + "Content-Encoding: gzip\r\n", REST)),
+        OTHER_MODEL_VERSION(chunked(200, EVENT_STREAM + "Fescueport-Weight-Versions: 2\r\n", REST)),
         WITHOUT_STAMP(
                 (request, wire) ->
                         wire.answer(
@@ -229,6 +236,27 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = Next.class,
+            names = {"ERROR_500", "ERROR_404", "ERROR_503_NOT_EXECUTED", "RESET", "NO_CONTENT"})
+    void shouldAnswerAsTheNextReplicaWhenNoWholeEventHadCome(Next next) throws Exception {
+        Script broken = Break.RESET_IN_CHUNKS.after("id: 1\nda");
+        try (var fleet = Installation.start(GOOD, firstThen(broken, next.mScript))) {
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            switch (next) {
+                case ERROR_500 -> assertThat(answer.status() + answer.body(), is("500failed"));
+                case ERROR_404 -> assertThat(answer.status() + answer.body(), is("404none"));
+                case NO_CONTENT -> assertThat(answer.status() + answer.body(), is("204"));
+                case RESET -> {
+                    assertThat(answer.body(), is(events(3, 3)));
+                    assertThat(answer.complete(), is(false));
+                }
+                default -> assertThat(answer.status(), is(502));
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "id: 1\nda", ":comment\nid: 1\nda"})
     void shouldStartAgainWhenNoWholeEventHadCome(String text) throws Exception {
