Resume streams only behind a known event and with the one that follows

A caller whose stream had broken off got events twice, missed some, or got those of another run, when the next replica started from the beginning, from an event already sent, from beyond, or with equal, falling, empty or no ids. The same happened when the events before the break had such ids.

Cause: the splitter took whatever the next replica sent, and the last id it had seen for the place where the stream was, though events without an id, or with an older one, had been forwarded since.

Ruled out: the request to the next replica; it carried the right Last-Event-Id.

Evidence: ten cases of BrokenStreamTest.shouldGoOnOnlyWithEventsThatFollow (FROM_THE_START to ENDED_INSIDE_AN_EVENT_IN_CHUNKS, and the byte order mark) and five of shouldNotResumeBehindAnEventWhoseIdDoesNotTellWhere failed on the body.

A continuing answer passes only while its events follow; from the first that does not, it counts as lost. An event already delivered is not dropped, as its run did not go on behind the last one. What was forwarded before is flushed, so that a cut takes nothing back.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -262,9 +262,10 @@
             return;
         }
         mRelay.onContent(content);
-        if (mRelay.isEventTooLong()) {
+        Optional<String> unusable = mRelay.unusableReason();
+        if (unusable.isPresent()) {
             attempt.cancel();
-            onLost(attempt, "an event without end");
+            onLost(attempt, unusable.get());
             return;
         }
         if (first && mRelay.hasStarted()) {
@@ -287,7 +288,7 @@
             onNotRun(attempt, head);
             return;
         }
-        if (endedByClose && mRelay.hasPartialEvent()) {
+        if (mRelay.isBrokenOff(endedByClose)) {
             onLost(attempt, "the stream ended inside an event");
             return;
         }
@@ -325,6 +326,7 @@
     void onLost(Attempt attempt, String reason) {
         mAttempt = null;
         mMayHaveRun = true;
+        mResponseWriter.flush();
         long now = mContext.nowNanos();
         mContext.chooser().onLost(attempt.replica(), now);
         mContext.crashes().onResponseLost(fingerprint(), attempt.replica(), now);
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
@@ -51,6 +51,7 @@
         if (!mStarted) {
             mHead = head;
         }
+        mEventSplitter.beginRun();
     }
 
     /** Receives part of the body. Takes ownership of the buffer. */
@@ -89,12 +90,17 @@
 
     /** Returns whether another replica's response can replace this one or continue it. */
     boolean canContinueElsewhere() {
-        return !mStarted || mEventSplitter.lastId().isPresent();
+        return !mStarted || (mEventSplitter.hasForwarded() && mEventSplitter.canResume());
     }
 
-    /** Returns whether the incomplete event exceeds the largest size that is forwarded. */
-    boolean isEventTooLong() {
-        return mEventSplitter.isPartialEventTooLong();
+    /** Returns why the rest of this response cannot be forwarded; absent if it can. */
+    Optional<String> unusableReason() {
+        if (mEventSplitter.isPartialEventTooLong()) {
+            return Optional.of("an event without end");
+        }
+        return mEventSplitter.isOutOfSequence()
+                ? Optional.of("an event that does not follow the last one")
+                : Optional.empty();
     }
 
     /**
@@ -106,12 +112,18 @@
                 && mBuffered.readableBytes() + content.readableBytes() > MAX_BUFFERED_BYTES;
     }
 
-    /** Returns whether there is an incomplete event. */
-    boolean hasPartialEvent() {
-        return mEventSplitter.hasPartialEvent();
+    /**
+     * Returns whether a stream that has ended is incomplete nevertheless: it ended inside an event,
+     * with its connection or in a response that continues another.
+     *
+     * @param endedByClose whether only the closing of the connection marked the end
+     */
+    boolean isBrokenOff(boolean endedByClose) {
+        boolean mustBeWhole = endedByClose || mEventSplitter.isResumed();
+        return mustBeWhole && mEventSplitter.hasPartialEvent();
     }
 
-    /** Returns the id of the last complete event that was forwarded. */
+    /** Returns the id of the last complete event that was forwarded and had one. */
     Optional<String> lastEventId() {
         return mEventSplitter.lastId();
     }
--- a/src/test/java/org/fescueport/internal/direct/forward/EventSplitterTest.java
+++ b/src/test/java/org/fescueport/internal/direct/forward/EventSplitterTest.java
@@ -68,6 +68,16 @@
         assertThat(mSplitter.hasPartialEvent(), is(true));
     }
 
+    @Test
+    void shouldReturnNothingFromTheFirstEventThatDoesNotFollow() {
+        feed("id: 1\ndata: a\n\n");
+        mSplitter.beginRun();
+        String next = "id: 2\ndata: b\n\n";
+        assertThat(feed(":comment\n\n" + next + next + next), is(":comment\n\n" + next));
+        assertThat(mSplitter.isOutOfSequence(), is(true));
+        assertThat(feed("id: 3\ndata: c\n\n"), is(""));
+    }
+
     @Test
     void shouldBufferAnEventUntilItIsComplete() {
         assertThat(feed("id: 1\ndata: one\n\nid: 2\ndata: tw"), is("id: 1\ndata: one\n\n"));
--- a/src/test/java/org/fescueport/platform/BrokenStreamTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStreamTest.java
@@ -84,6 +84,16 @@
                                         + "Fescueport-Attempt-Id: other\r\n"
                                         + "Fescueport-Replica-Stamp: s\r\n",
                                 REST.getBytes())),
+        FROM_THE_START(stream(events(1, ALL))),
+        FROM_BEYOND(stream(events(BEFORE + 2, ALL))),
+        FROM_AN_EVENT_DELIVERED(stream(events(BEFORE, ALL))),
+        WITH_EQUAL_IDS(stream(events(3, 3) + events(3, ALL)), 3, false),
+        WITH_IDS_THAT_GO_BACK(stream(events(3, 4) + events(2, ALL)), 4, false),
+        WITH_A_GAP_LATER(stream(events(3, 3) + events(5, 6)), 3, false),
+        WITHOUT_IDS(stream("data: event 3\n\ndata: event 4\n\n")),
+        WITH_EMPTY_IDS(stream("id:\ndata: event 3\n\n")),
+        WITH_OTHER_IDS(stream("id: x3\ndata: event 3\n\n")),
+        ENDED_INSIDE_AN_EVENT_IN_CHUNKS(stream(events(3, 3) + "id: 4\nda"), 3, false),
         ENDED_INSIDE_AN_EVENT(closing(200, EVENT_STREAM, events(3, 3) + "id: 4\nda"), 3, false),
         RESET(resetting(200, EVENT_STREAM, events(3, 3)), 3, false),
         GARBAGE((request, wire) -> wire.write("garbage\r\n\r\n")),
@@ -95,7 +105,8 @@
         EMPTY_STREAM(stream(""), BEFORE, true),
         REST_IN_CHUNKS(stream(REST), ALL, true),
         REST_WITH_LENGTH(sized(200, EVENT_STREAM, REST), ALL, true),
-        REST_ENDING_WITH_ITS_CONNECTION(closing(200, EVENT_STREAM, REST), ALL, true);
+        REST_ENDING_WITH_ITS_CONNECTION(closing(200, EVENT_STREAM, REST), ALL, true),
+        REST_BEHIND_A_BYTE_ORDER_MARK(stream("\uFEFF" + REST), ALL, true);
 
         private final Script mScript;
         private final int mLast;
@@ -269,6 +280,81 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = Next.class,
+            names = {
+                "ERROR_500",
+                "ERROR_503_NOT_EXECUTED",
+                "NO_CONTENT",
+                "OTHER_CONTENT_TYPE",
+                "FROM_THE_START",
+                "WITH_EQUAL_IDS",
+                "ENDED_INSIDE_AN_EVENT_IN_CHUNKS"
+            })
+    void shouldResumeAtAThirdReplicaWhenTheSecondDoesNotContinue(Next second) throws Exception {
+        Script broken = Break.RESET_IN_CHUNKS.after(events(1, BEFORE) + "id: 3\nda");
+        Script rest =
+                (request, wire) -> {
+                    int last = Integer.parseInt(request.header("Last-Event-Id"));
+                    stream(events(last + 1, ALL)).answer(request, wire);
+                };
+        Script script = firstThen(broken, firstThen(second.mScript, rest));
+        try (var fleet = Installation.start(GOOD, script);
+                var third = ReplicaStandIn.start("llm-3", "llm", script)) {
+            third.register(fleet.store(), "ready");
+            String attempts = "\"service\":\"llm\",\"max_attempts\":";
+            fleet.store()
+                    .configure(Installation.configuration(2).replace(attempts + 2, attempts + 3));
+            Await.pause(1_500);
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            assertThat(answer.body(), is(events(1, ALL)));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
+    @Test
+    void shouldStartAgainBehindAComment() throws Exception {
+        Script broken = Break.RESET_IN_CHUNKS.after(":comment\n\nid: 1\nda");
+        Script whole = stream(events(1, ALL));
+        try (var fleet = Installation.start(GOOD, firstThen(broken, whole))) {
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            assertThat(answer.body(), is(":comment\n\n" + events(1, ALL)));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "data: b\n\n",
+                "id:\ndata: b\n\n",
+                "id: b\ndata: b\n\n",
+                "id: 2\ndata: again\n\n",
+                "id: 1\ndata: again\n\n",
+            })
+    void shouldNotResumeBehindAnEventWhoseIdDoesNotTellWhere(String event) throws Exception {
+        String text = events(1, BEFORE) + event;
+        Script broken = Break.RESET_IN_CHUNKS.after(text);
+        try (var fleet = Installation.start(GOOD, firstThen(broken, stream(REST)))) {
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            assertThat(answer.body(), is(text));
+            assertThat(answer.complete(), is(false));
+        }
+    }
+
+    @Test
+    void shouldResumeStreamsWhoseIdsDoNotCountByOne() throws Exception {
+        String before = events(10, 10) + events(16, 16);
+        Script broken = Break.RESET_IN_CHUNKS.after(before);
+        String rest = events(22, 22) + events(23, 23);
+        try (var fleet = Installation.start(GOOD, firstThen(broken, stream(rest)))) {
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            assertThat(answer.body(), is(before + rest));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
     @Test
     void shouldForwardEventsWhoseLinesEndWithCarriageReturnsAsTheyArrive() throws Exception {
         Script script =
