Cut streams that may run once when their connection ends inside an event

A caller of a stream that may run once saw it end as complete though its replica, which sent neither length nor chunks, had closed the connection in the middle of an event. A JSON answer of that framing to a resumable request was taken for an event that broke off, and lost.

Cause: only resumable streams were split into events, and those by the kind of the route alone.

Ruled out: resets, closes before the length or the last chunk, and plain answers that end with their connection, up to and above the size that is held; these were told from an end before, and the tests show it.

Why it works: the relay follows the events of such streams as it forwards them, and asks at a close whether one has begun. An answer of another content type is no stream of events.

--- a/src/main/java/org/fescueport/internal/direct/forward/EventSplitter.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/EventSplitter.java
@@ -73,11 +73,6 @@
         return mResumed;
     }
 
-    /** Returns whether an event, or a comment, has been returned. */
-    boolean hasForwarded() {
-        return mForwarded;
-    }
-
     /** Returns whether another replica can continue after the events that have been returned. */
     boolean canResume() {
         return mSequence.canResume();
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.fescueport.internal.direct.forward;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Locale;
@@ -78,6 +79,16 @@
                 notice);
     }
 
+    /**
+     * Returns whether the body is a stream of events: the response states no other content type and
+     * no encoding.
+     */
+    public boolean isEventStream() {
+        String type = mediaType();
+        boolean events = type.isEmpty() || type.contentEquals(HttpHeaderValues.TEXT_EVENT_STREAM);
+        return isSuccess() && events && contentEncoding().isEmpty();
+    }
+
     /**
      * Returns whether the body can follow what was received under another head, as if both were one
      * response.
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
@@ -22,6 +22,10 @@
     private final ResponseWriter mResponseWriter;
     private final WireProtocol mProtocol;
     private final EventSplitter mEventSplitter = new EventSplitter();
+
+    /** Follows events that are forwarded before they are complete. */
+    private final EventScanner mScanner = new EventScanner();
+
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private ResponseHead mHead;
     private boolean mStarted;
@@ -57,15 +61,23 @@
     /** Receives part of the body. Takes ownership of the buffer. */
     void onContent(ByteBuf content) {
         boolean stream = mKind.isStream() && mHead.isSuccess();
-        if (stream && mKind.isRepeatable()) {
+        if (isResumable()) {
             forward(mEventSplitter.feed(content));
-        } else if (stream || mStarted) {
+        } else if (stream && !mKind.isRepeatable()) {
+            mScanner.feed(content);
+            forward(content);
+        } else if (mStarted) {
             forward(content);
         } else {
             bufferContent(content);
         }
     }
 
+    /** Returns whether whole events are forwarded, so that another replica can continue. */
+    private boolean isResumable() {
+        return mKind.isStream() && mKind.isRepeatable() && mHead.isEventStream();
+    }
+
     /** Ends the caller's response as complete. */
     void finish() {
         start();
@@ -90,7 +102,7 @@
 
     /** Returns whether another replica's response can replace this one or continue it. */
     boolean canContinueElsewhere() {
-        return !mStarted || (mEventSplitter.hasForwarded() && mEventSplitter.canResume());
+        return !mStarted || (isResumable() && mEventSplitter.canResume());
     }
 
     /** Returns why the rest of this response cannot be forwarded; absent if it can. */
@@ -113,14 +125,18 @@
     }
 
     /**
-     * Returns whether a stream that has ended is incomplete nevertheless: it ended inside an event,
-     * with its connection or in a response that continues another.
+     * Returns whether a body that has ended is incomplete nevertheless: an event stream that ended
+     * with its connection inside an event, or one that continues another and ended so in any way.
      *
      * @param endedByClose whether only the closing of the connection marked the end
      */
     boolean isBrokenOff(boolean endedByClose) {
-        boolean mustBeWhole = endedByClose || mEventSplitter.isResumed();
-        return mustBeWhole && mEventSplitter.hasPartialEvent();
+        if (isResumable()) {
+            boolean mustBeWhole = endedByClose || mEventSplitter.isResumed();
+            return mustBeWhole && mEventSplitter.hasPartialEvent();
+        }
+        boolean events = mKind.isStream() && mHead.isEventStream();
+        return endedByClose && events && mScanner.isInsideEvent();
     }
 
     /** Returns the id of the last complete event that was forwarded and had one. */
--- a/src/test/java/org/fescueport/platform/BrokenStreamTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStreamTest.java
@@ -235,6 +235,19 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(Break.class)
+    void shouldCutAStreamThatMayRunOnceHoweverItBreaksOff(Break how) throws Exception {
+        String text = events(1, BEFORE) + "id: 3\nda";
+        try (var fleet = Installation.start(GOOD, how.after(text))) {
+            var answer = fleet.ask(post("/once/x", "hello"));
+            assertThat(answer.status(), is(200));
+            assertThat(answer.body(), is(text));
+            assertThat(answer.complete(), is(false));
+            assertThat(fleet.arrivals("llm"), is(1));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"/once/x", "/stream/x"})
     void shouldNotCompleteAStreamThatIsResetBehindAWholeEvent(String path) throws Exception {
@@ -247,6 +260,70 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "id: 3",
+                "id: 3\n",
+                "id: 3\ndata: a",
+                "id: 3\ndata: a\n",
+                "id: 3\ndata: a\ndata: b\n",
+                "id: 3\r\ndata: a\r\n",
+                "id: 3\r\ndata: a\r\n\r",
+                "id: 3\rdata: a\r",
+                "data",
+                ":comment",
+                ":comment\n",
+            })
+    void shouldNotCompleteAStreamThatEndsInsideAnEvent(String tail) throws Exception {
+        Script ended = closing(200, EVENT_STREAM, events(1, BEFORE) + tail);
+        Script rest = firstThen(ended, stream(REST));
+        try (var fleet = Installation.start(GOOD, rest)) {
+            var answer = fleet.ask(post("/stream/x", "hello"));
+            assertThat(answer.body(), is(events(1, ALL)));
+            assertThat(answer.complete(), is(true));
+        }
+        try (var fleet = Installation.start(GOOD, ended)) {
+            var answer = fleet.ask(post("/once/x", "hello"));
+            assertThat(answer.body(), is(events(1, BEFORE) + tail));
+            assertThat(answer.complete(), is(false));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "id: 1\ndata: a\n\n",
+                "id: 1\r\ndata: a\r\n\r\n",
+                "id: 1\rdata: a\r\r",
+                "id: 1\ndata: a\ndata: b\n\n:comment\n\n",
+                "\uFEFFid: 1\ndata: a\n\n",
+                "id: 1\ndata: a\n\n\n",
+                "id: 1\r\ndata: a\n\r\n",
+            })
+    void shouldCompleteAStreamThatEndsWithItsConnectionBehindAWholeEvent(String text)
+            throws Exception {
+        try (var fleet = Installation.start(GOOD, closing(200, EVENT_STREAM, text))) {
+            for (String path : List.of("/once/x", "/stream/x")) {
+                var answer = fleet.ask(post(path, "hello"));
+                assertThat(path, answer.body(), is(text));
+                assertThat(path, answer.complete(), is(true));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/once/x", "/stream/x"})
+    void shouldCompleteAnAnswerThatIsNoStreamOfEvents(String path) throws Exception {
+        Script json = closing(200, "Content-Type: application/json\r\n", "{\"a\":\n1}");
+        try (var fleet = Installation.start(GOOD, json)) {
+            var answer = fleet.ask(post(path, "hello"));
+            assertThat(answer.body(), is("{\"a\":\n1}"));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = Next.class,
