--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -245,9 +245,9 @@
         if (!isAuthentic(head)) {
             attempt.cancel();
             onLost(attempt, "an answer without its stamp or id");
-        } else if (!head.isSuccess() && mRelay.hasStarted()) {
+        } else if (!mRelay.accepts(head)) {
             attempt.cancel();
-            onLost(attempt, "status " + head.status() + " in the middle of an answer");
+            onLost(attempt, "status " + head.status() + " that does not continue the answer");
         } else {
             mRelay.onHead(head);
         }
@@ -275,9 +275,10 @@
             return;
         }
         mRelay.onContent(content);
-        if (mRelay.isEventTooLong()) {
+        Optional<String> unusable = mRelay.unusableReason();
+        if (unusable.isPresent()) {
             attempt.cancel();
-            onLost(attempt, "an event without end");
+            onLost(attempt, unusable.get());
             return;
         }
         if (first && mRelay.hasStarted()) {
@@ -300,7 +301,7 @@
             onNotRun(attempt, head);
             return;
         }
-        if (endedByClose && mRelay.hasPartialEvent()) {
+        if (mRelay.isBrokenOff(endedByClose)) {
             onLost(attempt, "the stream ended inside an event");
             return;
         }
@@ -340,6 +341,7 @@
     void onLost(Attempt attempt, String reason) {
         mAttempt = null;
         mMayHaveRun = true;
+        mResponseWriter.flush();
         long now = mContext.nowNanos();
         mContext.chooser().onLost(attempt.replica(), now);
         mCrashEvidence.onLost(attempt);
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseRelay.java
@@ -22,6 +22,10 @@
     private final ResponseWriter mResponseWriter;
     private final WireProtocol mProtocol;
     private final EventSplitter mEventSplitter = new EventSplitter();
+
+    /** Follows events that are forwarded before they are complete. */
+    private final EventScanner mScanner = new EventScanner();
+
     private ByteBuf mBuffered = Unpooled.EMPTY_BUFFER;
     private ResponseHead mHead;
     private boolean mStarted;
@@ -38,23 +42,42 @@
         return new ResponseRelay(kind, responseWriter, protocol);
     }
 
-    /** Receives the head of a replica's response. */
+    /**
+     * Returns whether a response with this head can be forwarded: there is none yet, or it can
+     * continue the one that has been started.
+     */
+    boolean accepts(ResponseHead head) {
+        return !mStarted || head.continues(mHead);
+    }
+
+    /** Receives the head of a replica's response, which must be acceptable. */
     void onHead(ResponseHead head) {
-        mHead = head;
+        if (!mStarted) {
+            mHead = head;
+        }
+        mEventSplitter.beginRun();
     }
 
     /** Receives part of the body. Takes ownership of the buffer. */
     void onContent(ByteBuf content) {
         boolean stream = mKind.isStream() && mHead.isSuccess();
-        if (stream && mKind.isRepeatable()) {
+        if (isResumable()) {
             forward(mEventSplitter.feed(content));
-        } else if (stream || mStarted) {
+        } else if (stream && !mKind.isRepeatable()) {
+            mScanner.feed(content);
+            forward(content);
+        } else if (mStarted) {
             forward(content);
         } else {
             bufferContent(content);
         }
     }
 
+    /** Returns whether whole events are forwarded, so that another replica can continue. */
+    private boolean isResumable() {
+        return mKind.isStream() && mKind.isRepeatable() && mHead.isEventStream();
+    }
+
     /** Ends the caller's response as complete. */
     void finish() {
         start();
@@ -79,12 +102,17 @@
 
     /** Returns whether another replica's response can replace this one or continue it. */
     boolean canContinueElsewhere() {
-        return !mStarted || mEventSplitter.lastId().isPresent();
+        return !mStarted || (isResumable() && mEventSplitter.canResume());
     }
 
-    /** Returns whether the incomplete event exceeds the largest size that is forwarded. */
-    boolean isEventTooLong() {
-        return mEventSplitter.isPartialEventTooLong();
+    /** Returns why the rest of this response cannot be forwarded; absent if it can. */
+    Optional<String> unusableReason() {
+        if (mEventSplitter.isPartialEventTooLong()) {
+            return Optional.of("an event without end");
+        }
+        return mEventSplitter.isOutOfSequence()
+                ? Optional.of("an event that does not follow the last one")
+                : Optional.empty();
     }
 
     /**
@@ -96,12 +124,22 @@
                 && mBuffered.readableBytes() + content.readableBytes() > MAX_BUFFERED_BYTES;
     }
 
-    /** Returns whether there is an incomplete event. */
-    boolean hasPartialEvent() {
-        return mEventSplitter.hasPartialEvent();
+    /**
+     * Returns whether a body that has ended is incomplete nevertheless: an event stream that ended
+     * with its connection inside an event, or one that continues another and ended so in any way.
+     *
+     * @param endedByClose whether only the closing of the connection marked the end
+     */
+    boolean isBrokenOff(boolean endedByClose) {
+        if (isResumable()) {
+            boolean mustBeWhole = endedByClose || mEventSplitter.isResumed();
+            return mustBeWhole && mEventSplitter.hasPartialEvent();
+        }
+        boolean events = mKind.isStream() && mHead.isEventStream();
+        return endedByClose && events && mScanner.isInsideEvent();
     }
 
-    /** Returns the id of the last complete event that was forwarded. */
+    /** Returns the id of the last complete event that was forwarded and had one. */
     Optional<String> lastEventId() {
         return mEventSplitter.lastId();
     }
