Bound the tries of refused prompt parts, and take wrong verdicts back

Callers with a sound part that was refused wrongly, together with another part or with four crashes, would be refused for as long as they come; requests with a deadly part could reach replicas again and again if the crashes of their tries are not counted.

Cause: tries were bounded by counted crashes alone, not by tries taken; a try skipped the check before it was sent; parts refused together were never tried; a node that had just started drew its pauses as if it were alone; cleared strikes took the room of later ones; an answer without a byte that ends with its connection, as a crash does, cleared strikes; the model was part of a part's identity; each lost answer had its replica probed three times.

Why it works: each try lengthens the next pause, and a try is not sent once another crash has been counted.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -153,6 +153,7 @@
         mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
         mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create(mRandom);
+        crashes.onNodes(NODES_WHILE_UNKNOWN);
         crashes.listen(new CrashListener());
         mPeers.listen(new PeerListener(chooser, crashes, loads));
         var context =
--- a/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
@@ -1,7 +1,10 @@
 package org.fescueport.internal.direct.forward;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
@@ -17,6 +20,9 @@
     private final ReplicaConnectionPools mConnectionPools;
     private final CrashingRequestDetector mCrashes;
 
+    /** Incarnations that are being checked. */
+    private final Set<AgentIncarnation> mChecked = new HashSet<>();
+
     private CrashCheck(ReplicaConnectionPools connectionPools, CrashingRequestDetector crashes) {
         mConnectionPools = connectionPools;
         mCrashes = crashes;
@@ -30,9 +36,13 @@
 
     /** Begins to check a replica; ends once there is no suspicion any more. */
     void begin(ReplicaEntry replica) {
+        if (!mChecked.add(replica.life())) {
+            return;
+        }
         for (Duration delay : DELAYS) {
             mConnectionPools.schedule(() -> check(replica), delay);
         }
+        mConnectionPools.schedule(() -> mChecked.remove(replica.life()), DELAYS.getLast());
     }
 
     private void check(ReplicaEntry replica) {
--- a/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
@@ -24,7 +24,8 @@
     /** Parts that are suspected if a replica crashes; only the first loss is evidence. */
     private List<PromptPartId> mSuspects;
 
-    private boolean mIsTrial;
+    /** Crashes of each part when the request was allowed to try a refused one. */
+    private Optional<List<Integer>> mCrashesAtTrial = Optional.empty();
 
     /**
      * @param body of the request; read while the request is in progress only
@@ -49,7 +50,9 @@
         return switch (mContext.crashes().admitParts(mParts, mContext.nowNanos())) {
             case PartVerdict.Refused refused -> Optional.of(refuse(refused.part()));
             case PartVerdict.Allowed allowed -> {
-                mIsTrial = allowed.isTrial();
+                if (allowed.isTrial()) {
+                    mCrashesAtTrial = Optional.of(mContext.crashes().crashes(mParts));
+                }
                 yield Optional.empty();
             }
         };
@@ -62,11 +65,16 @@
      * @param mayHaveRun whether it has been sent before
      */
     Optional<String> checkBeforeSend(boolean mayHaveRun) {
-        boolean isFirstOfTrial = mIsTrial && !mayHaveRun;
-        if (isFirstOfTrial || !isEnabled()) {
+        if (!isEnabled()) {
             return Optional.empty();
         }
-        return mContext.crashes().refusedPart(mParts, mContext.nowNanos()).map(this::refuse);
+        long now = mContext.nowNanos();
+        boolean isFirstOfTrial = mCrashesAtTrial.isPresent() && !mayHaveRun;
+        var refused =
+                isFirstOfTrial
+                        ? mContext.crashes().refusedPartSince(mParts, mCrashesAtTrial.get(), now)
+                        : mContext.crashes().refusedPart(mParts, now);
+        return refused.map(this::refuse);
     }
 
     /** Records that the response was lost; the replica may have crashed on the request. */
@@ -80,8 +88,15 @@
         }
     }
 
-    /** Records that the request was answered with success. */
-    void onSucceeded() {
+    /**
+     * Records that the request was answered with success.
+     *
+     * @param endedByClose whether only the end of the connection ended the answer, as a crash does
+     */
+    void onSucceeded(Attempt attempt, boolean endedByClose) {
+        if (!isEnabled() || (endedByClose && !attempt.hasContent())) {
+            return;
+        }
         var crashes = mContext.crashes();
         if (crashes.hasStrikes()) {
             crashes.onSucceeded(fingerprint());
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -311,7 +311,7 @@
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
         if (head.isSuccess()) {
-            mCrashEvidence.onSucceeded();
+            mCrashEvidence.onSucceeded(attempt, endedByClose);
         }
         mRelay.finish();
         mContext.responseTimes()
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -105,6 +105,20 @@
         return mPartStrikes.firstRefused(parts, nowNanos);
     }
 
+    /** Returns the number of crashes that count against each of these parts. */
+    public List<Integer> crashes(List<PromptPartId> parts) {
+        return parts.stream().map(part -> mPartStrikes.crashes(part.hash())).toList();
+    }
+
+    /**
+     * Returns the first prompt part that has got more crashes than when a request was allowed to
+     * try it, so that the request must not be sent.
+     */
+    public Optional<PromptPartId> refusedPartSince(
+            List<PromptPartId> parts, List<Integer> crashes, long nowNanos) {
+        return mPartStrikes.firstRefusedSince(parts, crashes, nowNanos);
+    }
+
     /**
      * Records that the response to a request was lost with its connection.
      *
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,17 +18,18 @@
  * it has been answered since. Strikes form a set in which a cleared one stays cleared, so all nodes
  * that have received the same strikes in any order agree. While few replicas have crashed, a single
  * request may try a refused part again after a random pause, as the part may have been sent to
- * crashing replicas by chance. Not thread-safe; used only on the event loop.
+ * crashing replicas by chance; after many crashes the pauses are long. Not thread-safe; used only
+ * on the event loop.
  */
 final class PartStrikes {
     /** Number of crashes from which a part is refused; one may be a coincidence. */
     static final int MIN_CRASHES = 2;
 
     /**
-     * Number of crashes from which a refused part is not tried again; there may have been more, as
-     * only the first loss of a request counts.
+     * Number of crashes from which a refused part is hardly tried any more; there may have been
+     * more, as only the first loss of a request counts.
      */
-    static final int MAX_TRIED_CRASHES = 4;
+    static final int MANY_CRASHES = 4;
 
     /** Parts whose requests were answered within this time do not crash replicas. */
     private static final Duration SOUND_TIME = Duration.ofSeconds(5);
@@ -35,9 +37,14 @@
     /** Time for which strikes are kept after the last crash or request with the part. */
     private static final Duration RETENTION = Duration.ofMinutes(5);
 
-    /** Pause before the first try of one node alone; doubled with each further crash. */
+    /** Pause before the first try of one node alone; doubled with each further crash and try. */
     private static final Duration TRIAL_PAUSE = Duration.ofSeconds(2);
 
+    /** The same pause after many crashes. */
+    private static final Duration LATE_TRIAL_PAUSE = Duration.ofMinutes(1);
+
+    private static final int MAX_DOUBLINGS = 6;
+
     private static final int MAX_PARTS = 256;
     private static final int MAX_STRIKES_PER_PART = 16;
     private static final int MAX_SOUND_PARTS = 4_096;
@@ -50,11 +57,22 @@
 
         private long mLastEventNanos;
         private long mNextTrialNanos;
+        private int mTrials;
 
         int countCrashes() {
             return (int) mCrashes.values().stream().filter(cleared -> !cleared).count();
         }
 
+        void dropOldestCleared() {
+            Iterator<Boolean> cleared = mCrashes.values().iterator();
+            while (cleared.hasNext()) {
+                if (cleared.next()) {
+                    cleared.remove();
+                    return;
+                }
+            }
+        }
+
         boolean isRefused() {
             return countCrashes() >= MIN_CRASHES;
         }
@@ -91,15 +109,31 @@
         if (refused.isEmpty()) {
             return ALLOWED;
         }
-        Entry first = mEntries.get(refused.getFirst().hash());
-        // With two refused parts, a crash would not show which of them caused it.
-        if (refused.size() > 1 || !mayTry(first, nowNanos)) {
-            return new PartVerdict.Refused(refused.getFirst());
+        for (PromptPartId part : refused) {
+            if (nowNanos - mEntries.get(part.hash()).mNextTrialNanos < 0) {
+                return new PartVerdict.Refused(part);
+            }
+        }
+        for (PromptPartId part : refused) {
+            Entry entry = mEntries.get(part.hash());
+            entry.mTrials++;
+            entry.mNextTrialNanos = nowNanos + trialPauseNanos(entry);
         }
-        first.mNextTrialNanos = nowNanos + trialPauseNanos(first);
         return new PartVerdict.Allowed(true);
     }
 
+    /**
+     * Returns the first part that has come to be refused since a request was allowed to try one.
+     *
+     * @param crashes number of crashes per part when it was allowed
+     */
+    Optional<PromptPartId> firstRefusedSince(
+            List<PromptPartId> parts, List<Integer> crashes, long nowNanos) {
+        return refused(parts, nowNanos).stream()
+                .filter(part -> crashes(part.hash()) > crashes.get(parts.indexOf(part)))
+                .findFirst();
+    }
+
     /** Returns the first part that is refused, if there is one. */
     Optional<PromptPartId> firstRefused(List<PromptPartId> parts, long nowNanos) {
         return refused(parts, nowNanos).stream().findFirst();
@@ -120,13 +154,13 @@
         return refused;
     }
 
-    private static boolean mayTry(Entry entry, long nowNanos) {
-        return entry.countCrashes() < MAX_TRIED_CRASHES && nowNanos - entry.mNextTrialNanos >= 0;
-    }
-
     /** Draws a pause such that the first of all nodes tries after about the pause of one alone. */
     private long trialPauseNanos(Entry entry) {
-        long base = TRIAL_PAUSE.toNanos() << Math.max(0, entry.countCrashes() - MIN_CRASHES);
+        int crashes = entry.countCrashes();
+        boolean many = crashes >= MANY_CRASHES;
+        int doublings = Math.max(0, crashes - (many ? MANY_CRASHES : MIN_CRASHES)) + entry.mTrials;
+        Duration pause = many ? LATE_TRIAL_PAUSE : TRIAL_PAUSE;
+        long base = pause.toNanos() << Math.min(MAX_DOUBLINGS, doublings);
         return (long) (base * (0.5 + mNodes * mRandom.nextDouble()));
     }
 
@@ -144,10 +178,13 @@
     boolean add(PartStrike strike, long nowNanos) {
         Entry entry = entry(strike.part());
         Boolean known = entry.mCrashes.get(strike.replica());
-        boolean isFull = entry.mCrashes.size() >= MAX_STRIKES_PER_PART;
+        boolean isFull = entry.countCrashes() >= MAX_STRIKES_PER_PART;
         if (known != null ? known || !strike.cleared() : isFull) {
             return false;
         }
+        if (entry.mCrashes.size() >= 2 * MAX_STRIKES_PER_PART) {
+            entry.dropOldestCleared();
+        }
         entry.mCrashes.put(strike.replica(), strike.cleared());
         entry.mLastEventNanos = nowNanos;
         if (!strike.cleared()) {
--- a/src/main/java/org/fescueport/internal/direct/place/PromptPartId.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PromptPartId.java
@@ -5,7 +5,7 @@
 import org.fescueport.internal.decision.claim.ContentHash;
 
 /**
- * Identity of a prompt part that requests for the same model may share.
+ * Identity of a prompt part that requests may share.
  *
  * @param model that processes the prompt
  * @param part id of the part
@@ -16,8 +16,8 @@
         return new PromptPartId(model, part);
     }
 
-    /** Returns a hash that identifies the part between nodes. */
+    /** Returns a hash that identifies the part between nodes, whichever model reads it. */
     public ContentHash hash() {
-        return ContentHash.of((model + "\n" + part).getBytes(UTF_8));
+        return ContentHash.of(part.getBytes(UTF_8));
     }
 }
