Refuse every key once the last one is withdrawn

Cause: the configuration kept one map from keys to teams, empty both when no teams are configured and when no team holds a key. The check took an empty map for "no key is required" and failed open.

Why it works: KeyPolicy is a sealed type that says whether keys are required, so the resolver can't confuse the two. A list that is null or empty requires keys and makes none valid; only a configuration without the field requires none. The text of the record that nodes pass on is unchanged, so builds of before and after read it alike.

--- a/src/main/java/org/fescueport/internal/direct/forward/RequestResolver.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestResolver.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.KeyPolicy;
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
 import org.fescueport.internal.direct.state.FleetView;
@@ -42,14 +43,16 @@
 
     private static Resolution checkKey(
             CallerRequest request, FleetConfiguration configuration, Route route) {
-        if (configuration.teams().isEmpty()) {
-            return new Resolution.Accepted(configuration, route, Optional.empty());
-        }
-        Optional<Team> team = request.key().flatMap(configuration::teamByApiKey);
-        if (team.isEmpty() && !route.open()) {
-            return refused(request, Refusal.Reason.UNKNOWN_KEY, "the API key is not known");
-        }
-        return new Resolution.Accepted(configuration, route, team);
+        return switch (configuration.keys()) {
+            case KeyPolicy.NotRequired none ->
+                    new Resolution.Accepted(configuration, route, Optional.empty());
+            case KeyPolicy.Required keys -> {
+                Optional<Team> team = request.key().flatMap(keys::teamByApiKey);
+                yield team.isPresent() || route.open()
+                        ? new Resolution.Accepted(configuration, route, team)
+                        : refused(request, Refusal.Reason.UNKNOWN_KEY, "the API key is not known");
+            }
+        };
     }
 
     private static Resolution refused(
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -10,6 +10,7 @@
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.direct.config.CallerLimits;
 import org.fescueport.internal.direct.config.FleetConfiguration;
+import org.fescueport.internal.direct.config.KeyPolicy;
 import org.fescueport.internal.direct.config.RouteTable;
 
 /** Decodes a configuration from its version, and a replica of the only pool from its state. */
@@ -48,7 +49,7 @@
             return new FleetConfiguration(
                     version,
                     routes,
-                    Map.of(),
+                    KeyPolicy.notRequired(),
                     Map.of(),
                     Map.of(POOL, COLD_RATE),
                     CallerLimits.defaults());
--- a/src/test/java/org/fescueport/platform/RecordDecoderTest.java
+++ b/src/test/java/org/fescueport/platform/RecordDecoderTest.java
@@ -7,9 +7,11 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.direct.config.ApiKey;
+import org.fescueport.internal.direct.config.KeyPolicy;
 import org.fescueport.internal.direct.config.RequestKind;
 import org.fescueport.internal.direct.state.NodeRecord;
 import org.fescueport.internal.direct.state.StateDecoder.UnusableRecordException;
@@ -119,13 +121,30 @@
         assertThat(route.kind(), is(RequestKind.STREAM_RESUMABLE));
         assertThat(route.maxAttempts(), is(2));
         assertThat(route.timeout().toMillis(), is(3_000L));
+        var keys = (KeyPolicy.Required) read.keys();
         assertThat(
-                read.teamByApiKey(ApiKey.of("key-1")).orElseThrow().id().name(),
+                keys.teamByApiKey(ApiKey.of("key-1")).orElseThrow().id().name(),
                 is("dam-operators"));
         assertThat(read.maxConnections().get(PoolId.of("llm")), is(50));
         assertThat(read.limits().maxBodyBytes(), is(100_000));
     }
 
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                ",\"tenants\":[]} | true",
+                ",\"tenants\":null} | true",
+                ",\"tenants\":[{\"name\":\"a\",\"api_keys\":[]}]} | true",
+                "} | false"
+            })
+    void shouldTellNoKeysFromNoneRequired(String end, boolean required) throws Exception {
+        String whole = Installation.configuration(7);
+        String text = whole.substring(0, whole.indexOf(",\n \"tenants\"")) + end;
+        var keys = mDecoder.configuration(bytes(text)).keys();
+        assertThat(keys, is(required ? KeyPolicy.required(Map.of()) : KeyPolicy.notRequired()));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "safe, REPEATABLE",
