Count crashes inside answers against the prompt parts in progress

Each crash ends all streams of its replica.

Cause: a lost answer of which a byte of the body had come was no evidence, so no part got a strike. An answer without length or chunks that a crash ended at an event's end even counted as a success and cleared the strikes.

Why it works: a crash inside an answer strikes all parts that the replica was writing on. As most of those are sound, three crashes at different times are needed, those that a refused part explains don't count against others, and of equal parts those are taken that were never answered. Only refused connections of a replica that isn't leaving count, so resets, cuts and departures don't. An answer that ends with its connection is judged once it is known whether the replica lives.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -426,6 +426,7 @@
                     .change(strike.cleared() ? "part-cleared" : "replica-died-of-part")
                     .with("replica", strike.replica())
                     .with("part", part.map(PromptPartId::part).orElse(""))
+                    .with("evidence", strike.evidence())
                     .with("crashes", crashes)
                     .write();
             mPeers.reports().onStrike(StrikeCodec.encode(strike));
@@ -484,7 +485,8 @@
 
         @Override
         public List<PeerStrike> knownStrikes() {
-            return mCrashes.partStrikes().stream().map(StrikeCodec::encode).toList();
+            long now = mParts.clock().monotonicTime();
+            return mCrashes.partStrikes(now).stream().map(StrikeCodec::encode).toList();
         }
 
         @Override
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -108,9 +108,14 @@
     }
 
     @Override
-    public void onUnreachable(String reason) {
+    public void onUnreachable(ConnectResult result, String reason) {
         if (!mEnded) {
-            mContext.crashes().onUnreachable(mReplica, mContext.nowNanos());
+            long now = mContext.nowNanos();
+            switch (result) {
+                case REFUSED -> mContext.crashes().onUnreachable(mReplica, now);
+                case NO_RESPONSE -> mContext.crashes().onSilent(mReplica, now);
+                case CONNECTED -> throw new IllegalStateException("a connection was opened");
+            }
         }
         onNotSent(reason);
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
@@ -51,9 +51,12 @@
         }
         mConnectionPools.probe(
                 replica,
-                reached -> {
-                    if (!reached) {
-                        mCrashes.onUnreachable(replica, mConnectionPools.nowNanos());
+                result -> {
+                    long now = mConnectionPools.nowNanos();
+                    switch (result) {
+                        case CONNECTED -> mCrashes.onReachable(replica, now);
+                        case REFUSED -> mCrashes.onUnreachable(replica, now);
+                        case NO_RESPONSE -> mCrashes.onSilent(replica, now);
                     }
                 });
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
@@ -10,8 +10,11 @@
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Progress;
 import org.fescueport.internal.direct.place.PartVerdict;
 import org.fescueport.internal.direct.place.PromptPartId;
+import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /** What one request shows of crashes of replicas, and whether it must be refused for them. */
 final class CrashEvidence {
@@ -21,8 +24,8 @@
     private final TeamId mTeam;
     private final List<PromptPartId> mParts;
 
-    /** Parts that are suspected if a replica crashes; only the first loss is evidence. */
-    private List<PromptPartId> mSuspects;
+    /** Whether a loss before the answer has been evidence; only the first one is. */
+    private boolean mLost;
 
     /** Crashes of each part when the request was allowed to try a refused one. */
     private Optional<List<Integer>> mCrashesAtTrial = Optional.empty();
@@ -36,7 +39,6 @@
         mBody = body;
         mTeam = team;
         mParts = request.prompt().sharedParts();
-        mSuspects = mParts;
     }
 
     /** Returns why a new request must be refused, if replicas have crashed on its like. */
@@ -79,13 +81,7 @@
 
     /** Records that the response was lost; the replica may have crashed on the request. */
     void onLost(Attempt attempt) {
-        List<PromptPartId> suspects = attempt.hasContent() ? List.of() : mSuspects;
-        mSuspects = List.of();
-        long now = mContext.nowNanos();
-        mContext.crashes().onResponseLost(fingerprint(), suspects, attempt.replica(), now);
-        if (!suspects.isEmpty()) {
-            mContext.crashCheck().begin(attempt.replica());
-        }
+        report(attempt, attempt.hasContent() ? Progress.PART : Progress.NOTHING);
     }
 
     /**
@@ -94,7 +90,11 @@
      * @param endedByClose whether only the end of the connection ended the answer, as a crash does
      */
     void onSucceeded(Attempt attempt, boolean endedByClose) {
-        if (!isEnabled() || (endedByClose && !attempt.hasContent())) {
+        if (!isEnabled()) {
+            return;
+        }
+        if (endedByClose) {
+            report(attempt, Progress.WHOLE_UNLESS_CRASHED);
             return;
         }
         var crashes = mContext.crashes();
@@ -104,6 +104,27 @@
         crashes.onPartsAnswered(mParts, mContext.nowNanos());
     }
 
+    private void report(Attempt attempt, Progress progress) {
+        ReplicaEntry replica = attempt.replica();
+        List<PromptPartId> suspects = suspects(replica, progress);
+        mLost = true;
+        var loss = new Loss(fingerprint(), suspects, mParts, progress);
+        mContext.crashes().onLoss(loss, replica, mContext.nowNanos());
+        if (!suspects.isEmpty()) {
+            mContext.crashCheck().begin(replica);
+        }
+    }
+
+    private List<PromptPartId> suspects(ReplicaEntry replica, Progress progress) {
+        boolean counts = progress == Progress.NOTHING ? !mLost : isStaying(replica);
+        return counts ? mParts : List.of();
+    }
+
+    /** A replica that is leaving ends its answers without having crashed. */
+    private boolean isStaying(ReplicaEntry replica) {
+        return mContext.view().replica(replica.id()).filter(r -> !r.leaving()).isPresent();
+    }
+
     private String refuse(PromptPartId part) {
         mContext.metrics().onPartRefused();
         return "a part of the prompt crashes replicas: " + part.part();
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -138,13 +138,15 @@
                     } else {
                         message.release();
                         connectionPool.onClosing(connection);
-                        listener.onUnreachable("no connection: " + done.cause().getMessage());
+                        listener.onUnreachable(
+                                ConnectResult.of(done.cause()),
+                                "no connection: " + done.cause().getMessage());
                     }
                 });
     }
 
     /** Opens a connection to a replica, closes it, and reports whether it could be opened. */
-    void probe(ReplicaEntry replica, Consumer<Boolean> reached) {
+    void probe(ReplicaEntry replica, Consumer<ConnectResult> ended) {
         mOpenedCount++;
         mBootstrap
                 .clone()
@@ -153,7 +155,7 @@
                 .addListener(
                         (ChannelFuture done) -> {
                             done.channel().close();
-                            reached.accept(done.isSuccess());
+                            ended.accept(ConnectResult.of(done.cause()));
                         });
     }
 
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseListener.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseListener.java
@@ -20,7 +20,7 @@
     void onNotSent(String reason);
 
     /** No connection could be opened; the request was not sent. */
-    void onUnreachable(String reason);
+    void onUnreachable(ConnectResult result, String reason);
 
     /** The head of the response has been received. */
     void onHead(ResponseHead head);
--- a/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
@@ -1,11 +1,14 @@
 package org.fescueport.internal.direct.peer;
 
+import java.time.Duration;
+import java.util.regex.Pattern;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.place.PartStrike;
+import org.fescueport.internal.direct.place.PartStrike.Evidence;
 import org.fescueport.internal.wire.generated.PeerStrike;
 
 /** Writes for peers what a replica has died of, and reads it. */
@@ -13,6 +16,14 @@
     /** In place of a team; a team's name has no line break. */
     private static final String PART_MARK = "\npart";
 
+    /**
+     * Starts the mark of a crash inside an answer; its age in milliseconds follows. A build that
+     * does not know it takes the strike for one against a request that nobody sends.
+     */
+    private static final String IN_ANSWER_MARK = PART_MARK + ":";
+
+    private static final Pattern IN_ANSWER = Pattern.compile(IN_ANSWER_MARK + "([0-9]{1,12})");
+
     private StrikeCodec() {}
 
     /** Writes a strike. */
@@ -39,7 +50,7 @@
     /** Writes a strike against a prompt part. */
     public static PeerStrike encode(PartStrike strike) {
         return PeerStrike.newBuilder()
-                .setTeam(PART_MARK)
+                .setTeam(mark(strike))
                 .setRequestHigh(strike.part().high())
                 .setRequestLow(strike.part().low())
                 .setReplica(strike.replica().node().name())
@@ -48,15 +59,31 @@
                 .build();
     }
 
+    private static String mark(PartStrike strike) {
+        return strike.evidence() instanceof Evidence.InAnswer(Duration age)
+                ? IN_ANSWER_MARK + Math.max(0, age.toMillis())
+                : PART_MARK;
+    }
+
     /** Returns whether a strike is against a prompt part rather than a whole request. */
     public static boolean isAgainstPart(PeerStrike strike) {
-        return strike.getTeam().equals(PART_MARK);
+        return strike.getTeam().equals(PART_MARK) || IN_ANSWER.matcher(strike.getTeam()).matches();
     }
 
     /** Reads a strike against a prompt part. */
     public static PartStrike partStrike(PeerStrike strike) {
         var part = ContentHash.of(strike.getRequestHigh(), strike.getRequestLow());
-        return new PartStrike(part, replica(strike), strike.getAnswered());
+        return new PartStrike(part, replica(strike), evidence(strike));
+    }
+
+    private static Evidence evidence(PeerStrike strike) {
+        if (strike.getAnswered()) {
+            return new Evidence.Cleared();
+        }
+        var inAnswer = IN_ANSWER.matcher(strike.getTeam());
+        return inAnswer.matches()
+                ? new Evidence.InAnswer(Duration.ofMillis(Long.parseLong(inAnswer.group(1))))
+                : new Evidence.Unanswered();
     }
 
     /** Reads which request it was. */
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
@@ -20,9 +20,11 @@
  * strike if the replica cannot be reached shortly afterwards or has started a new incarnation, and
  * is dropped if the replica responds to anything sent later. A request that has succeeded since is
  * a frequent one that merely happened to be running when replicas crashed, so its strikes are
- * cleared. The same holds for the prompt parts of requests that had not begun to be answered, less
- * those that have just been answered in other requests. Not thread-safe; used only on the event
- * loop.
+ * cleared. The same holds for the prompt parts of requests, less those that have just been answered
+ * in other requests; a crash inside an answer counts for less, and only if the replica refuses
+ * connections, as the sender's own links may be at fault. An answer that ends with its connection
+ * is a success once the replica is known to live, and a lost one if it has crashed. Not
+ * thread-safe; used only on the event loop.
  */
 public final class CrashingRequestDetector {
     /** A crashed replica is unreachable within seconds; a later failure has another cause. */
@@ -49,8 +51,33 @@
         default void onPartStrike(PartStrike strike, Optional<PromptPartId> part, int crashes) {}
     }
 
-    private record Suspicion(
-            Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long atNanos) {}
+    /** How far the answer to a request had come when its connection was lost. */
+    public enum Progress {
+        /** Nothing of its body had been received. */
+        NOTHING,
+        /** Part of its body had been received. */
+        PART,
+        /** It is whole if the replica closed the connection on purpose. */
+        WHOLE_UNLESS_CRASHED
+    }
+
+    /**
+     * An answer that was lost, or may have been.
+     *
+     * @param suspects parts that are the cause if the replica has crashed
+     * @param parts all shared parts of the request's prompt
+     */
+    public record Loss(
+            Fingerprint request,
+            List<PromptPartId> suspects,
+            List<PromptPartId> parts,
+            Progress progress) {}
+
+    private record Suspicion(Loss loss, ReplicaEntry replica, long atNanos) {
+        boolean isOf(ReplicaEntry other) {
+            return replica.id().equals(other.id());
+        }
+    }
 
     private final PoisonTracker mPoisonTracker = PoisonTracker.create(LIMITS);
     private final List<Suspicion> mSuspicions = new ArrayList<>();
@@ -120,21 +147,25 @@
     }
 
     /**
-     * Records that the response to a request was lost with its connection.
+     * Records that the response to a request was lost before its body.
      *
      * @param parts prompt parts that may be the cause
      */
     public void onResponseLost(
             Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long nowNanos) {
+        onLoss(new Loss(request, parts, parts, Progress.NOTHING), replica, nowNanos);
+    }
+
+    /** Records that an answer was lost, or may have been, with its connection. */
+    public void onLoss(Loss loss, ReplicaEntry replica, long nowNanos) {
         if (mSuspicions.size() < MAX_SUSPICIONS) {
-            mSuspicions.add(new Suspicion(request, parts, replica, nowNanos));
+            mSuspicions.add(new Suspicion(loss, replica, nowNanos));
         }
     }
 
     /** Returns whether it is still open if the replica crashed with one of its requests. */
     public boolean isSuspected(ReplicaEntry replica, long nowNanos) {
-        return mSuspicions.stream()
-                .anyMatch(s -> s.replica().id().equals(replica.id()) && !isExpired(s, nowNanos));
+        return mSuspicions.stream().anyMatch(s -> s.isOf(replica) && !isExpired(s, nowNanos));
     }
 
     /**
@@ -142,27 +173,53 @@
      * from before that time are dropped.
      */
     public void onReplicaAlive(ReplicaEntry replica, long sentAtNanos) {
-        mSuspicions.removeIf(
-                suspicion ->
-                        suspicion.replica().id().equals(replica.id())
-                                && sentAtNanos - suspicion.atNanos() > 0);
+        Predicate<Suspicion> earlier = s -> sentAtNanos - s.atNanos() > 0;
+        for (Suspicion dropped : take(replica, earlier)) {
+            onWhole(dropped, sentAtNanos);
+        }
+    }
+
+    /** Records that a replica accepts connections; answers that ended with theirs are whole. */
+    public void onReachable(ReplicaEntry replica, long nowNanos) {
+        Predicate<Suspicion> ended = s -> s.loss().progress() == Progress.WHOLE_UNLESS_CRASHED;
+        for (Suspicion dropped : take(replica, ended)) {
+            onWhole(dropped, nowNanos);
+        }
+    }
+
+    private void onWhole(Suspicion suspicion, long nowNanos) {
+        if (suspicion.loss().progress() == Progress.WHOLE_UNLESS_CRASHED) {
+            onSucceeded(suspicion.loss().request());
+            onPartsAnswered(suspicion.loss().parts(), nowNanos);
+        }
     }
 
     /**
-     * Records that a replica could not be reached; this confirms the suspicions against its
+     * Records that a replica refuses connections; this confirms the suspicions against its
      * requests.
      */
     public void onUnreachable(ReplicaEntry replica, long nowNanos) {
-        Iterator<Suspicion> each = mSuspicions.iterator();
-        while (each.hasNext()) {
-            Suspicion suspicion = each.next();
-            if (isExpired(suspicion, nowNanos)) {
-                each.remove();
-            } else if (suspicion.replica().id().equals(replica.id())) {
-                each.remove();
-                strike(suspicion, nowNanos);
-            }
-        }
+        take(replica, suspicion -> true).stream()
+                .filter(suspicion -> !isExpired(suspicion, nowNanos))
+                .forEach(suspicion -> strike(suspicion, nowNanos));
+    }
+
+    /**
+     * Records that a replica could not be reached although nothing refused the connection; this
+     * confirms the suspicions against requests of which nothing had been answered.
+     */
+    public void onSilent(ReplicaEntry replica, long nowNanos) {
+        take(replica, s -> s.loss().progress() == Progress.NOTHING).stream()
+                .filter(suspicion -> !isExpired(suspicion, nowNanos))
+                .forEach(suspicion -> strike(suspicion, nowNanos));
+    }
+
+    /** Removes the suspicions against a replica's requests that fulfil the condition. */
+    private List<Suspicion> take(ReplicaEntry replica, Predicate<Suspicion> condition) {
+        List<Suspicion> taken =
+                mSuspicions.stream().filter(s -> s.isOf(replica) && condition.test(s)).toList();
+        mSuspicions.removeAll(taken);
+        return taken;
     }
 
     /** Records a strike that another node has detected; returns whether it is new. */
@@ -210,8 +267,8 @@
     }
 
     /** Returns all strikes against prompt parts, for a node that may not know them. */
-    public List<PartStrike> partStrikes() {
-        return mPartStrikes.all();
+    public List<PartStrike> partStrikes(long nowNanos) {
+        return mPartStrikes.all(nowNanos);
     }
 
     /** Drops expired suspicions and strikes. */
@@ -224,11 +281,12 @@
     private void strike(Suspicion suspicion, long nowNanos) {
         ReplicaEntry replica = suspicion.replica();
         var life = replica.life();
-        if (onStrike(suspicion.request(), life, nowNanos)) {
-            mListener.onStrike(suspicion.request(), life);
+        Fingerprint request = suspicion.loss().request();
+        if (onStrike(request, life, nowNanos)) {
+            mListener.onStrike(request, life);
         }
-        for (PromptPartId part : suspicion.parts()) {
-            var strike = PartStrike.of(part.hash(), life);
+        for (PromptPartId part : suspicion.loss().suspects()) {
+            var strike = strike(part, suspicion, nowNanos);
             if (!mPartStrikes.isSound(strike.part(), nowNanos)
                     && mPartStrikes.add(strike, nowNanos)) {
                 int crashes = mPartStrikes.crashes(strike.part());
@@ -237,6 +295,17 @@
         }
     }
 
+    private static PartStrike strike(PromptPartId part, Suspicion suspicion, long nowNanos) {
+        var life = suspicion.replica().life();
+        return switch (suspicion.loss().progress()) {
+            case NOTHING -> PartStrike.of(part.hash(), life);
+            case PART, WHOLE_UNLESS_CRASHED -> {
+                Duration age = Duration.ofNanos(nowNanos - suspicion.atNanos());
+                yield PartStrike.inAnswer(part.hash(), life, age);
+            }
+        };
+    }
+
     private static boolean isExpired(Suspicion suspicion, long nowNanos) {
         return nowNanos - suspicion.atNanos() > SUSPICION_TIME.toNanos();
     }
--- a/src/test/java/org/fescueport/internal/direct/forward/ReplicaConnectionPoolTest.java
+++ b/src/test/java/org/fescueport/internal/direct/forward/ReplicaConnectionPoolTest.java
@@ -107,7 +107,7 @@
         }
 
         @Override
-        public void onUnreachable(String reason) {
+        public void onUnreachable(ConnectResult result, String reason) {
             mOutcome.complete(UNREACHABLE);
         }
 
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
@@ -16,9 +16,14 @@
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Progress;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 import org.fescueport.internal.direct.state.WarmUpTime;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CrashingRequestDetectorTest {
     private static final Fingerprint REQUEST =
@@ -167,7 +172,7 @@
         crashWithParts("a", PART);
         crashWithParts("b", PART);
         var other = CrashingRequestDetector.create(new SplittableRandom(1));
-        mDetector.partStrikes().forEach(strike -> other.onPartStrike(strike, SECOND));
+        mDetector.partStrikes(SECOND).forEach(strike -> other.onPartStrike(strike, SECOND));
         assertThat(other.refusedPart(List.of(PART), SECOND), is(Optional.of(PART)));
     }
 
@@ -183,4 +188,66 @@
         assertThat(mDetector.admitParts(List.of(PART), later), is(new PartVerdict.Allowed(false)));
         assertThat(mPartStrikes.stream().filter(PartStrike::cleared).count(), is(2L));
     }
+
+    private void loseInAnswer(String id, Progress progress, long atNanos) {
+        var loss = new Loss(REQUEST, List.of(PART), List.of(PART), progress);
+        mDetector.onLoss(loss, replica(id), atNanos);
+    }
+
+    @ParameterizedTest
+    @EnumSource(
+            value = Progress.class,
+            names = {"PART", "WHOLE_UNLESS_CRASHED"})
+    void shouldRefuseAPartWithWhichReplicasCrashInsideTheirAnswers(Progress progress) {
+        for (int i = 0; i < 3; i++) {
+            assertThat(mDetector.refusedPart(List.of(PART), i * SECOND), is(Optional.empty()));
+            loseInAnswer("r" + i, progress, i * SECOND);
+            mDetector.onUnreachable(replica("r" + i), i * SECOND + SECOND / 20);
+        }
+        assertThat(mDetector.refusedPart(List.of(PART), 3 * SECOND), is(Optional.of(PART)));
+    }
+
+    @Test
+    void shouldNotTakeAnAnswerThatEndsInACrashForASuccess() {
+        crashWithParts("a", PART);
+        crashWithParts("b", PART);
+        loseInAnswer("c", Progress.WHOLE_UNLESS_CRASHED, SECOND);
+        mDetector.onUnreachable(replica("c"), SECOND + SECOND / 20);
+        assertThat(mDetector.refusedPart(List.of(PART), 2 * SECOND), is(Optional.of(PART)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldTakeAnAnswerThatEndsWithItsConnectionForASuccessIfTheReplicaLives(boolean probed) {
+        crashWithParts("a", PART);
+        crashWithParts("b", PART);
+        loseInAnswer("c", Progress.WHOLE_UNLESS_CRASHED, SECOND);
+        assertThat(mDetector.refusedPart(List.of(PART), SECOND), is(Optional.of(PART)));
+        if (probed) {
+            mDetector.onReachable(replica("c"), 2 * SECOND);
+        } else {
+            mDetector.onReplicaAlive(replica("c"), 2 * SECOND);
+        }
+        assertThat(mDetector.refusedPart(List.of(PART), 2 * SECOND), is(Optional.empty()));
+    }
+
+    @Test
+    void shouldNotBlameAPartForTheNodesOwnLinks() {
+        for (int i = 0; i < 8; i++) {
+            loseInAnswer("r" + i, Progress.PART, i * SECOND);
+            mDetector.onSilent(replica("r" + i), i * SECOND + SECOND / 2);
+        }
+        assertThat(mDetector.refusedPart(List.of(PART), 9 * SECOND), is(Optional.empty()));
+        assertThat(mPartStrikes, is(List.of()));
+    }
+
+    @Test
+    void shouldNotBlameAPartForBrokenConnectionsOfALivingReplica() {
+        for (int i = 0; i < 8; i++) {
+            loseInAnswer("r" + i, Progress.PART, i * SECOND);
+            mDetector.onReplicaAlive(replica("r" + i), i * SECOND + SECOND / 20);
+            mDetector.onUnreachable(replica("r" + i), i * SECOND + SECOND / 10);
+        }
+        assertThat(mDetector.refusedPart(List.of(PART), 9 * SECOND), is(Optional.empty()));
+    }
 }
--- a/src/test/java/org/fescueport/internal/direct/place/PartStrikesTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/PartStrikesTest.java
@@ -167,7 +167,7 @@
         mStrikes.onAnswered(DEADLY.hash(), 0);
         crash(DEADLY, 5, 6);
         for (int order = 0; order < 20; order++) {
-            List<PartStrike> shuffled = new ArrayList<>(mStrikes.all());
+            List<PartStrike> shuffled = new ArrayList<>(mStrikes.all(0));
             crash(DEADLY, 1, 4);
             shuffled.add(strike(DEADLY, 1));
             Collections.shuffle(shuffled, new java.util.Random(order));
@@ -196,4 +196,58 @@
         }
         assertThat(mStrikes.admit(List.of(DEADLY), 0), is(REFUSED));
     }
+
+    private void crashInAnswer(PromptPartId part, int life, long atNanos) {
+        var replica = AgentIncarnation.of(NodeId.of("r"), life);
+        mStrikes.add(PartStrike.inAnswer(part.hash(), replica, Duration.ZERO), atNanos);
+    }
+
+    @Test
+    void shouldRefuseAPartThatThreeReplicasCrashedWithInsideTheirAnswers() {
+        crashInAnswer(DEADLY, 1, 0);
+        crashInAnswer(DEADLY, 2, SECOND);
+        assertThat(mStrikes.admit(List.of(DEADLY), SECOND), is(ALLOWED));
+        crashInAnswer(DEADLY, 3, 2 * SECOND);
+        assertThat(mStrikes.admit(List.of(DEADLY), 2 * SECOND), is(REFUSED));
+    }
+
+    @Test
+    void shouldNotRefuseAPartForManyReplicasThatAreLostAtOnce() {
+        for (int life = 1; life <= 12; life++) {
+            crashInAnswer(SOUND, life, life * SECOND / 40);
+        }
+        assertThat(mStrikes.crashes(SOUND.hash()), is(1));
+        assertThat(mStrikes.admit(List.of(SOUND), SECOND), is(ALLOWED));
+    }
+
+    @Test
+    void shouldCountALifeAsLostBeforeTheAnswerIfAnyNodeSaysSo() {
+        crashInAnswer(DEADLY, 1, 0);
+        crashInAnswer(DEADLY, 2, SECOND);
+        assertThat(mStrikes.add(strike(DEADLY, 1), SECOND), is(true));
+        assertThat(mStrikes.admit(List.of(DEADLY), SECOND), is(ALLOWED));
+        assertThat(mStrikes.add(strike(DEADLY, 2), SECOND), is(true));
+        crashInAnswer(DEADLY, 2, 2 * SECOND);
+        assertThat(mStrikes.admit(List.of(DEADLY), 2 * SECOND), is(REFUSED));
+    }
+
+    @Test
+    void shouldClearCrashesInsideAnswersOnceThePartIsAnswered() {
+        for (int life = 1; life <= 4; life++) {
+            crashInAnswer(SOUND, life, life * SECOND);
+        }
+        assertThat(mStrikes.onAnswered(SOUND.hash(), 5 * SECOND), hasSize(4));
+        assertThat(mStrikes.admit(List.of(SOUND), 5 * SECOND), is(ALLOWED));
+    }
+
+    @Test
+    void shouldTellANodeThatStartsLaterWhenReplicasCrashedInsideAnswers() {
+        for (int life = 1; life <= 3; life++) {
+            crashInAnswer(DEADLY, life, life * SECOND);
+        }
+        var other = create();
+        mStrikes.all(10 * SECOND).forEach(strike -> other.add(strike, LONG));
+        assertThat(other.crashes(DEADLY.hash()), is(3));
+        assertThat(other.admit(List.of(DEADLY), LONG), is(REFUSED));
+    }
 }
