Start the grace period for removals only where entries can have expired

Cause: the grace period, for entries that expire in an outage and are written again, started with each failed read that a good one followed, started again with the next, went to other nodes with each batch of records, and kept a replica for 1.6 s from when its removal was read.

Why it works: no entry expires in less than two heartbeats without the store, and an outage is never longer than the time between the two contacts around it. Each node knows its own last contact, by reading or through the node that it relies on, and starts a grace period only after a longer gap, or with a new era. What peers say of theirs is ignored; the field is still written for builds of before.

FleetViewTest.shouldNotUseARemovedReplicaLongerWhenAPeerSawTheRecoveryLater fed a peer's remaining time, which has no way in any more; it feeds the peer's records in its place, with the same assertion.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -124,7 +124,9 @@
     private DirectRouter(DirectRouterSettings settings, Parts parts) {
         mSettings = settings;
         mParts = parts;
-        mView = FleetView.create(parts.decoder(), parts.log(), settings.leaveBound());
+        mView =
+                FleetView.create(
+                        parts.decoder(), parts.log(), settings.leaveBound(), settings.heartbeat());
         mPeers = newPeers();
         mReader = newReader();
         mRandom = new SplittableRandom(settings.node().hashCode());
@@ -299,7 +301,7 @@
 
     /** The present view stays in use until the list of the new era has been read. */
     private void onNewEra() {
-        mView.onStoreRecovered(mParts.clock().monotonicTime());
+        mView.onNewEra(mParts.clock().monotonicTime());
         mReader.refresh();
         mNodeRegistrar.onNewEra();
     }
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -23,6 +23,7 @@
  * @param retryAllowance retries in a window that the fleet may send beyond the share
  * @param retryWindow in which those are counted
  * @param leaveBound longest time a replica may be used after it was told to leave
+ * @param heartbeat interval at which live replicas write their entries
  * @param loadBalancer what this node may rely on of the load balancer before it
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
@@ -41,6 +42,7 @@
         double retryAllowance,
         Duration retryWindow,
         Duration leaveBound,
+        Duration heartbeat,
         LoadBalancerTimes loadBalancer,
         Duration stopTime,
         MachineLimits limits) {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -8,7 +8,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.protobuf.ProtobufDecoder;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -320,7 +319,8 @@
 
     private void onRecords(PeerConnection peer, PeerRecords records) {
         RecordBatch batch = PeerRecordsCodec.decode(records);
-        mView.onPeerRemovalGrace(Duration.ofMillis(records.getLapseGraceMs()), nowNanos());
+        mEras.onPeer(batch.end().era());
+        mView.onRecordsFromPeer(nowNanos());
         if (!mView.canApply(batch)) {
             sendHello(peer);
             return;
@@ -346,6 +346,9 @@
         mFleetNodes = pulse.getNodes();
         mListener.onNodes(mFleetNodes);
         mUpstream.reportNodes(subtreeNodes());
+        if (pulse.getReading()) {
+            mView.onStoreContact(nowNanos());
+        }
         if (mUpstream.isServing()) {
             sendPulse(true, mFleetNodes, peer.relays() + 1);
         }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerRecordsCodec.java
@@ -16,6 +16,12 @@
 final class PeerRecordsCodec {
     private PeerRecordsCodec() {}
 
+    /**
+     * Returns a message with the records.
+     *
+     * @param lapseGrace time for which removed entries may still be written again, for nodes of
+     *     builds that do not find out themselves
+     */
     static PeerMessage encode(RecordBatch batch, Duration lapseGrace) {
         var records =
                 PeerRecords.newBuilder()
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -36,6 +36,7 @@
     private final StateDecoder mDecoder;
     private final EventLog mLog;
     private final RemovalGracePeriod mRemovalGrace;
+    private final StoreContact mContact;
     private final ReplicaRecords mReplicas;
     private Map<PoolId, ReplicaSet> mPools = Map.of();
     private Map<PoolId, ReplicaSet> mNotLeaving = Map.of();
@@ -47,10 +48,12 @@
     private StorePosition mNextConfiguration = StorePosition.START;
     private ReplicaListener mListener = () -> {};
 
-    private FleetView(StateDecoder decoder, EventLog log, RemovalGracePeriod grace) {
+    private FleetView(
+            StateDecoder decoder, EventLog log, RemovalGracePeriod grace, StoreContact contact) {
         mDecoder = decoder;
         mLog = log;
         mRemovalGrace = grace;
+        mContact = contact;
         mReplicas = new ReplicaRecords(decoder, log, grace);
         mUnusable = new UnusableEntries(log, "configuration-unusable", "key");
     }
@@ -61,10 +64,15 @@
      * @param maxUseAfterRemoval longest time for which a replica may be used after its removal has
      *     been read; an expired entry cannot be distinguished from one that was removed, so the
      *     limit applies to both
+     * @param heartbeat interval at which live replicas write their entries
      */
     public static FleetView create(
-            StateDecoder decoder, EventLog log, Duration maxUseAfterRemoval) {
-        return new FleetView(decoder, log, RemovalGracePeriod.boundedBy(maxUseAfterRemoval));
+            StateDecoder decoder, EventLog log, Duration maxUseAfterRemoval, Duration heartbeat) {
+        return new FleetView(
+                decoder,
+                log,
+                RemovalGracePeriod.boundedBy(maxUseAfterRemoval),
+                StoreContact.of(heartbeat));
     }
 
     /** Sets the listener for changes of the replicas; it replaces the previous one. */
@@ -161,12 +169,36 @@
         return topic == StateTopic.CONFIGURATION ? mNextConfiguration : mReplicas.next();
     }
 
+    /** Starts the grace period for removed entries: the store has begun a new era. */
+    public void onNewEra(long nowNanos) {
+        startRemovalGrace("new era", nowNanos);
+    }
+
+    /**
+     * Records that the store's list of replicas is being read, by this node or by the one that it
+     * relies on. Must be called before the records that were read are applied.
+     */
+    public void onStoreContact(long nowNanos) {
+        onRecordsFromPeer(nowNanos);
+        mContact.onContact(nowNanos);
+    }
+
     /**
-     * Starts the grace period for removed entries: the store has responded again after an outage,
-     * or has begun a new era.
+     * Records that a peer has sent records; they may be the first ones after an outage. Must be
+     * called before they are applied.
      */
-    public void onStoreRecovered(long nowNanos) {
+    public void onRecordsFromPeer(long nowNanos) {
+        if (mContact.mayHaveExpired(nowNanos)) {
+            startRemovalGrace("no contact to the store", nowNanos);
+        }
+    }
+
+    private void startRemovalGrace(String reason, long nowNanos) {
         mRemovalGrace.start(nowNanos);
+        mLog.change("removal-grace")
+                .with("reason", reason)
+                .with("ms", removalGrace(nowNanos).toMillis())
+                .write();
     }
 
     /**
@@ -177,11 +209,6 @@
         return Duration.ofNanos(mRemovalGrace.remainingNanos(nowNanos));
     }
 
-    /** Extends the grace period to at least what a peer reports as its own remaining one. */
-    public void onPeerRemovalGrace(Duration remaining, long nowNanos) {
-        mRemovalGrace.extend(remaining, nowNanos);
-    }
-
     /**
      * Returns whether this batch can be applied without missing a record before it. Each
      * configuration record is complete in itself, so batches of configurations always can.
--- a/src/main/java/org/fescueport/internal/direct/state/RemovalGracePeriod.java
+++ b/src/main/java/org/fescueport/internal/direct/state/RemovalGracePeriod.java
@@ -46,13 +46,6 @@
         mEndNanos = Optional.of(nowNanos + mDuration.toNanos());
     }
 
-    /** Extends the period so that it lasts at least this long from now. */
-    void extend(Duration remaining, long nowNanos) {
-        if (remaining.toNanos() > remainingNanos(nowNanos)) {
-            mEndNanos = Optional.of(nowNanos + remaining.toNanos());
-        }
-    }
-
     /** Returns the remaining time in nanoseconds; 0 if the period is not running. */
     long remainingNanos(long nowNanos) {
         return mEndNanos.map(end -> Math.max(0, end - nowNanos)).orElse(0L);
--- a/src/main/java/org/fescueport/internal/direct/state/StateReader.java
+++ b/src/main/java/org/fescueport/internal/direct/state/StateReader.java
@@ -133,7 +133,6 @@
     private void onStoreAnswered() {
         if (!mReachable) {
             mReachable = true;
-            mView.onStoreRecovered(mClock.monotonicTime());
             mLog.change("store-regained").write();
             mConfigurations.restart();
         }
@@ -227,6 +226,9 @@
                                 "the requested offset is of an earlier era"));
             }
             onStoreAnswered();
+            if (mTopic == StateTopic.REPLICAS) {
+                mView.onStoreContact(mClock.monotonicTime());
+            }
             guarded(() -> mListener.onBatch(batch));
             return Optional.empty();
         }
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -48,7 +48,8 @@
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
     private final FleetView mView =
-            FleetView.create(new PlainDecoder(), mLog, Duration.ofSeconds(2));
+            FleetView.create(
+                    new PlainDecoder(), mLog, Duration.ofSeconds(2), Duration.ofMillis(1_200));
     private final ReplicaLoads mLoads = ReplicaLoads.create();
     private final ReplicaNotices mNotices = ReplicaNotices.create();
     private final ColdReplicaLimiter mColdReplicaLimiter =
--- a/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/EraModelTest.java
@@ -121,7 +121,7 @@
     private final class Node {
         private final EraTracker mEras = EraTracker.create(mClock, mLog);
         private final FleetView mView =
-                FleetView.create(new HeartbeatDecoder(), mLog, MAX_USE_AFTER_REMOVAL);
+                FleetView.create(new HeartbeatDecoder(), mLog, MAX_USE_AFTER_REMOVAL, HEARTBEAT);
         private final StateReader mReader;
         private final NodeRegistrar mRegistrar;
         private ModelStore.Mode mMode = ModelStore.Mode.GOOD;
@@ -150,7 +150,7 @@
         }
 
         private void onNewEra() {
-            mView.onStoreRecovered(mClock.monotonicTime());
+            mView.onNewEra(mClock.monotonicTime());
             mReader.refresh();
             mRegistrar.onNewEra();
         }
@@ -163,7 +163,7 @@
         private void syncFrom(Node other) {
             long now = mClock.monotonicTime();
             mEras.onPeer(other.mEras.current());
-            mView.onPeerRemovalGrace(other.mView.removalGrace(now), now);
+            mView.onStoreContact(now);
             if (version(other) > version(this)) {
                 mView.applyBatch(other.mView.snapshot(StateTopic.CONFIGURATION), now);
             }
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewEraTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewEraTest.java
@@ -22,13 +22,14 @@
 class FleetViewEraTest {
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
     private static final Duration MAX_USE_AFTER_REMOVAL = Duration.ofSeconds(2);
+    private static final Duration HEARTBEAT = Duration.ofMillis(1_200);
 
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
     private final FleetView mView = newView();
 
     private FleetView newView() {
-        return FleetView.create(new HeartbeatDecoder(), mLog, MAX_USE_AFTER_REMOVAL);
+        return FleetView.create(new HeartbeatDecoder(), mLog, MAX_USE_AFTER_REMOVAL, HEARTBEAT);
     }
 
     @AfterEach
@@ -66,7 +67,7 @@
 
     /** Restores the store from a backup; the node has noticed it. */
     private void restoreStore(RecordBatch list) {
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         applyBatch(list);
     }
 
@@ -175,7 +176,7 @@
         applyBatch(following(record(1, 5, "a", "ready 60 7")));
         applyBatch(following(removed(1, 6, "a")));
         peer.applyBatch(mView.replicasSince(peer.next(StateTopic.REPLICAS)), 0);
-        peer.onStoreRecovered(0);
+        peer.onNewEra(0);
         peer.applyBatch(whole(2, 4, record(2, 3, "a", "ready 40 7")), 0);
         assertThat(isUsed(peer, "a"), is(false));
     }
@@ -186,7 +187,7 @@
         applyBatch(whole(1, 9, record(1, 4, "a", "ready 1 7"), record(1, 8, "b", "ready 1 7")));
         peer.applyBatch(mView.snapshot(StateTopic.REPLICAS), 0);
         restoreStore(whole(2, 6, record(2, 4, "a", "ready 1 7"), record(2, 5, "c", "ready 1 7")));
-        peer.onPeerRemovalGrace(mView.removalGrace(0), 0);
+        peer.onNewEra(0);
         peer.applyBatch(mView.replicasSince(peer.next(StateTopic.REPLICAS)), 0);
         assertThat(isUsed(peer, "c"), is(true));
         assertThat(isUsed(peer, "b"), is(true));
--- a/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/FleetViewTest.java
@@ -22,13 +22,15 @@
     /** No request may be sent to a replica later than this after its removal was read. */
     private static final Duration MAX_USE_AFTER_REMOVAL = Duration.ofSeconds(2);
 
+    private static final Duration HEARTBEAT = Duration.ofMillis(1_200);
+
     /** Interval between two sweeps for expired entries, as in the forwarder. */
     private static final Duration SWEEP = Duration.ofMillis(250);
 
     private final EventLog mLog =
             EventLog.start(OutputStream.nullOutputStream(), new MockClock(), "test", 10);
     private final FleetView mView =
-            FleetView.create(new PlainDecoder(), mLog, MAX_USE_AFTER_REMOVAL);
+            FleetView.create(new PlainDecoder(), mLog, MAX_USE_AFTER_REMOVAL, HEARTBEAT);
 
     @AfterEach
     void closeLog() {
@@ -173,7 +175,7 @@
     @Test
     void shouldKeepAReplicaRemovedAroundAnOutageUntilItsHeartbeatIsOverdue() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
         mView.expire(SECOND);
         assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
@@ -184,10 +186,11 @@
     @ParameterizedTest
     @ValueSource(longs = {2_000, 2_500, 3_000})
     void shouldNotUseAReplicaRemovedDuringRecoveryLongerThanTheBound(long boundMs) {
-        var view = FleetView.create(new PlainDecoder(), mLog, Duration.ofMillis(boundMs));
+        var view =
+                FleetView.create(new PlainDecoder(), mLog, Duration.ofMillis(boundMs), HEARTBEAT);
         view.applyBatch(
                 whole(StateTopic.REPLICAS, 2, record(0, "a", "ready"), record(1, "b", "ready")), 0);
-        view.onStoreRecovered(0);
+        view.onNewEra(0);
         view.applyBatch(batch(StateTopic.REPLICAS, 2, StateRecord.removed(at(2), "a")), 0);
         long last = Duration.ofMillis(boundMs).toNanos();
         for (long now = 0; now < last; now += SWEEP.toNanos()) {
@@ -200,17 +203,53 @@
     @Test
     void shouldNotUseARemovedReplicaLongerWhenAPeerSawTheRecoveryLater() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
-        mView.onPeerRemovalGrace(MAX_USE_AFTER_REMOVAL, SECOND);
+        mView.onRecordsFromPeer(SECOND);
         mView.expire(MAX_USE_AFTER_REMOVAL.minus(SWEEP).toNanos());
         assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
     }
 
+    @Test
+    void shouldDropARemovedReplicaAtOnceWhereNoEntryCanHaveExpired() {
+        replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
+        long longest = HEARTBEAT.toNanos() * 3 / 2;
+        for (int i = 0; i < 5; i++) {
+            mView.onStoreContact(i * longest);
+            mView.onRecordsFromPeer((i + 1) * longest);
+        }
+        assertThat(mView.removalGrace(5 * longest), is(Duration.ZERO));
+        replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
+        assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldKeepAReplicaRemovedAfterALongTimeWithoutContact(boolean fromPeer) {
+        replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
+        mView.onStoreContact(0);
+        long now = 2 * HEARTBEAT.toNanos();
+        if (fromPeer) {
+            mView.onRecordsFromPeer(now);
+        } else {
+            mView.onStoreContact(now);
+        }
+        mView.applyBatch(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")), now);
+        assertThat(mView.replica(NodeId.of("a")).isPresent(), is(true));
+        mView.expire(now + MAX_USE_AFTER_REMOVAL.toNanos());
+        assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
+    }
+
+    @Test
+    void shouldNotStartTheGracePeriodWithTheFirstContact() {
+        mView.onStoreContact(Duration.ofDays(1).toNanos());
+        assertThat(mView.removalGrace(Duration.ofDays(1).toNanos()), is(Duration.ZERO));
+    }
+
     @Test
     void shouldKeepAReplicaThatRegistersAgainAfterItsRemoval() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
         replicas(batch(StateTopic.REPLICAS, 2, record(2, "a", "ready")));
         mView.expire(3 * SECOND);
@@ -220,7 +259,7 @@
     @Test
     void shouldNotKeepALeavingReplicaAfterItsRemoval() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "leaving")));
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
         assertThat(mView.replica(NodeId.of("a")).isPresent(), is(false));
     }
@@ -251,7 +290,7 @@
     @Test
     void shouldSendAPeerTheRemovalOfAReplicaThatIsStillInUse() {
         replicas(whole(StateTopic.REPLICAS, 1, record(0, "a", "ready")));
-        mView.onStoreRecovered(0);
+        mView.onNewEra(0);
         replicas(batch(StateTopic.REPLICAS, 1, StateRecord.removed(at(1), "a")));
         assertThat(mView.pool(PlainDecoder.POOL).size(), is(1));
         var changes = mView.replicasSince(at(1)).records();
@@ -262,7 +301,7 @@
     @Test
     void shouldIncludeEveryKnownReplicaInTheSnapshot() {
         replicas(whole(StateTopic.REPLICAS, 7, record(3, "a", "ready"), record(6, "b", "leaving")));
-        var other = FleetView.create(new PlainDecoder(), mLog, MAX_USE_AFTER_REMOVAL);
+        var other = FleetView.create(new PlainDecoder(), mLog, MAX_USE_AFTER_REMOVAL, HEARTBEAT);
         other.applyBatch(mView.snapshot(StateTopic.REPLICAS), 0);
         assertThat(other.next(StateTopic.REPLICAS), is(at(7)));
         assertThat(other.pool(PlainDecoder.POOL).size(), is(1));
--- a/src/test/java/org/fescueport/internal/direct/state/StateReaderTest.java
+++ b/src/test/java/org/fescueport/internal/direct/state/StateReaderTest.java
@@ -29,7 +29,8 @@
             EventLog.start(OutputStream.nullOutputStream(), Clock.SYSTEM, "test", 10);
     private final ScheduledExecutorService mLoop = Executors.newSingleThreadScheduledExecutor();
     private final FleetView mView =
-            FleetView.create(new PlainDecoder(), mLog, Duration.ofSeconds(2));
+            FleetView.create(
+                    new PlainDecoder(), mLog, Duration.ofSeconds(2), Duration.ofMillis(1_200));
     private final FailingStore mStore = new FailingStore();
 
     /** A store without records, some of whose calls fail. */
--- a/src/test/java/org/fescueport/platform/OddEntriesTest.java
+++ b/src/test/java/org/fescueport/platform/OddEntriesTest.java
@@ -42,7 +42,8 @@
     private final RecordDecoder mDecoder = new RecordDecoder();
     private final ByteArrayOutputStream mLines = new ByteArrayOutputStream();
     private final EventLog mLog = EventLog.start(mLines, new MockClock(), "test", 1_000);
-    private final FleetView mView = FleetView.create(mDecoder, mLog, Duration.ofSeconds(2));
+    private final FleetView mView =
+            FleetView.create(mDecoder, mLog, Duration.ofSeconds(2), Duration.ofMillis(1_200));
     private long mEnd;
 
     @AfterEach
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -36,6 +36,7 @@
 
     private static final int STOP_LIMIT_MS = 1_000;
     private static final Duration LEAVE_BOUND = Duration.ofSeconds(2);
+    private static final Duration HEARTBEAT = Duration.ofMillis(1_200);
     private static final Duration STOP_TIME = Duration.ofSeconds(8);
 
     private final DirectRouter mRouter;
@@ -114,6 +115,7 @@
                 AMPLE_RETRIES,
                 Duration.ofSeconds(10),
                 LEAVE_BOUND,
+                HEARTBEAT,
                 PlatformSettings.LOAD_BALANCER,
                 STOP_TIME,
                 new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
