--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -124,9 +124,7 @@
     private DirectRouter(DirectRouterSettings settings, Parts parts) {
         mSettings = settings;
         mParts = parts;
-        mView =
-                FleetView.create(
-                        parts.decoder(), parts.log(), settings.leaveBound(), settings.heartbeat());
+        mView = newView(settings, parts);
         mPeers = newPeers();
         mReader = newReader();
         mRandom = new SplittableRandom(settings.node().hashCode());
@@ -272,6 +270,11 @@
         return mPeers.inboundConnections();
     }
 
+    private static FleetView newView(DirectRouterSettings settings, Parts parts) {
+        return FleetView.create(
+                parts.decoder(), parts.log(), settings.leaveBound(), settings.heartbeat());
+    }
+
     /**
      * The store may have been restored from a backup, so the node first compares its configuration
      * with that of its peers.
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -114,7 +114,7 @@
             switch (result) {
                 case REFUSED -> mContext.crashes().onUnreachable(mReplica, now);
                 case NO_RESPONSE -> mContext.crashes().onSilent(mReplica, now);
-                case CONNECTED -> throw new IllegalStateException("a connection was opened");
+                default -> throw new IllegalStateException("result " + result);
             }
         }
         onNotSent(reason);
--- a/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashCheck.java
@@ -57,6 +57,7 @@
                         case CONNECTED -> mCrashes.onReachable(replica, now);
                         case REFUSED -> mCrashes.onUnreachable(replica, now);
                         case NO_RESPONSE -> mCrashes.onSilent(replica, now);
+                        default -> throw new IllegalStateException("result " + result);
                     }
                 });
     }
--- a/src/test/java/org/fescueport/internal/http/TruncatedAnswerTest.java
+++ b/src/test/java/org/fescueport/internal/http/TruncatedAnswerTest.java
@@ -21,7 +21,8 @@
     private static final String TRAILER =
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nA: b\r\n\r\n";
     private static final String INTERIM =
-            "HTTP/1.1 103 Early\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+            "HTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+                    + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
     @ParameterizedTest
     @ValueSource(strings = {LENGTH, CHUNKS, TRAILER, INTERIM})
--- a/src/test/java/org/fescueport/platform/RemovalBoundTest.java
+++ b/src/test/java/org/fescueport/platform/RemovalBoundTest.java
@@ -54,6 +54,7 @@
                     link.mode(Mode.PASS);
                     link.resetAll();
                 }
+                default -> throw new AssertionError("disturbance " + this);
             }
         }
     }
--- a/src/test/java/org/fescueport/platform/WithdrawnKeysTest.java
+++ b/src/test/java/org/fescueport/platform/WithdrawnKeysTest.java
@@ -85,6 +85,7 @@
                     fleet.store().mode(StoreStandIn.Mode.GOOD);
                     assertServesNobody(fleet, fleet.router().callers());
                 }
+                default -> throw new AssertionError("source " + source);
             }
         }
     }
