--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -38,6 +38,8 @@
 import org.fescueport.internal.direct.peer.PeerGroup;
 import org.fescueport.internal.direct.peer.StrikeCodec;
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Outcome;
 import org.fescueport.internal.direct.place.PartStrike;
 import org.fescueport.internal.direct.place.PromptPartId;
 import org.fescueport.internal.direct.place.ReplicaChooser;
@@ -48,6 +50,7 @@
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.NodeRegistrar;
 import org.fescueport.internal.direct.state.RecordBatch;
+import org.fescueport.internal.direct.state.ReplicaEntry;
 import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.internal.direct.state.StateReader;
 import org.fescueport.internal.direct.state.StateRecord;
@@ -436,6 +439,18 @@
                     .write();
             mPeers.reports().onStrike(StrikeCodec.encode(strike));
         }
+
+        @Override
+        public void onSuspicionEnded(Loss loss, ReplicaEntry replica, Outcome outcome) {
+            mParts.log()
+                    .decision("crash-suspicion")
+                    .with("replica", replica.life())
+                    .with("outcome", outcome)
+                    .with("progress", loss.progress())
+                    .with("parts", loss.parts().size())
+                    .with("suspects", loss.suspects().size())
+                    .write();
+        }
     }
 
     /** Receives what this node reads from the store itself. */
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -49,6 +49,21 @@
          * @param crashes number of crashes that count against the part now
          */
         default void onPartStrike(PartStrike strike, Optional<PromptPartId> part, int crashes) {}
+
+        /** Called when it is known, or given up to find out, what a lost answer shows. */
+        default void onSuspicionEnded(Loss loss, ReplicaEntry replica, Outcome outcome) {}
+    }
+
+    /** What became of the suspicion that a replica crashed with a request. */
+    public enum Outcome {
+        /** The replica has crashed. */
+        CONFIRMED,
+        /** The replica lives. */
+        REPLICA_ALIVE,
+        /** Nobody found out in time. */
+        EXPIRED,
+        /** Too many others were open. */
+        NOT_KEPT
     }
 
     /** How far the answer to a request had come when its connection was lost. */
@@ -160,6 +175,8 @@
     public void onLoss(Loss loss, ReplicaEntry replica, long nowNanos) {
         if (mSuspicions.size() < MAX_SUSPICIONS) {
             mSuspicions.add(new Suspicion(loss, replica, nowNanos));
+        } else {
+            mListener.onSuspicionEnded(loss, replica, Outcome.NOT_KEPT);
         }
     }
 
@@ -174,20 +191,17 @@
      */
     public void onReplicaAlive(ReplicaEntry replica, long sentAtNanos) {
         Predicate<Suspicion> earlier = s -> sentAtNanos - s.atNanos() > 0;
-        for (Suspicion dropped : take(replica, earlier)) {
-            onWhole(dropped, sentAtNanos);
-        }
+        take(replica, earlier).forEach(dropped -> onAlive(dropped, sentAtNanos));
     }
 
     /** Records that a replica accepts connections; answers that ended with theirs are whole. */
     public void onReachable(ReplicaEntry replica, long nowNanos) {
         Predicate<Suspicion> ended = s -> s.loss().progress() == Progress.WHOLE_UNLESS_CRASHED;
-        for (Suspicion dropped : take(replica, ended)) {
-            onWhole(dropped, nowNanos);
-        }
+        take(replica, ended).forEach(dropped -> onAlive(dropped, nowNanos));
     }
 
-    private void onWhole(Suspicion suspicion, long nowNanos) {
+    private void onAlive(Suspicion suspicion, long nowNanos) {
+        onEnded(suspicion, Outcome.REPLICA_ALIVE);
         if (suspicion.loss().progress() == Progress.WHOLE_UNLESS_CRASHED) {
             onSucceeded(suspicion.loss().request());
             onPartsAnswered(suspicion.loss().parts(), nowNanos);
@@ -199,9 +213,7 @@
      * requests.
      */
     public void onUnreachable(ReplicaEntry replica, long nowNanos) {
-        take(replica, suspicion -> true).stream()
-                .filter(suspicion -> !isExpired(suspicion, nowNanos))
-                .forEach(suspicion -> strike(suspicion, nowNanos));
+        confirm(take(replica, suspicion -> true), nowNanos);
     }
 
     /**
@@ -209,9 +221,22 @@
      * confirms the suspicions against requests of which nothing had been answered.
      */
     public void onSilent(ReplicaEntry replica, long nowNanos) {
-        take(replica, s -> s.loss().progress() == Progress.NOTHING).stream()
-                .filter(suspicion -> !isExpired(suspicion, nowNanos))
-                .forEach(suspicion -> strike(suspicion, nowNanos));
+        confirm(take(replica, s -> s.loss().progress() == Progress.NOTHING), nowNanos);
+    }
+
+    private void confirm(List<Suspicion> suspicions, long nowNanos) {
+        for (Suspicion suspicion : suspicions) {
+            if (isExpired(suspicion, nowNanos)) {
+                onEnded(suspicion, Outcome.EXPIRED);
+            } else {
+                onEnded(suspicion, Outcome.CONFIRMED);
+                strike(suspicion, nowNanos);
+            }
+        }
+    }
+
+    private void onEnded(Suspicion suspicion, Outcome outcome) {
+        mListener.onSuspicionEnded(suspicion.loss(), suspicion.replica(), outcome);
     }
 
     /** Removes the suspicions against a replica's requests that fulfil the condition. */
@@ -273,7 +298,10 @@
 
     /** Drops expired suspicions and strikes. */
     public void sweep(long nowNanos) {
-        mSuspicions.removeIf(suspicion -> isExpired(suspicion, nowNanos));
+        List<Suspicion> expired =
+                mSuspicions.stream().filter(suspicion -> isExpired(suspicion, nowNanos)).toList();
+        mSuspicions.removeAll(expired);
+        expired.forEach(suspicion -> onEnded(suspicion, Outcome.EXPIRED));
         mPoisonTracker.sweep(millis(nowNanos));
         mPartStrikes.sweep(nowNanos);
     }
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
@@ -17,6 +17,7 @@
 import org.fescueport.internal.decision.claim.ContentHash;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
+import org.fescueport.internal.direct.place.CrashingRequestDetector.Outcome;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Progress;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 import org.fescueport.internal.direct.state.WarmUpTime;
@@ -35,6 +36,7 @@
             CrashingRequestDetector.create(new SplittableRandom(1));
     private final List<String> mStrikes = new ArrayList<>();
     private final List<PartStrike> mPartStrikes = new ArrayList<>();
+    private final List<Outcome> mOutcomes = new ArrayList<>();
 
     CrashingRequestDetectorTest() {
         mDetector.listen(
@@ -54,6 +56,11 @@
                             PartStrike strike, Optional<PromptPartId> part, int crashes) {
                         mPartStrikes.add(strike);
                     }
+
+                    @Override
+                    public void onSuspicionEnded(Loss loss, ReplicaEntry by, Outcome outcome) {
+                        mOutcomes.add(outcome);
+                    }
                 });
     }
 
@@ -250,4 +257,16 @@
         }
         assertThat(mDetector.refusedPart(List.of(PART), 9 * SECOND), is(Optional.empty()));
     }
+
+    @Test
+    void shouldTellWhatBecameOfEachSuspicion() {
+        for (String id : List.of("crashed", "alive", "unknown")) {
+            mDetector.onResponseLost(REQUEST, List.of(PART), replica(id), 0);
+        }
+        mDetector.onUnreachable(replica("crashed"), SECOND);
+        mDetector.onReplicaAlive(replica("alive"), SECOND);
+        mDetector.sweep(4 * SECOND);
+        var all = List.of(Outcome.CONFIRMED, Outcome.REPLICA_ALIVE, Outcome.EXPIRED);
+        assertThat(mOutcomes, is(all));
+    }
 }
