Take the last part of a prompt for a suspect, and refuse parts only in the company they crashed in

Cause: Prompt.sharedParts left the last part out, although it may belong to a session, so such requests added up nowhere. And each part with two crashes was refused by itself, whichever part of the request was the cause.

Why this works: all parts are suspects. Parts that were in the same crashes are refused only together, the most crashes first, and what they explain counts against no other; a dominated or tied explanation waits for the next crash. The second loss of a request is evidence of the weaker kind, so its crash can be explained. Parts with two crashes are not pushed out by a flood.

--- a/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
@@ -24,7 +24,7 @@
     private final TeamId mTeam;
     private final List<PromptPartId> mParts;
 
-    /** Whether a loss before the answer has been evidence; only the first one is. */
+    /** Whether an answer has been lost; a further loss shows less, as the cause may be the same. */
     private boolean mLost;
 
     /** Crashes of each part when the request was allowed to try a refused one. */
@@ -38,7 +38,7 @@
         mRequest = request;
         mBody = body;
         mTeam = team;
-        mParts = request.prompt().sharedParts();
+        mParts = request.prompt().partIds();
     }
 
     /** Returns why a new request must be refused, if replicas have crashed on its like. */
@@ -81,7 +81,7 @@
 
     /** Records that the response was lost; the replica may have crashed on the request. */
     void onLost(Attempt attempt) {
-        report(attempt, attempt.hasContent() ? Progress.PART : Progress.NOTHING);
+        report(attempt, attempt.hasContent() || mLost ? Progress.PART : Progress.NOTHING);
     }
 
     /**
@@ -108,16 +108,19 @@
         ReplicaEntry replica = attempt.replica();
         List<PromptPartId> suspects = suspects(replica, progress);
         mLost = true;
-        var loss = new Loss(fingerprint(), suspects, mParts, progress);
+        var loss = new Loss(fingerprint(), suspects, mParts, ownPart(), progress);
         mContext.crashes().onLoss(loss, replica, mContext.nowNanos());
         if (!suspects.isEmpty()) {
             mContext.crashCheck().begin(replica);
         }
     }
 
+    private Optional<PromptPartId> ownPart() {
+        return mParts.isEmpty() ? Optional.empty() : Optional.of(mParts.getLast());
+    }
+
     private List<PromptPartId> suspects(ReplicaEntry replica, Progress progress) {
-        boolean counts = progress == Progress.NOTHING ? !mLost : isStaying(replica);
-        return counts ? mParts : List.of();
+        return progress == Progress.NOTHING || isStaying(replica) ? mParts : List.of();
     }
 
     /** A replica that is leaving ends its answers without having crashed. */
--- a/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Prompt.java
@@ -27,12 +27,9 @@
         return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(Part::tokens).sum();
     }
 
-    /** Returns the parts that other requests may share. */
-    public List<PromptPartId> sharedParts() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .map(part -> PromptPartId.of(model, part.id()))
-                .toList();
+    /** Returns the ids of all parts, in order. */
+    public List<PromptPartId> partIds() {
+        return parts.stream().map(part -> PromptPartId.of(model, part.id())).toList();
     }
 
     /** Returns the id of the last part that other requests may share; empty if there is none. */
--- a/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/StrikeCodec.java
@@ -18,11 +18,15 @@
 
     /**
      * Starts the mark of a crash inside an answer; its age in milliseconds follows. A build that
-     * does not know it takes the strike for one against a request that nobody sends.
+     * does not know a mark takes the strike for one against a request that nobody sends.
      */
     private static final String IN_ANSWER_MARK = PART_MARK + ":";
 
-    private static final Pattern IN_ANSWER = Pattern.compile(IN_ANSWER_MARK + "([0-9]{1,12})");
+    /** Starts the same for the part of a session. */
+    private static final String OF_SESSION_MARK = "\nsession:";
+
+    private static final Pattern AGED =
+            Pattern.compile("(%s|%s)([0-9]{1,12})".formatted(IN_ANSWER_MARK, OF_SESSION_MARK));
 
     private StrikeCodec() {}
 
@@ -60,14 +64,21 @@
     }
 
     private static String mark(PartStrike strike) {
-        return strike.evidence() instanceof Evidence.InAnswer(Duration age)
-                ? IN_ANSWER_MARK + Math.max(0, age.toMillis())
-                : PART_MARK;
+        return switch (strike.evidence()) {
+            case Evidence.InAnswer(Duration age) -> IN_ANSWER_MARK + millis(age);
+            case Evidence.OfSession(Duration age) -> OF_SESSION_MARK + millis(age);
+            case Evidence.Unanswered unanswered -> PART_MARK;
+            case Evidence.Cleared cleared -> PART_MARK;
+        };
+    }
+
+    private static long millis(Duration age) {
+        return Math.max(0, age.toMillis());
     }
 
     /** Returns whether a strike is against a prompt part rather than a whole request. */
     public static boolean isAgainstPart(PeerStrike strike) {
-        return strike.getTeam().equals(PART_MARK) || IN_ANSWER.matcher(strike.getTeam()).matches();
+        return strike.getTeam().equals(PART_MARK) || AGED.matcher(strike.getTeam()).matches();
     }
 
     /** Reads a strike against a prompt part. */
@@ -80,10 +91,14 @@
         if (strike.getAnswered()) {
             return new Evidence.Cleared();
         }
-        var inAnswer = IN_ANSWER.matcher(strike.getTeam());
-        return inAnswer.matches()
-                ? new Evidence.InAnswer(Duration.ofMillis(Long.parseLong(inAnswer.group(1))))
-                : new Evidence.Unanswered();
+        var aged = AGED.matcher(strike.getTeam());
+        if (!aged.matches()) {
+            return new Evidence.Unanswered();
+        }
+        Duration age = Duration.ofMillis(Long.parseLong(aged.group(2)));
+        return aged.group(1).equals(OF_SESSION_MARK)
+                ? new Evidence.OfSession(age)
+                : new Evidence.InAnswer(age);
     }
 
     /** Reads which request it was. */
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
@@ -0,0 +1,143 @@
+package org.fescueport.internal.direct.place;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.fescueport.internal.decision.attempt.AgentIncarnation;
+import org.fescueport.internal.decision.claim.ContentHash;
+
+/**
+ * Finds the prompt parts that explain the crashes of replicas.
+ *
+ * <p>Parts that were in the same crashes form a {@link Culprit}: any one of them may be the cause,
+ * or all together, so only requests that have them all are refused. A crash that a culprit explains
+ * does not count against other parts, which were only in its company. Culprits are found in the
+ * order of their crashes, the most first; while two with equally many share some, or others were in
+ * all crashes of one and in more, it is not known which is the cause.
+ */
+final class CrashAttribution {
+    /** Number of crashes before an answer from which a part is refused; one may be chance. */
+    static final int MIN_CRASHES = 2;
+
+    /** The same number if replicas have crashed inside answers too. */
+    private static final int MIN_CRASHES_IN_ANSWERS = 3;
+
+    /** The same number if all parts have been answered at some time. */
+    private static final int MIN_CRASHES_IF_ANSWERED = 4;
+
+    /** By the number of crashes; of equal ones, those at one time tell more if there are more. */
+    private static final Comparator<Culprit> BY_CRASHES =
+            Comparator.comparingInt(Culprit::count)
+                    .thenComparingInt(culprit -> culprit.crashed().size());
+
+    /**
+     * Parts of which a request with all of them is refused.
+     *
+     * @param crashed incarnations whose crashes they explain
+     * @param count number of these crashes, of which those at one time count once
+     */
+    record Culprit(Set<ContentHash> parts, Set<AgentIncarnation> crashed, int count) {
+        boolean sharesCrashesWith(Culprit other) {
+            return !Collections.disjoint(crashed, other.crashed);
+        }
+
+        /** Returns whether it was in all crashes of the other one, and in more. */
+        boolean explainsMoreThan(Culprit other) {
+            return crashed.size() > other.crashed.size() && crashed.containsAll(other.crashed);
+        }
+    }
+
+    private final Map<ContentHash, PartCrashes> mParts;
+    private final Predicate<ContentHash> mWasAnswered;
+    private final Set<AgentIncarnation> mExplained = new HashSet<>();
+
+    private CrashAttribution(
+            Map<ContentHash, PartCrashes> parts, Predicate<ContentHash> wasAnswered) {
+        mParts = parts;
+        mWasAnswered = wasAnswered;
+    }
+
+    /**
+     * Returns the culprits.
+     *
+     * @param crashes of each part
+     * @param wasAnswered whether a request with the part was ever answered, as far as is known
+     */
+    static List<Set<ContentHash>> culprits(
+            Map<ContentHash, PartCrashes> crashes, Predicate<ContentHash> wasAnswered) {
+        return new CrashAttribution(crashes, wasAnswered).find();
+    }
+
+    private List<Set<ContentHash>> find() {
+        List<Set<ContentHash>> found = new ArrayList<>();
+        List<Culprit> next = mostCrashed();
+        while (!next.isEmpty()) {
+            for (Culprit culprit : next) {
+                if (!isAmbiguous(culprit, next)) {
+                    found.add(culprit.parts());
+                }
+            }
+            next.forEach(culprit -> mExplained.addAll(culprit.crashed()));
+            next = mostCrashed();
+        }
+        return found;
+    }
+
+    private static boolean isAmbiguous(Culprit culprit, List<Culprit> equals) {
+        return equals.stream().anyMatch(o -> o != culprit && o.sharesCrashesWith(culprit));
+    }
+
+    /** Returns those with the most crashes that are not explained, if these are enough. */
+    private List<Culprit> mostCrashed() {
+        Collection<Culprit> all = byCrashes();
+        List<Culprit> enough =
+                all.stream()
+                        .filter(this::isEnough)
+                        .filter(culprit -> all.stream().noneMatch(o -> o.explainsMoreThan(culprit)))
+                        .toList();
+        return enough.stream()
+                .max(BY_CRASHES)
+                .map(most -> enough.stream().filter(c -> BY_CRASHES.compare(c, most) == 0).toList())
+                .orElse(List.of());
+    }
+
+    private Collection<Culprit> byCrashes() {
+        Map<Set<AgentIncarnation>, Culprit> culprits = new HashMap<>();
+        mParts.forEach(
+                (part, crashes) -> {
+                    var crashed = crashes.crashedExcept(mExplained);
+                    if (crashed.size() >= MIN_CRASHES) {
+                        var alone = new Culprit(Set.of(part), crashed, crashes.count(crashed));
+                        culprits.merge(crashed, alone, CrashAttribution::together);
+                    }
+                });
+        return culprits.values();
+    }
+
+    private static Culprit together(Culprit one, Culprit other) {
+        Set<ContentHash> parts = new HashSet<>(one.parts());
+        parts.addAll(other.parts());
+        return new Culprit(parts, one.crashed(), Math.min(one.count(), other.count()));
+    }
+
+    private boolean isEnough(Culprit culprit) {
+        boolean isUnanswered =
+                culprit.parts().stream()
+                        .map(mParts::get)
+                        .allMatch(p -> p.countUnanswered(culprit.crashed()) >= MIN_CRASHES);
+        return isUnanswered || culprit.count() >= minCrashesInAnswers(culprit);
+    }
+
+    private int minCrashesInAnswers(Culprit culprit) {
+        return culprit.parts().stream().allMatch(mWasAnswered)
+                ? MIN_CRASHES_IF_ANSWERED
+                : MIN_CRASHES_IN_ANSWERS;
+    }
+}
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -22,9 +22,9 @@
  * a frequent one that merely happened to be running when replicas crashed, so its strikes are
  * cleared. The same holds for the prompt parts of requests, less those that have just been answered
  * in other requests; a crash inside an answer counts for less, and only if the replica refuses
- * connections, as the sender's own links may be at fault. An answer that ends with its connection
- * is a success once the replica is known to live, and a lost one if it has crashed. Not
- * thread-safe; used only on the event loop.
+ * connections, as the sender's own links may be at fault. So does any crash for a part that belongs
+ * to one session alone. An answer that ends with its connection is a success once the replica is
+ * known to live, and a lost one if it has crashed. Not thread-safe; used only on the event loop.
  */
 public final class CrashingRequestDetector {
     /** A crashed replica is unreachable within seconds; a later failure has another cause. */
@@ -70,7 +70,7 @@
     public enum Progress {
         /** Nothing of its body had been received. */
         NOTHING,
-        /** Part of its body had been received. */
+        /** Part of its body had been received, or the request had been lost before. */
         PART,
         /** It is whole if the replica closed the connection on purpose. */
         WHOLE_UNLESS_CRASHED
@@ -79,14 +79,21 @@
     /**
      * An answer that was lost, or may have been.
      *
-     * @param suspects parts that are the cause if the replica has crashed
-     * @param parts all shared parts of the request's prompt
+     * @param suspects parts that may be the cause if the replica has crashed
+     * @param parts all parts of the request's prompt
+     * @param own the part that belongs to the request or its session alone; a crash shows less of
+     *     it, as few requests clear it
      */
     public record Loss(
             Fingerprint request,
             List<PromptPartId> suspects,
             List<PromptPartId> parts,
-            Progress progress) {}
+            Optional<PromptPartId> own,
+            Progress progress) {
+        private boolean isOwn(PromptPartId part) {
+            return own.filter(part::equals).isPresent();
+        }
+    }
 
     private record Suspicion(Loss loss, ReplicaEntry replica, long atNanos) {
         boolean isOf(ReplicaEntry other) {
@@ -168,7 +175,8 @@
      */
     public void onResponseLost(
             Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long nowNanos) {
-        onLoss(new Loss(request, parts, parts, Progress.NOTHING), replica, nowNanos);
+        var loss = new Loss(request, parts, parts, Optional.empty(), Progress.NOTHING);
+        onLoss(loss, replica, nowNanos);
     }
 
     /** Records that an answer was lost, or may have been, with its connection. */
@@ -325,12 +333,14 @@
 
     private static PartStrike strike(PromptPartId part, Suspicion suspicion, long nowNanos) {
         var life = suspicion.replica().life();
-        return switch (suspicion.loss().progress()) {
+        Loss loss = suspicion.loss();
+        Duration age = Duration.ofNanos(nowNanos - suspicion.atNanos());
+        if (loss.isOwn(part)) {
+            return PartStrike.ofSession(part.hash(), life, age);
+        }
+        return switch (loss.progress()) {
             case NOTHING -> PartStrike.of(part.hash(), life);
-            case PART, WHOLE_UNLESS_CRASHED -> {
-                Duration age = Duration.ofNanos(nowNanos - suspicion.atNanos());
-                yield PartStrike.inAnswer(part.hash(), life, age);
-            }
+            case PART, WHOLE_UNLESS_CRASHED -> PartStrike.inAnswer(part.hash(), life, age);
         };
     }
 
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrike.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrike.java
@@ -24,6 +24,14 @@
          */
         record InAnswer(Duration age) implements Evidence {}
 
+        /**
+         * The replica crashed at any time of the answer, and the part belongs to a session, whose
+         * few requests seldom clear it.
+         *
+         * @param age time since the crash
+         */
+        record OfSession(Duration age) implements Evidence {}
+
         /** A request with the part has been answered since, so the crash had another cause. */
         record Cleared() implements Evidence {}
     }
@@ -41,6 +49,11 @@
         return new PartStrike(part, replica, new Evidence.InAnswer(age));
     }
 
+    /** Returns a strike against the part of a session. */
+    public static PartStrike ofSession(ContentHash part, AgentIncarnation replica, Duration age) {
+        return new PartStrike(part, replica, new Evidence.OfSession(age));
+    }
+
     /** Returns that this strike does not count. */
     public PartStrike asCleared() {
         return new PartStrike(part, replica, CLEARED);
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
@@ -1,47 +1,37 @@
 package org.fescueport.internal.direct.place;
 
+import static java.util.stream.Collectors.toSet;
+
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
+import org.fescueport.internal.direct.place.PartCrashes.Crash;
 
 /**
  * The strikes against prompt parts, and which parts are refused because of them.
  *
- * <p>A part is refused once two incarnations of replicas have crashed with it before they wrote any
- * of its answer, and no request with it has been answered since. A replica that crashes inside an
- * answer takes all answers with it that it is writing. Such crashes count for less: there must be
- * three, of which those at one time, as of a failure domain, count once, and those that a part
- * explains which is refused don't count against others. Strikes form a set in which a cleared one
- * stays cleared, so all nodes that have received the same strikes in any order agree. While few
- * replicas have crashed, a single request may try a refused part again after a random pause, as the
- * part may have been sent to crashing replicas by chance; after many crashes the pauses are long.
- * Not thread-safe; used only on the event loop.
+ * <p>Parts are refused that explain the crashes of two incarnations of replicas before they wrote
+ * any of the answer, if no request with them has been answered since ({@link CrashAttribution}). A
+ * replica that crashes inside an answer takes all answers with it that it is writing. Such crashes
+ * count for less, as do all against the part of a session: there must be three, of which those at
+ * one time, as of a failure domain, count once. Strikes form a set in which a cleared one stays
+ * cleared, so all nodes that have received the same strikes in any order agree. While few replicas
+ * have crashed, a single request may try a refused part again after a random pause, as the part may
+ * have been sent to crashing replicas by chance; after many crashes the pauses are long. Not
+ * thread-safe; used only on the event loop.
  */
 final class PartStrikes {
-    /** Number of crashes before an answer from which a part is refused; one may be chance. */
-    static final int MIN_CRASHES = 2;
-
-    /** The same number if replicas have crashed inside answers too. */
-    static final int MIN_CRASHES_IN_ANSWERS = 3;
-
-    /**
-     * The same number if several parts have been in equally many, or the part was answered once.
-     */
-    private static final int MIN_CRASHES_IF_AMBIGUOUS = 4;
-
-    /** Crashes inside answers that follow one another more closely may have one cause outside. */
-    private static final Duration SAME_CAUSE_TIME = Duration.ofMillis(500);
-
     /**
      * Number of crashes from which a refused part is hardly tried any more, as is one that replicas
      * crashed with inside answers; there may have been more, as only the first loss of a request
@@ -63,100 +53,16 @@
 
     private static final int MAX_DOUBLINGS = 6;
 
-    private static final int MAX_PARTS = 256;
-    private static final int MAX_STRIKES_PER_PART = 16;
+    private static final int MAX_PARTS = 1_024;
     private static final int MAX_SOUND_PARTS = 4_096;
 
     private static final PartVerdict ALLOWED = new PartVerdict.Allowed(false);
 
-    /** How a replica crashed, and the monotonic time of the crash. */
-    private record Crash(PartStrike.Evidence evidence, long atNanos) {
-        boolean isUnanswered() {
-            return evidence instanceof PartStrike.Evidence.Unanswered;
-        }
-
-        boolean isInAnswer() {
-            return evidence instanceof PartStrike.Evidence.InAnswer;
-        }
-
-        boolean isCleared() {
-            return evidence instanceof PartStrike.Evidence.Cleared;
-        }
-
-        /** Returns whether this strike is kept when both have been received. */
-        boolean outweighs(Crash other) {
-            return isCleared() ? !other.isCleared() : isUnanswered() && other.isInAnswer();
-        }
-    }
-
     private static final class Entry {
-        /** The newest strike for each crashed incarnation. */
-        private final Map<AgentIncarnation, Crash> mCrashes = new LinkedHashMap<>();
-
+        private final PartCrashes mCrashes = new PartCrashes();
         private long mLastEventNanos;
         private long mNextTrialNanos;
         private int mTrials;
-
-        /** Returns the number of crashes that count, of which those at one time count once. */
-        int countCrashes() {
-            return countCrashesExcept(Set.of());
-        }
-
-        /** Returns the same without the crashes of some incarnations. */
-        int countCrashesExcept(Set<AgentIncarnation> explained) {
-            return (int) except(explained).filter(Crash::isUnanswered).count()
-                    + countTimes(except(explained).filter(Crash::isInAnswer));
-        }
-
-        int countUnanswered() {
-            return (int) mCrashes.values().stream().filter(Crash::isUnanswered).count();
-        }
-
-        boolean hasCrashesInAnswers() {
-            return mCrashes.values().stream().anyMatch(Crash::isInAnswer);
-        }
-
-        /** Returns the incarnations whose crashes count. */
-        List<AgentIncarnation> crashed() {
-            return mCrashes.entrySet().stream()
-                    .filter(crash -> !crash.getValue().isCleared())
-                    .map(Map.Entry::getKey)
-                    .toList();
-        }
-
-        private Stream<Crash> except(Set<AgentIncarnation> explained) {
-            return mCrashes.entrySet().stream()
-                    .filter(crash -> !explained.contains(crash.getKey()))
-                    .map(Map.Entry::getValue);
-        }
-
-        private static int countTimes(Stream<Crash> crashes) {
-            int count = 0;
-            long counted = 0;
-            for (long time : crashes.mapToLong(Crash::atNanos).sorted().toArray()) {
-                if (count == 0 || time - counted >= SAME_CAUSE_TIME.toNanos()) {
-                    count++;
-                    counted = time;
-                }
-            }
-            return count;
-        }
-
-        /** Returns whether there is no room for further strikes that count. */
-        boolean isFull() {
-            return mCrashes.values().stream().filter(crash -> !crash.isCleared()).count()
-                    >= MAX_STRIKES_PER_PART;
-        }
-
-        void dropOldestCleared() {
-            Iterator<Crash> crashes = mCrashes.values().iterator();
-            while (crashes.hasNext()) {
-                if (crashes.next().isCleared()) {
-                    crashes.remove();
-                    return;
-                }
-            }
-        }
     }
 
     private final RandomGenerator mRandom;
@@ -167,8 +73,8 @@
 
     private int mNodes = 1;
 
-    /** Parts that are refused; empty if strikes have changed since they were found. */
-    private Optional<Set<ContentHash>> mRefused = Optional.empty();
+    /** Parts that are refused together; empty if strikes have changed since they were found. */
+    private Optional<List<Set<ContentHash>>> mCulprits = Optional.empty();
 
     private PartStrikes(RandomGenerator random) {
         mRandom = random;
@@ -195,7 +101,7 @@
         }
         for (PromptPartId part : refused) {
             if (nowNanos - mEntries.get(part.hash()).mNextTrialNanos < 0) {
-                return new PartVerdict.Refused(part);
+                return new PartVerdict.Refused(refused.getFirst());
             }
         }
         for (PromptPartId part : refused) {
@@ -223,73 +129,29 @@
         return refused(parts, nowNanos).stream().findFirst();
     }
 
+    /** Returns the parts because of which a request is refused, the one that fewest share first. */
     private List<PromptPartId> refused(List<PromptPartId> parts, long nowNanos) {
         if (mEntries.isEmpty()) {
             return List.of();
         }
-        List<PromptPartId> refused = new ArrayList<>();
-        for (PromptPartId part : parts) {
-            Entry entry = mEntries.get(part.hash());
-            if (entry != null && refusedParts().contains(part.hash())) {
-                entry.mLastEventNanos = nowNanos;
-                refused.add(part);
-            }
-        }
-        return refused;
-    }
-
-    private Set<ContentHash> refusedParts() {
-        if (mRefused.isEmpty()) {
-            mRefused = Optional.of(findRefused());
-        }
-        return mRefused.get();
-    }
-
-    /** Finds the refused parts, the one with the most crashes that no other explains first. */
-    private Set<ContentHash> findRefused() {
+        Set<ContentHash> hashes = parts.stream().map(PromptPartId::hash).collect(toSet());
         Set<ContentHash> refused = new HashSet<>();
-        Set<AgentIncarnation> explained = new HashSet<>();
-        mEntries.forEach(
-                (part, entry) -> {
-                    if (entry.countUnanswered() >= MIN_CRASHES) {
-                        refused.add(part);
-                        explained.addAll(entry.crashed());
-                    }
-                });
-        List<ContentHash> next = mostCrashed(explained);
-        while (!next.isEmpty()) {
-            refused.addAll(next);
-            next.forEach(part -> explained.addAll(mEntries.get(part).crashed()));
-            next = mostCrashed(explained);
-        }
-        return refused;
-    }
-
-    /**
-     * Returns the parts with the most crashes, if these are enough to refuse them. Of equal ones,
-     * those are taken that this node has never seen answered.
-     */
-    private List<ContentHash> mostCrashed(Set<AgentIncarnation> explained) {
-        List<ContentHash> parts = new ArrayList<>();
-        int most = 0;
-        for (var entry : mEntries.entrySet()) {
-            int crashes = entry.getValue().countCrashesExcept(explained);
-            if (crashes < minCrashes(entry.getKey()) || crashes < most) {
-                continue;
-            }
-            if (crashes > most) {
-                parts.clear();
-                most = crashes;
+        for (Set<ContentHash> culprit : culprits()) {
+            if (hashes.containsAll(culprit)) {
+                refused.addAll(culprit);
             }
-            parts.add(entry.getKey());
         }
-        List<ContentHash> unanswered = parts.stream().filter(p -> !wasAnswered(p)).toList();
-        List<ContentHash> left = unanswered.isEmpty() ? parts : unanswered;
-        return left.size() > 1 && most < MIN_CRASHES_IF_AMBIGUOUS ? List.of() : left;
+        refused.forEach(part -> mEntries.get(part).mLastEventNanos = nowNanos);
+        return parts.reversed().stream().filter(part -> refused.contains(part.hash())).toList();
     }
 
-    private int minCrashes(ContentHash part) {
-        return wasAnswered(part) ? MIN_CRASHES_IF_AMBIGUOUS : MIN_CRASHES_IN_ANSWERS;
+    private List<Set<ContentHash>> culprits() {
+        if (mCulprits.isEmpty()) {
+            Map<ContentHash, PartCrashes> crashes = new HashMap<>();
+            mEntries.forEach((part, entry) -> crashes.put(part, entry.mCrashes));
+            mCulprits = Optional.of(CrashAttribution.culprits(crashes, this::wasAnswered));
+        }
+        return mCulprits.get();
     }
 
     private boolean wasAnswered(ContentHash part) {
@@ -298,9 +160,10 @@
 
     /** Draws a pause such that the first of all nodes tries after about the pause of one alone. */
     private long trialPauseNanos(Entry entry) {
-        int crashes = entry.countCrashes();
-        boolean many = crashes >= MANY_CRASHES || entry.hasCrashesInAnswers();
-        int doublings = Math.max(0, crashes - (many ? MANY_CRASHES : MIN_CRASHES)) + entry.mTrials;
+        int crashes = entry.mCrashes.count();
+        boolean many = crashes >= MANY_CRASHES || entry.mCrashes.hasWeakEvidence();
+        int enough = many ? MANY_CRASHES : CrashAttribution.MIN_CRASHES;
+        int doublings = Math.max(0, crashes - enough) + entry.mTrials;
         Duration pause = many ? LATE_TRIAL_PAUSE : TRIAL_PAUSE;
         long base = pause.toNanos() << Math.min(MAX_DOUBLINGS, doublings);
         return (long) (base * (0.5 + mNodes * mRandom.nextDouble()));
@@ -319,16 +182,11 @@
      */
     boolean add(PartStrike strike, long nowNanos) {
         Entry entry = entry(strike.part());
-        Crash known = entry.mCrashes.get(strike.replica());
         Crash crash = new Crash(strike.evidence(), nowNanos - ageNanos(strike));
-        if (known != null ? !crash.outweighs(known) : entry.isFull()) {
+        if (!entry.mCrashes.put(strike.replica(), crash)) {
             return false;
         }
-        if (entry.mCrashes.size() >= 2 * MAX_STRIKES_PER_PART) {
-            entry.dropOldestCleared();
-        }
-        entry.mCrashes.put(strike.replica(), crash);
-        mRefused = Optional.empty();
+        mCulprits = Optional.empty();
         entry.mLastEventNanos = nowNanos;
         if (!strike.cleared()) {
             entry.mNextTrialNanos = nowNanos + trialPauseNanos(entry);
@@ -337,9 +195,12 @@
     }
 
     private static long ageNanos(PartStrike strike) {
-        return strike.evidence() instanceof PartStrike.Evidence.InAnswer(Duration age)
-                ? age.toNanos()
-                : 0;
+        return switch (strike.evidence()) {
+            case PartStrike.Evidence.InAnswer(Duration age) -> age.toNanos();
+            case PartStrike.Evidence.OfSession(Duration age) -> age.toNanos();
+            case PartStrike.Evidence.Unanswered unanswered -> 0;
+            case PartStrike.Evidence.Cleared cleared -> 0;
+        };
     }
 
     /**
@@ -357,24 +218,20 @@
         if (entry == null) {
             return List.of();
         }
-        mRefused = Optional.empty();
+        mCulprits = Optional.empty();
         List<PartStrike> cleared = new ArrayList<>();
-        entry.mCrashes.replaceAll(
-                (replica, crash) -> {
-                    if (crash.isCleared()) {
-                        return crash;
-                    }
-                    PartStrike strike = PartStrike.of(part, replica).asCleared();
-                    cleared.add(strike);
-                    return new Crash(strike.evidence(), nowNanos);
-                });
+        for (AgentIncarnation replica : entry.mCrashes.crashedExcept(Set.of())) {
+            PartStrike strike = PartStrike.of(part, replica).asCleared();
+            entry.mCrashes.put(replica, new Crash(strike.evidence(), nowNanos));
+            cleared.add(strike);
+        }
         return cleared;
     }
 
     /** Returns the number of crashes that count against a part. */
     int crashes(ContentHash part) {
         Entry entry = mEntries.get(part);
-        return entry == null ? 0 : entry.countCrashes();
+        return entry == null ? 0 : entry.mCrashes.count();
     }
 
     /** Returns all strikes, for a node that may not know them. */
@@ -382,26 +239,20 @@
         List<PartStrike> all = new ArrayList<>();
         mEntries.forEach(
                 (part, entry) ->
-                        entry.mCrashes.forEach(
-                                (replica, crash) ->
-                                        all.add(
-                                                new PartStrike(
-                                                        part,
-                                                        replica,
-                                                        evidence(crash, nowNanos)))));
+                        entry.mCrashes
+                                .byReplica()
+                                .forEach(
+                                        (replica, crash) -> {
+                                            var evidence = crash.evidenceAt(nowNanos);
+                                            all.add(new PartStrike(part, replica, evidence));
+                                        }));
         return all;
     }
 
-    private static PartStrike.Evidence evidence(Crash crash, long nowNanos) {
-        return crash.isInAnswer()
-                ? new PartStrike.Evidence.InAnswer(Duration.ofNanos(nowNanos - crash.atNanos()))
-                : crash.evidence();
-    }
-
     /** Drops the strikes against parts that have not been seen for long. */
     void sweep(long nowNanos) {
         if (mEntries.values().removeIf(e -> nowNanos - e.mLastEventNanos > RETENTION.toNanos())) {
-            mRefused = Optional.empty();
+            mCulprits = Optional.empty();
         }
     }
 
@@ -412,17 +263,25 @@
         }
         if (mEntries.size() >= MAX_PARTS) {
             mEntries.remove(evictionCandidate());
-            mRefused = Optional.empty();
+            mCulprits = Optional.empty();
         }
         Entry entry = new Entry();
         mEntries.put(part, entry);
         return entry;
     }
 
+    /** Returns the oldest part that only one replica crashed with, so that no flood ends others. */
     private ContentHash evictionCandidate() {
-        return mEntries.keySet().stream()
-                .filter(part -> !refusedParts().contains(part))
+        return mEntries.entrySet().stream()
+                .filter(entry -> entry.getValue().mCrashes.size() < CrashAttribution.MIN_CRASHES)
+                .map(Map.Entry::getKey)
                 .findFirst()
-                .orElseGet(() -> mEntries.keySet().iterator().next());
+                .orElseGet(this::leastCrashed);
+    }
+
+    private ContentHash leastCrashed() {
+        return Collections.min(
+                mEntries.keySet(),
+                Comparator.comparingInt(part -> mEntries.get(part).mCrashes.count()));
     }
 }
