Explain crashes before answers first, so that several deadly parts don't hide one another

Parts of long streams are in many crashes of several deadly parts, and so kept each of these from being taken for the cause.

Why this works: at a crash before the answer few parts were in progress; these crashes are explained first, and only what is left is weighed with those inside answers. Parts of a session join the culprit that was lost in the same requests.

--- a/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
@@ -12,15 +12,18 @@
 import java.util.function.Predicate;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
+import org.fescueport.internal.direct.place.PartCrashes.Crash;
 
 /**
  * Finds the prompt parts that explain the crashes of replicas.
  *
  * <p>Parts that were in the same crashes form a {@link Culprit}: any one of them may be the cause,
  * or all together, so only requests that have them all are refused. A crash that a culprit explains
- * does not count against other parts, which were only in its company. Culprits are found in the
- * order of their crashes, the most first; while two with equally many share some, or others were in
- * all crashes of one and in more, it is not known which is the cause.
+ * does not count against other parts, which were only in its company. Crashes before an answer are
+ * explained first, as few parts were in progress, then those that are left together with those
+ * inside answers. Culprits are found in the order of their crashes, the most first; while two with
+ * equally many share some, or others were in all crashes of one and in more, it is not known which
+ * is the cause.
  */
 final class CrashAttribution {
     /** Number of crashes before an answer from which a part is refused; one may be chance. */
@@ -43,7 +46,7 @@
      * @param crashed incarnations whose crashes they explain
      * @param count number of these crashes, of which those at one time count once
      */
-    record Culprit(Set<ContentHash> parts, Set<AgentIncarnation> crashed, int count) {
+    private record Culprit(Set<ContentHash> parts, Set<AgentIncarnation> crashed, int count) {
         boolean sharesCrashesWith(Culprit other) {
             return !Collections.disjoint(crashed, other.crashed);
         }
@@ -56,6 +59,7 @@
 
     private final Map<ContentHash, PartCrashes> mParts;
     private final Predicate<ContentHash> mWasAnswered;
+    private final List<Set<ContentHash>> mFound = new ArrayList<>();
     private final Set<AgentIncarnation> mExplained = new HashSet<>();
 
     private CrashAttribution(
@@ -72,34 +76,62 @@
      */
     static List<Set<ContentHash>> culprits(
             Map<ContentHash, PartCrashes> crashes, Predicate<ContentHash> wasAnswered) {
-        return new CrashAttribution(crashes, wasAnswered).find();
+        var attribution = new CrashAttribution(crashes, wasAnswered);
+        attribution.find(Crash::isUnanswered, culprit -> true);
+        attribution.find(crash -> !crash.isCleared(), attribution::isEnough);
+        return attribution.mFound;
     }
 
-    private List<Set<ContentHash>> find() {
-        List<Set<ContentHash>> found = new ArrayList<>();
-        List<Culprit> next = mostCrashed();
+    private void find(Predicate<Crash> counts, Predicate<Culprit> isEnough) {
+        Set<AgentIncarnation> ambiguous = new HashSet<>();
+        List<Culprit> next = mostCrashed(counts, isEnough, ambiguous);
         while (!next.isEmpty()) {
             for (Culprit culprit : next) {
-                if (!isAmbiguous(culprit, next)) {
-                    found.add(culprit.parts());
+                if (isAmbiguous(culprit, next)) {
+                    ambiguous.addAll(culprit.crashed());
+                } else {
+                    add(culprit);
                 }
             }
-            next.forEach(culprit -> mExplained.addAll(culprit.crashed()));
-            next = mostCrashed();
+            next = mostCrashed(counts, isEnough, ambiguous);
         }
-        return found;
     }
 
     private static boolean isAmbiguous(Culprit culprit, List<Culprit> equals) {
         return equals.stream().anyMatch(o -> o != culprit && o.sharesCrashesWith(culprit));
     }
 
+    private void add(Culprit culprit) {
+        Set<ContentHash> parts = new HashSet<>(culprit.parts());
+        mParts.forEach(
+                (part, crashes) -> {
+                    if (crashes.isOfSessionIn(culprit.crashed())) {
+                        parts.add(part);
+                    }
+                });
+        mFound.add(parts);
+        mExplained.addAll(crashedWithAll(parts));
+    }
+
+    private Set<AgentIncarnation> crashedWithAll(Set<ContentHash> parts) {
+        return parts.stream()
+                .map(part -> mParts.get(part).crashed(crash -> !crash.isCleared(), Set.of()))
+                .reduce(
+                        (one, other) -> {
+                            Set<AgentIncarnation> both = new HashSet<>(one);
+                            both.retainAll(other);
+                            return both;
+                        })
+                .orElse(Set.of());
+    }
+
     /** Returns those with the most crashes that are not explained, if these are enough. */
-    private List<Culprit> mostCrashed() {
-        Collection<Culprit> all = byCrashes();
+    private List<Culprit> mostCrashed(
+            Predicate<Crash> counts, Predicate<Culprit> isEnough, Set<AgentIncarnation> ambiguous) {
+        Collection<Culprit> all = byCrashes(counts, ambiguous);
         List<Culprit> enough =
                 all.stream()
-                        .filter(this::isEnough)
+                        .filter(isEnough)
                         .filter(culprit -> all.stream().noneMatch(o -> o.explainsMoreThan(culprit)))
                         .toList();
         return enough.stream()
@@ -108,11 +140,14 @@
                 .orElse(List.of());
     }
 
-    private Collection<Culprit> byCrashes() {
+    private Collection<Culprit> byCrashes(
+            Predicate<Crash> counts, Set<AgentIncarnation> ambiguous) {
+        Set<AgentIncarnation> left = new HashSet<>(mExplained);
+        left.addAll(ambiguous);
         Map<Set<AgentIncarnation>, Culprit> culprits = new HashMap<>();
         mParts.forEach(
                 (part, crashes) -> {
-                    var crashed = crashes.crashedExcept(mExplained);
+                    var crashed = crashes.crashed(counts, left);
                     if (crashed.size() >= MIN_CRASHES) {
                         var alone = new Culprit(Set.of(part), crashed, crashes.count(crashed));
                         culprits.merge(crashed, alone, CrashAttribution::together);
@@ -128,16 +163,7 @@
     }
 
     private boolean isEnough(Culprit culprit) {
-        boolean isUnanswered =
-                culprit.parts().stream()
-                        .map(mParts::get)
-                        .allMatch(p -> p.countUnanswered(culprit.crashed()) >= MIN_CRASHES);
-        return isUnanswered || culprit.count() >= minCrashesInAnswers(culprit);
-    }
-
-    private int minCrashesInAnswers(Culprit culprit) {
-        return culprit.parts().stream().allMatch(mWasAnswered)
-                ? MIN_CRASHES_IF_ANSWERED
-                : MIN_CRASHES_IN_ANSWERS;
+        boolean wereAnswered = culprit.parts().stream().allMatch(mWasAnswered);
+        return culprit.count() >= (wereAnswered ? MIN_CRASHES_IF_ANSWERED : MIN_CRASHES_IN_ANSWERS);
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -335,11 +335,11 @@
         var life = suspicion.replica().life();
         Loss loss = suspicion.loss();
         Duration age = Duration.ofNanos(nowNanos - suspicion.atNanos());
-        if (loss.isOwn(part)) {
-            return PartStrike.ofSession(part.hash(), life, age);
-        }
         return switch (loss.progress()) {
-            case NOTHING -> PartStrike.of(part.hash(), life);
+            case NOTHING ->
+                    loss.isOwn(part)
+                            ? PartStrike.ofSession(part.hash(), life, age)
+                            : PartStrike.of(part.hash(), life);
             case PART, WHOLE_UNLESS_CRASHED -> PartStrike.inAnswer(part.hash(), life, age);
         };
     }
--- a/src/main/java/org/fescueport/internal/direct/place/PartCrashes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartCrashes.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 
@@ -33,6 +34,10 @@
             };
         }
 
+        boolean isOfSession() {
+            return evidence instanceof PartStrike.Evidence.OfSession;
+        }
+
         /** Returns the evidence as it is to be told at a later time. */
         PartStrike.Evidence evidenceAt(long nowNanos) {
             Duration age = Duration.ofNanos(nowNanos - atNanos);
@@ -94,20 +99,28 @@
         return countUnanswered(replicas) + countTimes(of(replicas).filter(Crash::isWeak));
     }
 
-    int countUnanswered(Collection<AgentIncarnation> replicas) {
+    private int countUnanswered(Collection<AgentIncarnation> replicas) {
         return (int) of(replicas).filter(Crash::isUnanswered).count();
     }
 
+    /**
+     * Returns whether it is the part of a session that had no answer yet at any of these crashes.
+     */
+    boolean isOfSessionIn(Set<AgentIncarnation> replicas) {
+        return mCrashes.size() >= replicas.size()
+                && of(replicas).allMatch(crash -> crash != null && crash.isOfSession());
+    }
+
     boolean hasWeakEvidence() {
         return mCrashes.values().stream().anyMatch(Crash::isWeak);
     }
 
-    /** Returns the incarnations whose crashes count, but for those that are explained. */
-    Set<AgentIncarnation> crashedExcept(Set<AgentIncarnation> explained) {
+    /** Returns the incarnations whose crashes fulfil a condition, but for those left out. */
+    Set<AgentIncarnation> crashed(Predicate<Crash> condition, Set<AgentIncarnation> leftOut) {
         Set<AgentIncarnation> crashed = new LinkedHashSet<>();
         mCrashes.forEach(
                 (replica, crash) -> {
-                    if (!crash.isCleared() && !explained.contains(replica)) {
+                    if (condition.test(crash) && !leftOut.contains(replica)) {
                         crashed.add(replica);
                     }
                 });
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrike.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrike.java
@@ -25,8 +25,8 @@
         record InAnswer(Duration age) implements Evidence {}
 
         /**
-         * The replica crashed at any time of the answer, and the part belongs to a session, whose
-         * few requests seldom clear it.
+         * The replica crashed before it had written any of the answer's body, and the part belongs
+         * to a session, whose few requests seldom clear it.
          *
          * @param age time since the crash
          */
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
@@ -220,7 +220,7 @@
         }
         mCulprits = Optional.empty();
         List<PartStrike> cleared = new ArrayList<>();
-        for (AgentIncarnation replica : entry.mCrashes.crashedExcept(Set.of())) {
+        for (AgentIncarnation replica : entry.mCrashes.crashed(c -> !c.isCleared(), Set.of())) {
             PartStrike strike = PartStrike.of(part, replica).asCleared();
             entry.mCrashes.put(replica, new Crash(strike.evidence(), nowNanos));
             cleared.add(strike);
