Red test: a part that was answered until it became deadly is refused too late

What callers see: requests with a part that was sound a moment ago crash replicas for seconds, and nothing is refused.

--- a/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
@@ -39,6 +39,7 @@
 class CrashingPartModelTest {
     private static final int SEEDS = Integer.getInteger("crashing.part.seeds", 20);
     private static final int STEP_MS = 10;
+    private static final int CALM_MS = 5_000;
     private static final int PLAYED_MS = 60_000;
     private static final int REPLICAS = 8;
     private static final int SUBJECTS = 60;
@@ -119,7 +120,7 @@
         Answer(int node, List<PromptPartId> parts) {
             mNode = node;
             mParts = parts;
-            mDeadly = parts.contains(DEADLY);
+            mDeadly = parts.contains(DEADLY) && mNowMs > CALM_MS;
         }
 
         Optional<PromptPartId> own() {
@@ -153,6 +154,7 @@
     private SplittableRandom mRandom;
     private int mCrashBehindMs;
     private boolean mResumable;
+    private boolean mSoundBefore;
     private Place mPlace = Place.SHARED;
     private Optional<Progress> mEvidence = Optional.of(Progress.PART);
     private long mNowMs;
@@ -189,11 +191,12 @@
         }
         while (mNowMs < PLAYED_MS) {
             mNowMs += STEP_MS;
-            boolean warm = mNowMs > 5_000;
+            boolean warm = mNowMs > CALM_MS;
             if (mRandom.nextDouble() < SOUND_PER_SECOND * STEP_MS / 1_000) {
                 request(soundParts());
             }
-            if (warm && mRandom.nextDouble() < deadlyPerSecond * STEP_MS / 1_000) {
+            boolean comes = warm || mSoundBefore;
+            if (comes && mRandom.nextDouble() < deadlyPerSecond * STEP_MS / 1_000) {
                 request(deadlyParts());
             }
             if (warm && mNowMs % outside.mEveryMs == 0) {
@@ -413,6 +416,19 @@
         assertThat(mSoundRefused, is(0));
     }
 
+    @ParameterizedTest
+    @CsvSource({"1, 0.7", "5, 0.7", "1, 2", "5, 2"})
+    void shouldRefuseInTimeAPartThatWasAnsweredUntilItBecameDeadly(int nodes, double perSecond) {
+        mSoundBefore = true;
+        mEvidence = Optional.empty();
+        mCrashBehindMs = 20;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            mLate = 0;
+            play(seed, nodes, perSecond, Outside.NOTHING);
+            assertThat("seed " + seed, mLate, lessThanOrEqualTo(MAX_LATE_ARRIVALS));
+        }
+    }
+
     /** What was weighed: crashes inside answers counted like those before them. */
     @ParameterizedTest
     @ValueSource(ints = {1, 5})
