Let an answer clear only the crashes from before its request was sent

Cause: any answer cleared all strikes against its parts, also one whose request was sent before the crashes; and parts answered within 5 s were not struck, longer than the 3 s in which the fleet must have learnt.

Why this works: a sound answer shows something of the time from its sending on. As fewer strikes are cleared, parts never answered go before others as an explanation, and four incarnations at two times, two of them before their answers, suffice, as crashes within 0.5 s count once.

--- a/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CrashEvidence.java
@@ -101,14 +101,16 @@
         if (crashes.hasStrikes()) {
             crashes.onSucceeded(fingerprint());
         }
-        crashes.onPartsAnswered(mParts, mContext.nowNanos());
+        crashes.onPartsAnswered(mParts, attempt.startNanos(), mContext.nowNanos());
     }
 
     private void report(Attempt attempt, Progress progress) {
         ReplicaEntry replica = attempt.replica();
         List<PromptPartId> suspects = suspects(replica, progress);
         mLost = true;
-        var loss = new Loss(fingerprint(), suspects, mParts, ownPart(), progress);
+        var loss =
+                new Loss(
+                        fingerprint(), suspects, mParts, ownPart(), progress, attempt.startNanos());
         mContext.crashes().onLoss(loss, replica, mContext.nowNanos());
         if (progress != Progress.WHOLE_UNLESS_CRASHED || !suspects.isEmpty()) {
             mContext.crashCheck().begin(replica);
--- a/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
@@ -32,12 +32,19 @@
     /** The same number if replicas have crashed inside answers too. */
     private static final int MIN_CRASHES_IN_ANSWERS = 3;
 
-    /** The same number if all parts have been answered at some time. */
+    /** Number of incarnations that must have crashed at two times, two before their answers. */
+    private static final int MIN_INCARNATIONS_AT_TWO_TIMES = 4;
+
+    /** The number of crashes if all parts have been answered at some time. */
     private static final int MIN_CRASHES_IF_ANSWERED = 4;
 
-    /** By the number of crashes; of equal ones, those at one time tell more if there are more. */
-    private static final Comparator<Culprit> BY_CRASHES =
-            Comparator.comparingInt(Culprit::count)
+    /**
+     * The most likely last: parts that were never answered, then by the number of crashes; of equal
+     * ones, those at one time tell more if there are more.
+     */
+    private static final Comparator<Culprit> BY_LIKELIHOOD =
+            Comparator.comparing(Culprit::wereAnswered, Comparator.reverseOrder())
+                    .thenComparingInt(Culprit::count)
                     .thenComparingInt(culprit -> culprit.crashed().size());
 
     /**
@@ -45,15 +52,22 @@
      *
      * @param crashed incarnations whose crashes they explain
      * @param count number of these crashes, of which those at one time count once
+     * @param wereAnswered whether a request with each part was answered at some time
      */
-    private record Culprit(Set<ContentHash> parts, Set<AgentIncarnation> crashed, int count) {
+    private record Culprit(
+            Set<ContentHash> parts,
+            Set<AgentIncarnation> crashed,
+            int count,
+            boolean wereAnswered) {
         boolean sharesCrashesWith(Culprit other) {
             return !Collections.disjoint(crashed, other.crashed);
         }
 
-        /** Returns whether it was in all crashes of the other one, and in more. */
+        /** Returns whether it was in all crashes of the other one, in more, and is as likely. */
         boolean explainsMoreThan(Culprit other) {
-            return crashed.size() > other.crashed.size() && crashed.containsAll(other.crashed);
+            return (!wereAnswered || other.wereAnswered)
+                    && crashed.size() > other.crashed.size()
+                    && crashed.containsAll(other.crashed);
         }
     }
 
@@ -135,8 +149,12 @@
                         .filter(culprit -> all.stream().noneMatch(o -> o.explainsMoreThan(culprit)))
                         .toList();
         return enough.stream()
-                .max(BY_CRASHES)
-                .map(most -> enough.stream().filter(c -> BY_CRASHES.compare(c, most) == 0).toList())
+                .max(BY_LIKELIHOOD)
+                .map(
+                        most ->
+                                enough.stream()
+                                        .filter(c -> BY_LIKELIHOOD.compare(c, most) == 0)
+                                        .toList())
                 .orElse(List.of());
     }
 
@@ -149,7 +167,9 @@
                 (part, crashes) -> {
                     var crashed = crashes.crashed(counts, left);
                     if (crashed.size() >= MIN_CRASHES) {
-                        var alone = new Culprit(Set.of(part), crashed, crashes.count(crashed));
+                        int count = crashes.count(crashed);
+                        boolean wasAnswered = mWasAnswered.test(part);
+                        var alone = new Culprit(Set.of(part), crashed, count, wasAnswered);
                         culprits.merge(crashed, alone, CrashAttribution::together);
                     }
                 });
@@ -159,11 +179,23 @@
     private static Culprit together(Culprit one, Culprit other) {
         Set<ContentHash> parts = new HashSet<>(one.parts());
         parts.addAll(other.parts());
-        return new Culprit(parts, one.crashed(), Math.min(one.count(), other.count()));
+        int count = Math.min(one.count(), other.count());
+        boolean wereAnswered = one.wereAnswered() && other.wereAnswered();
+        return new Culprit(parts, one.crashed(), count, wereAnswered);
     }
 
     private boolean isEnough(Culprit culprit) {
-        boolean wereAnswered = culprit.parts().stream().allMatch(mWasAnswered);
-        return culprit.count() >= (wereAnswered ? MIN_CRASHES_IF_ANSWERED : MIN_CRASHES_IN_ANSWERS);
+        if (culprit.wereAnswered()) {
+            return culprit.count() >= MIN_CRASHES_IF_ANSWERED;
+        }
+        return culprit.count() >= MIN_CRASHES_IN_ANSWERS || isTwiceManyBeforeAnswers(culprit);
+    }
+
+    private boolean isTwiceManyBeforeAnswers(Culprit culprit) {
+        return culprit.count() >= MIN_CRASHES
+                && culprit.crashed().size() >= MIN_INCARNATIONS_AT_TWO_TIMES
+                && culprit.parts().stream()
+                        .map(mParts::get)
+                        .allMatch(p -> p.countBeforeAnswers(culprit.crashed()) >= MIN_CRASHES);
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashingRequestDetector.java
@@ -89,7 +89,8 @@
             List<PromptPartId> suspects,
             List<PromptPartId> parts,
             Optional<PromptPartId> own,
-            Progress progress) {
+            Progress progress,
+            long sentAtNanos) {
         private boolean isOwn(PromptPartId part) {
             return own.filter(part::equals).isPresent();
         }
@@ -175,7 +176,7 @@
      */
     public void onResponseLost(
             Fingerprint request, List<PromptPartId> parts, ReplicaEntry replica, long nowNanos) {
-        var loss = new Loss(request, parts, parts, Optional.empty(), Progress.NOTHING);
+        var loss = new Loss(request, parts, parts, Optional.empty(), Progress.NOTHING, nowNanos);
         onLoss(loss, replica, nowNanos);
     }
 
@@ -212,7 +213,7 @@
         onEnded(suspicion, Outcome.REPLICA_ALIVE);
         if (suspicion.loss().progress() == Progress.WHOLE_UNLESS_CRASHED) {
             onSucceeded(suspicion.loss().request());
-            onPartsAnswered(suspicion.loss().parts(), nowNanos);
+            onPartsAnswered(suspicion.loss().parts(), suspicion.loss().sentAtNanos(), nowNanos);
         }
     }
 
@@ -272,10 +273,15 @@
         mPoisonTracker.forget(request);
     }
 
-    /** Records that a request with these prompt parts has been answered with success. */
-    public void onPartsAnswered(List<PromptPartId> parts, long nowNanos) {
+    /**
+     * Records that a request with these prompt parts has been answered with success.
+     *
+     * @param sentAtNanos monotonic time at which it was sent; what crashed later may be the parts'
+     *     fault
+     */
+    public void onPartsAnswered(List<PromptPartId> parts, long sentAtNanos, long nowNanos) {
         for (PromptPartId part : parts) {
-            for (PartStrike cleared : mPartStrikes.onAnswered(part.hash(), nowNanos)) {
+            for (PartStrike cleared : mPartStrikes.onAnswered(part.hash(), sentAtNanos, nowNanos)) {
                 mListener.onPartStrike(cleared, Optional.of(part), 0);
             }
         }
--- a/src/main/java/org/fescueport/internal/direct/place/PartCrashes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartCrashes.java
@@ -103,6 +103,11 @@
         return (int) of(replicas).filter(Crash::isUnanswered).count();
     }
 
+    /** Returns the number of these crashes that came before an answer. */
+    int countBeforeAnswers(Collection<AgentIncarnation> replicas) {
+        return (int) of(replicas).filter(c -> c.isUnanswered() || c.isOfSession()).count();
+    }
+
     /**
      * Returns whether it is the part of a session that had no answer yet at any of these crashes.
      */
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.claim.ContentHash;
@@ -39,8 +40,8 @@
      */
     static final int MANY_CRASHES = 4;
 
-    /** Parts whose requests were answered within this time do not crash replicas. */
-    private static final Duration SOUND_TIME = Duration.ofSeconds(5);
+    /** Parts do not crash replicas if requests sent within this time have been answered. */
+    private static final Duration SOUND_TIME = Duration.ofSeconds(3);
 
     /** Time for which strikes are kept after the last crash or request with the part. */
     private static final Duration RETENTION = Duration.ofMinutes(5);
@@ -68,7 +69,7 @@
     private final RandomGenerator mRandom;
     private final Map<ContentHash, Entry> mEntries = new LinkedHashMap<>();
 
-    /** Time of the last answer by part, the oldest first. */
+    /** When the last request was sent that has been answered, by part, the oldest answer first. */
     private final Map<ContentHash, Long> mAnsweredNanos = new LinkedHashMap<>();
 
     private int mNodes = 1;
@@ -169,7 +170,7 @@
         return (long) (base * (0.5 + mNodes * mRandom.nextDouble()));
     }
 
-    /** Returns whether a request with the part was answered a short time ago. */
+    /** Returns whether a request with the part that was sent a short time ago was answered. */
     boolean isSound(ContentHash part, long nowNanos) {
         Long answered = mAnsweredNanos.get(part);
         return answered != null && nowNanos - answered <= SOUND_TIME.toNanos();
@@ -204,13 +205,14 @@
     }
 
     /**
-     * Records that a request with the part was answered, which clears the strikes against it.
+     * Records that a request with the part was answered, which clears the strikes from before it
+     * was sent.
      *
      * @return the strikes that were cleared
      */
-    List<PartStrike> onAnswered(ContentHash part, long nowNanos) {
-        mAnsweredNanos.remove(part);
-        mAnsweredNanos.put(part, nowNanos);
+    List<PartStrike> onAnswered(ContentHash part, long sentAtNanos, long nowNanos) {
+        Long known = mAnsweredNanos.remove(part);
+        mAnsweredNanos.put(part, known == null ? sentAtNanos : Math.max(known, sentAtNanos));
         if (mAnsweredNanos.size() > MAX_SOUND_PARTS) {
             mAnsweredNanos.remove(mAnsweredNanos.keySet().iterator().next());
         }
@@ -220,7 +222,8 @@
         }
         mCulprits = Optional.empty();
         List<PartStrike> cleared = new ArrayList<>();
-        for (AgentIncarnation replica : entry.mCrashes.crashed(c -> !c.isCleared(), Set.of())) {
+        Predicate<Crash> isEarlier = c -> !c.isCleared() && c.atNanos() - sentAtNanos <= 0;
+        for (AgentIncarnation replica : entry.mCrashes.crashed(isEarlier, Set.of())) {
             PartStrike strike = PartStrike.of(part, replica).asCleared();
             entry.mCrashes.put(replica, new Crash(strike.evidence(), nowNanos));
             cleared.add(strike);
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
@@ -127,6 +127,10 @@
             return mPlace == Place.SHARED ? Optional.empty() : Optional.of(mParts.getLast());
         }
 
+        long sentAtNanos() {
+            return Duration.ofMillis(mSentMs).toNanos();
+        }
+
         /** How far it has come. */
         Progress progress() {
             boolean begun = mNowMs - mSentMs >= FIRST_EVENT_MS;
@@ -288,7 +292,7 @@
                 crash(stream.mReplica);
             } else {
                 mStreams.remove(stream);
-                nodeOf(stream).onPartsAnswered(stream.mParts, nanos());
+                nodeOf(stream).onPartsAnswered(stream.mParts, stream.sentAtNanos(), nanos());
             }
         }
     }
@@ -303,7 +307,14 @@
             Progress progress = stream.mFirstLoss ? stream.progress() : Progress.PART;
             stream.mFirstLoss = false;
             var request = Fingerprint.of(TeamId.of("t"), ContentHash.of(1, stream.mNumber));
-            var loss = new Loss(request, stream.mParts, stream.mParts, stream.own(), progress);
+            var loss =
+                    new Loss(
+                            request,
+                            stream.mParts,
+                            stream.mParts,
+                            stream.own(),
+                            progress,
+                            stream.sentAtNanos());
             nodeOf(stream).onLoss(loss, entry, nanos());
         }
         for (var stream : lost) {
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingRequestDetectorTest.java
@@ -160,7 +160,7 @@
 
     @Test
     void shouldNotSuspectAPartThatWasJustAnswered() {
-        mDetector.onPartsAnswered(List.of(PART), 0);
+        mDetector.onPartsAnswered(List.of(PART), 0, 0);
         crashWithParts("a", PART);
         crashWithParts("b", PART);
         assertThat(mDetector.refusedPart(List.of(PART), SECOND), is(Optional.empty()));
@@ -168,7 +168,7 @@
 
     @Test
     void shouldClearForAllNodesAStrikeAgainstAPartThatWasJustAnsweredHere() {
-        mDetector.onPartsAnswered(List.of(PART), 0);
+        mDetector.onPartsAnswered(List.of(PART), 0, 0);
         var strike = PartStrike.of(PART.hash(), replica("a").life());
         assertThat(mDetector.onPartStrike(strike, SECOND), is(true));
         assertThat(mPartStrikes, is(List.of(strike.asCleared())));
@@ -191,13 +191,15 @@
         assertThat(mDetector.admitParts(List.of(PART), SECOND), is(new PartVerdict.Refused(PART)));
         assertThat(mDetector.admitParts(List.of(PART), later), is(new PartVerdict.Allowed(true)));
         mPartStrikes.clear();
-        mDetector.onPartsAnswered(List.of(PART), later);
+        mDetector.onPartsAnswered(List.of(PART), later, later);
         assertThat(mDetector.admitParts(List.of(PART), later), is(new PartVerdict.Allowed(false)));
         assertThat(mPartStrikes.stream().filter(PartStrike::cleared).count(), is(2L));
     }
 
     private void loseInAnswer(String id, Progress progress, long atNanos) {
-        var loss = new Loss(REQUEST, List.of(PART), List.of(PART), Optional.empty(), progress);
+        var loss =
+                new Loss(
+                        REQUEST, List.of(PART), List.of(PART), Optional.empty(), progress, atNanos);
         mDetector.onLoss(loss, replica(id), atNanos);
     }
 
@@ -279,7 +281,8 @@
                             List.of(PART),
                             List.of(PART),
                             Optional.of(PART),
-                            Progress.NOTHING);
+                            Progress.NOTHING,
+                            0);
             mDetector.onLoss(loss, replica("r" + i), i * SECOND / 10);
             mDetector.onUnreachable(replica("r" + i), i * SECOND / 10);
         }
--- a/src/test/java/org/fescueport/internal/direct/place/PartStrikesTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/PartStrikesTest.java
@@ -67,15 +67,23 @@
     @Test
     void shouldClearAPartThatIsAnsweredAndKeepItCleared() {
         crash(DEADLY, 1, 2);
-        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0), hasSize(2));
-        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0), hasSize(0));
+        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0, 0), hasSize(2));
+        assertThat(mStrikes.onAnswered(DEADLY.hash(), 0, 0), hasSize(0));
         crash(DEADLY, 1, 2);
         assertThat(mStrikes.admit(List.of(DEADLY), 0), is(ALLOWED));
     }
 
+    @Test
+    void shouldNotClearACrashForARequestThatWasSentBeforeIt() {
+        mStrikes.add(strike(DEADLY, 1), SECOND);
+        mStrikes.add(strike(DEADLY, 2), 2 * SECOND);
+        assertThat(mStrikes.onAnswered(DEADLY.hash(), SECOND / 2, 3 * SECOND), hasSize(0));
+        assertThat(mStrikes.admit(List.of(DEADLY), 2 * SECOND), is(REFUSED));
+    }
+
     @Test
     void shouldKnowAPartAsSoundForAShortTime() {
-        mStrikes.onAnswered(SOUND.hash(), 0);
+        mStrikes.onAnswered(SOUND.hash(), 0, 0);
         assertThat(mStrikes.isSound(SOUND.hash(), SECOND), is(true));
         assertThat(mStrikes.isSound(SOUND.hash(), 10 * SECOND), is(false));
     }
@@ -183,9 +191,9 @@
     @Test
     void shouldCountCrashesBehindManyClearedOnes() {
         crash(DEADLY, 1, 40);
-        mStrikes.onAnswered(DEADLY.hash(), 0);
+        mStrikes.onAnswered(DEADLY.hash(), 0, 0);
         crash(DEADLY, 41, 80);
-        mStrikes.onAnswered(DEADLY.hash(), 0);
+        mStrikes.onAnswered(DEADLY.hash(), 0, 0);
         crash(DEADLY, 81, 82);
         assertThat(mStrikes.admit(List.of(DEADLY), 0), is(REFUSED));
     }
@@ -207,7 +215,7 @@
     @Test
     void shouldAgreeAtAllNodesWhateverTheOrderInWhichStrikesArrive() {
         crash(DEADLY, 1, 4);
-        mStrikes.onAnswered(DEADLY.hash(), 0);
+        mStrikes.onAnswered(DEADLY.hash(), 0, 0);
         crash(DEADLY, 5, 6);
         for (int order = 0; order < 20; order++) {
             List<PartStrike> shuffled = new ArrayList<>(mStrikes.all(0));
@@ -279,7 +287,7 @@
         for (int life = 1; life <= 4; life++) {
             crashInAnswer(SOUND, life, life * SECOND);
         }
-        assertThat(mStrikes.onAnswered(SOUND.hash(), 5 * SECOND), hasSize(4));
+        assertThat(mStrikes.onAnswered(SOUND.hash(), 5 * SECOND, 5 * SECOND), hasSize(4));
         assertThat(mStrikes.admit(List.of(SOUND), 5 * SECOND), is(ALLOWED));
     }
 
