Red test: a deadly part of sessions that crashes replicas 2.5 s into the answer

Two comments now say what the code does: answered parts go last, and crashes at one time count once.

--- a/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
+++ b/src/main/java/org/fescueport/internal/direct/place/CrashAttribution.java
@@ -22,9 +22,9 @@
  * or all together, so only requests that have them all are refused. A crash that a culprit explains
  * does not count against other parts, which were only in its company. Crashes before an answer are
  * explained first, as few parts were in progress, then those that are left together with those
- * inside answers. Culprits are found in the order of their crashes, the most first; while two with
- * equally many share some, or others were in all crashes of one and in more, it is not known which
- * is the cause.
+ * inside answers. Parts that were never answered go first, then those with the most crashes; while
+ * two with equally many share some, or others were in all crashes of one and in more, it is not
+ * known which is the cause.
  */
 final class CrashAttribution {
     /** Number of crashes before an answer from which a part is refused; one may be chance. */
--- a/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
+++ b/src/main/java/org/fescueport/internal/direct/place/PartStrikes.java
@@ -35,8 +35,7 @@
 final class PartStrikes {
     /**
      * Number of crashes from which a refused part is hardly tried any more, as is one that replicas
-     * crashed with inside answers; there may have been more, as only the first loss of a request
-     * counts.
+     * crashed with inside answers; there may have been more, as those at one time count once.
      */
     static final int MANY_CRASHES = 4;
 
--- a/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/CrashingPartModelTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -415,6 +416,14 @@
         }
     }
 
+    @ParameterizedTest
+    @EnumSource(
+            value = Place.class,
+            names = {"SHARED_BEFORE_SESSION", "SESSION"})
+    void shouldRefuseADeadlyPartOfSessionsInTimeLateInTheirAnswers(Place place) {
+        shouldRefuseTheDeadlyPartAndNoSoundSession(5, 2_500, place);
+    }
+
     @ParameterizedTest
     @CsvSource({"1, SINGLE_KILLS", "5, SINGLE_KILLS", "1, DOMAIN_LOSSES", "5, DOMAIN_LOSSES"})
     void shouldRefuseNoSessionForCrashesWithAnotherCause(int nodes, Outside outside) {
