Read how long work takes on a replica's machine, and keep it smoothed

Cause: replicas that share their machines report it as the fourth figure of their load, and it was dropped. Change: the load of a response carries it, ReplicaSpeeds smooths it.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -25,6 +25,7 @@
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
 import org.fescueport.internal.direct.forward.CallerQuota;
@@ -140,6 +141,7 @@
                         parts.loop(), parts.protocol(), parts.clock(), mRandom);
         mColdReplicaLimiter = ColdReplicaLimiter.create(mRandom);
         var loads = ReplicaLoads.create();
+        var speeds = ReplicaSpeeds.create();
         var notices = ReplicaNotices.create();
         var chooser =
                 ReplicaChooser.create(
@@ -151,6 +153,7 @@
                     var present = mView.replicaIds();
                     chooser.onReplicasChanged();
                     loads.retain(present);
+                    speeds.retain(present);
                     health.retain(present);
                 });
         mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
@@ -167,6 +170,7 @@
                         mConnectionPools,
                         chooser,
                         loads,
+                        speeds,
                         notices,
                         health,
                         mAdmissionControl,
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -132,6 +132,11 @@
                         load -> {
                             int held = load.running() + load.waiting();
                             mContext.loads().onReport(mReplica.id(), held, now);
+                            load.workPercent()
+                                    .ifPresent(
+                                            percent ->
+                                                    mContext.speeds()
+                                                            .onReport(mReplica.id(), percent, now));
                         });
         mExchange.onHead(this, head);
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -6,6 +6,7 @@
 import org.fescueport.internal.decision.admission.ResponseTimes;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
 import org.fescueport.internal.direct.place.ReplicaChooser;
@@ -21,6 +22,7 @@
         ReplicaConnectionPools connectionPools,
         ReplicaChooser chooser,
         ReplicaLoads loads,
+        ReplicaSpeeds speeds,
         ReplicaNotices notices,
         ReplicaLiveness health,
         AdmissionControl admissionControl,
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fescueport.internal.decision.placement.ReplicaNotice;
 
@@ -46,8 +47,10 @@
      * @param running requests that it is processing
      * @param waiting requests that wait there
      * @param slots requests that it can process at the same time
+     * @param workPercent how long work takes on its machine at present, in percent of the usual;
+     *     absent if it does not tell
      */
-    public record Load(int running, int waiting, int slots) {}
+    public record Load(int running, int waiting, int slots, OptionalInt workPercent) {}
 
     /**
      * Returns whether callers take this status to mean that the request has not run and never will.
