--- a/src/main/java/org/fescueport/internal/decision/admission/FairQueue.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/FairQueue.java
@@ -25,16 +25,18 @@
         final long mId;
         final TreeSet<QueueEntry> mEntries = new TreeSet<>(QueueEntry.BY_DEADLINE);
         double mStartTag;
+        double mWeight;
         long mTokens;
 
         Backlog(TeamState team, long id, double startTag) {
             mTeam = team;
             mId = id;
             mStartTag = startTag;
+            mWeight = team.mWeight;
         }
 
         double weightedTokens() {
-            return mTokens / mTeam.mWeight;
+            return mTokens / mWeight;
         }
     }
 
@@ -112,6 +114,18 @@
         mFinishTags.put(team.mTeam, start + waiting.loadTokens() / team.mWeight);
     }
 
+    /** Prepares for a change of a team's weight, which must follow at once. */
+    void onWeight(TeamState team, double weight) {
+        var backlog = mBacklogs.get(team.mTeam);
+        if (backlog == null) {
+            return;
+        }
+        mByWeightedTokens.remove(backlog);
+        mTotalWeight += weight - team.mWeight;
+        backlog.mWeight = weight;
+        mByWeightedTokens.add(backlog);
+    }
+
     /** Forgets a team that has been idle for a long time. */
     void forget(TeamId team) {
         mFinishTags.remove(team);
@@ -163,7 +177,7 @@
         var waiting = backlog.mEntries.first();
         double start = backlog.mStartTag;
         mVirtualTime = Math.max(mVirtualTime, start);
-        double finish = start + waiting.loadTokens() / backlog.mTeam.mWeight;
+        double finish = start + waiting.loadTokens() / backlog.mWeight;
         Invariants.check(
                 finish > start, "virtual time of team %s does not advance", backlog.mTeam.mTeam);
         mByStartTag.remove(backlog);
@@ -182,7 +196,7 @@
         if (backlog.mEntries.isEmpty()) {
             mBacklogs.remove(backlog.mTeam.mTeam);
             mByStartTag.remove(backlog);
-            mTotalWeight = mBacklogs.isEmpty() ? 0 : mTotalWeight - backlog.mTeam.mWeight;
+            mTotalWeight = mBacklogs.isEmpty() ? 0 : mTotalWeight - backlog.mWeight;
         } else {
             mByWeightedTokens.add(backlog);
         }
--- a/src/main/java/org/fescueport/internal/decision/admission/FlowLimit.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/FlowLimit.java
@@ -14,7 +14,7 @@
  * response times only later. While the replicas have capacity, there is no limit. This class is not
  * thread-safe.
  */
-final class FlowLimit {
+final class FlowLimit implements SendLimit {
     /** Weight of a new sample in the moving averages, if the response came too late. */
     private static final double DECREASE_SMOOTHING = 0.2;
 
@@ -39,7 +39,7 @@
      * Fraction of the latency objective within which a replica that is not overloaded sends the
      * first byte.
      */
-    static final double FIRST_BYTE_FRACTION = 0.65;
+    private static final double FIRST_BYTE_FRACTION = 0.65;
 
     /** Fraction of an equal share of all slots that each node may use regardless of the limit. */
     private static final double MIN_LIMIT_FRACTION = 0.4;
@@ -83,43 +83,46 @@
         mMechanisms = mechanisms;
     }
 
-    /** Sets the total number of slots of all replicas and the number of nodes. */
-    void onCapacity(double slots, int nodes) {
+    @Override
+    public void onCapacity(double slots, int nodes) {
         mMinLimit = Math.max(1, MIN_LIMIT_FRACTION * slots / nodes);
         mOccupancyPerRequest = nodes / Math.max(1, slots);
     }
 
-    /** Sets the requests in flight at the replicas per slot; 0 if they are unknown. */
-    void onOccupancy(double requestsPerSlot) {
+    @Override
+    public void onOccupancy(double requestsPerSlot) {
         mOccupancy = mMechanisms.isEnabled(Mechanism.TOLD_LOAD_LIMIT) ? requestsPerSlot : 0;
     }
 
-    /**
-     * Adjusts the limit to the time to the first byte of a response.
-     *
-     * @param inFlight requests that this node has in flight to the replicas
-     * @param hasQueued whether offers are queued at this node
-     */
-    void onTimeToFirstByte(
-            long firstByteNanos, long objectiveNanos, int inFlight, boolean hasQueued) {
+    @Override
+    public void onFirstByte(
+            long firstByteNanos,
+            long objectiveNanos,
+            SentLoad load,
+            boolean hasQueued,
+            long nowNanos) {
         update(
                 FIRST_BYTE_FRACTION * objectiveNanos / Math.max(1, firstByteNanos),
-                inFlight,
+                load.inFlight(),
                 hasQueued);
     }
 
-    /** Adjusts the limit after a replica has refused a request for lack of capacity. */
-    void onReplicaFull(int inFlight) {
-        update(REJECTION_FACTOR, inFlight, true);
+    @Override
+    public void onReplicaFull(SentLoad load) {
+        update(REJECTION_FACTOR, load.inFlight(), true);
     }
 
-    /** Returns whether a limit is in force. */
-    boolean isActive() {
+    @Override
+    public void onMissed(long nowNanos) {}
+
+    @Override
+    public boolean isActive(long nowNanos) {
         return mLimit != Double.POSITIVE_INFINITY || mOccupancy >= MAX_OCCUPANCY;
     }
 
-    /** Returns whether one more request may be sent. */
-    boolean admits(int inFlight) {
+    @Override
+    public boolean admits(SentLoad load, long nowNanos) {
+        int inFlight = load.inFlight();
         if (inFlight + 1 <= mMinLimit) {
             return true;
         }
@@ -127,7 +130,8 @@
     }
 
     /** Records a sent request; assumes that each of the other nodes has sent one as well. */
-    void onSent() {
+    @Override
+    public void onSent() {
         if (mOccupancy > 0) {
             mOccupancy += mOccupancyPerRequest;
         }
@@ -137,17 +141,29 @@
      * Records the end of a request and advances the dither, so that the fractional part of the
      * limit admits one more request for that fraction of the time.
      */
-    void onEnded() {
+    @Override
+    public void onEnded() {
         mDither = (mDither + DITHER_STEP) % 1;
     }
 
+    @Override
+    public boolean admitsLate(SentLoad load, long nowNanos) {
+        return load.inFlight() < LATE_FRACTION * Math.max(mMinLimit, mLimit)
+                && mOccupancy < LATE_FRACTION * MAX_OCCUPANCY;
+    }
+
+    @Override
+    public boolean hasProspectForLate(long nowNanos) {
+        return true;
+    }
+
     /**
-     * Returns whether there is so much capacity that a late request takes none from those that can
-     * be in time.
+     * The expected time to the first byte counts only up to a fraction of the objective, since the
+     * limit brings the replicas back to that.
      */
-    boolean admitsLate(int inFlight) {
-        return inFlight < LATE_FRACTION * Math.max(mMinLimit, mLimit)
-                && mOccupancy < LATE_FRACTION * MAX_OCCUPANCY;
+    @Override
+    public long reservedNanos(long objectiveNanos, UrgencyClass times) {
+        return (long) Math.min(FIRST_BYTE_FRACTION * objectiveNanos, times.firstByteNanos());
     }
 
     private void update(double sample, int inFlight, boolean hasQueued) {
--- a/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/PoolAdmission.java
@@ -14,6 +14,8 @@
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.Work;
+import org.fescueport.internal.decision.share.DecayingRate;
+import org.fescueport.internal.decision.share.NodeShare;
 
 /**
  * Decides which requests one node sends to the replicas of a pool, and when.
@@ -77,35 +79,50 @@
      */
     private static final double LATE_RETRY_FRACTION = 0.15;
 
+    /**
+     * Fraction of the time left until its deadline within which a caller is asked to return, so
+     * that it can still be answered then.
+     */
+    private static final double RETURN_FRACTION = 0.3;
+
+    /** Fraction of the send rate that is promised to returning callers in a lasting overload. */
+    private static final double MIN_SPARE_FRACTION = 0.1;
+
     private static final double RATE_TIME_CONSTANT_SECONDS = 1;
     private static final double MIN_RATE_PER_SECOND = 1;
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
     private static final long MAX_RETRY_AFTER_MILLIS = 4_000;
-    private static final double EQUAL_WEIGHT = 1;
-
-    private record SentOffer(PoolOffer offer, long sentAtNanos) {}
 
     private final Mechanisms mMechanisms;
-    private final FlowLimit mFlowLimit;
     private final TreeMap<Integer, UrgencyClass> mClasses = new TreeMap<>();
     private final FairQueue mLateQueue = new FairQueue();
+
+    /** Offers of teams that ask for no more than their share; sent before all others. */
+    private final FairQueue mGrantedQueue = new FairQueue();
+
+    private final Map<AttemptId, FairQueue> mInTimeQueues = new HashMap<>();
     private final TeamRegistry mTeams = new TeamRegistry(this::forget);
     private final Map<AttemptId, PoolOffer> mQueuedOffers = new HashMap<>();
     private final Map<AttemptId, QueueEntry> mInTimeEntries = new HashMap<>();
     private final Map<AttemptId, QueueEntry> mLateEntries = new HashMap<>();
     private final TreeSet<QueueEntry> mByLatestStart = new TreeSet<>(QueueEntry.BY_LATEST_START);
-    private final Map<AttemptId, SentOffer> mInFlight = new HashMap<>();
+    private final InFlightOffers mInFlight = new InFlightOffers();
     private final DecayingRate mEndRate;
     private final DecayingRate mSendRate;
+    private final DecayingRate mOfferRate;
+    private final ReturnSchedule mReturns = new ReturnSchedule();
+    private SendLimit mLimit;
+    private NodeShare mShare = NodeShare.NONE;
     private long mSequence;
     private int mSendCount;
     private boolean mDraining;
 
     private PoolAdmission(Mechanisms mechanisms, long nowNanos) {
         mMechanisms = mechanisms;
-        mFlowLimit = new FlowLimit(mechanisms);
+        mLimit = new FlowLimit(mechanisms);
         mEndRate = new DecayingRate(RATE_TIME_CONSTANT_SECONDS, nowNanos);
         mSendRate = new DecayingRate(RATE_TIME_CONSTANT_SECONDS, nowNanos);
+        mOfferRate = new DecayingRate(RATE_TIME_CONSTANT_SECONDS, nowNanos);
     }
 
     /** Returns an admission for idle replicas, with all mechanisms enabled. */
@@ -118,19 +135,43 @@
         return new PoolAdmission(mechanisms, nowNanos);
     }
 
+    /**
+     * Limits from now on the requests that wait for the first byte of their response, in place of
+     * the requests in flight; see {@link StartLimit}.
+     */
+    public void limitStarts(long nowNanos) {
+        if (mLimit instanceof FlowLimit) {
+            mLimit = new StartLimit(nowNanos);
+        }
+    }
+
+    /** Sets what this node may take of the replicas, and each team at this node. */
+    public void onShare(NodeShare share) {
+        mShare = share;
+        if (mLimit instanceof StartLimit starts) {
+            starts.onShareFactor(share.limitFactor());
+        }
+        mTeams.forEach(team -> setWeight(team, share.weight(team.mTeam)));
+    }
+
+    /** Returns whether offers that could have been in time were not sent lately. */
+    public boolean isShort(long nowNanos) {
+        return mLimit instanceof StartLimit starts && starts.isShort(nowNanos);
+    }
+
     /** Sets the total number of slots of all replicas and the number of nodes that send to them. */
     public void onCapacity(double slots, int nodes) {
-        mFlowLimit.onCapacity(slots, nodes);
+        mLimit.onCapacity(slots, nodes);
     }
 
     /** Sets the requests in flight at the replicas per slot; 0 if they do not report them. */
     public void onOccupancy(double requestsPerSlot) {
-        mFlowLimit.onOccupancy(requestsPerSlot);
+        mLimit.onOccupancy(requestsPerSlot);
     }
 
     /** Records that a replica has refused a request for lack of capacity. */
-    public void onReplicaFull() {
-        mFlowLimit.onReplicaFull(mInFlight.size());
+    public void onReplicaFull(long nowNanos) {
+        mLimit.onReplicaFull(mInFlight.load(nowNanos));
     }
 
     /**
@@ -139,23 +180,28 @@
      * @param sentNanos time at which the request was sent to the replica that responds
      */
     public void onFirstByte(AttemptId id, long sentNanos, long nowNanos) {
-        SentOffer sent = mInFlight.get(id);
-        if (sent != null) {
-            long elapsedNanos = nowNanos - sentNanos;
-            classOf(sent.offer(), nowNanos).onFirstByte(elapsedNanos);
-            mFlowLimit.onTimeToFirstByte(
-                    elapsedNanos, sent.offer().objectiveNanos(), mInFlight.size(), waiting() > 0);
-        }
+        mInFlight.onFirstByte(id).ifPresent(sent -> onFirstByte(sent, sentNanos, nowNanos));
+    }
+
+    private void onFirstByte(InFlightOffers.Sent sent, long sentNanos, long nowNanos) {
+        long elapsedNanos = nowNanos - sentNanos;
+        classOf(sent.offer(), nowNanos).onFirstByte(elapsedNanos);
+        mLimit.onFirstByte(
+                elapsedNanos,
+                sent.offer().objectiveNanos(),
+                mInFlight.load(nowNanos),
+                waiting() > 0,
+                nowNanos);
     }
 
     /** Records that a request in flight has ended, with whatever outcome. */
     public void onEnded(AttemptId id, long nowNanos) {
-        SentOffer sent = mInFlight.remove(id);
-        if (sent == null) {
-            return;
-        }
+        mInFlight.remove(id).ifPresent(sent -> onEnded(sent, nowNanos));
+    }
+
+    private void onEnded(InFlightOffers.Sent sent, long nowNanos) {
         mEndRate.add(nowNanos);
-        mFlowLimit.onEnded();
+        mLimit.onEnded();
         mTeams.get(sent.offer().team()).mRunning--;
         classOf(sent.offer(), nowNanos).onEnded(nowNanos - sent.sentAtNanos());
     }
@@ -183,16 +229,17 @@
     }
 
     /** Returns whether a limit is in force, so that offers may be queued or refused. */
-    public boolean isLimited() {
-        return mFlowLimit.isActive();
+    public boolean isLimited(long nowNanos) {
+        return mLimit.isActive(nowNanos);
     }
 
     /** Decides about an offer; its id must not belong to a queued or sent request. */
     public AdmissionDecision offer(PoolOffer offer, long nowNanos) {
         Invariants.check(!isKnown(offer.id()), "request %s was offered twice", offer.id());
         mTeams.prune(nowNanos);
-        var team = mTeams.touch(offer.team(), EQUAL_WEIGHT, nowNanos);
+        var team = mTeams.touch(offer.team(), mShare.weight(offer.team()), nowNanos);
         UrgencyClass urgency = classOf(offer, nowNanos);
+        mOfferRate.add(nowNanos);
         urgency.onOffered(nowNanos);
         if (maySendNow(offer, urgency, nowNanos)) {
             urgency.mQueue.charge(team, newInTimeEntry(offer, urgency));
@@ -200,10 +247,14 @@
             return new AdmissionDecision.Admitted();
         }
         long waitNanos = expectedWaitNanos(urgency, team, offer, nowNanos);
-        if (waitNanos <= SAFE_WAIT_FRACTION * (latestInTimeStart(offer, urgency) - nowNanos)) {
+        long untilLatestStart = latestInTimeStart(offer, urgency) - nowNanos;
+        if (waitNanos <= SAFE_WAIT_FRACTION * untilLatestStart) {
             enqueue(newInTimeEntry(offer, urgency), offer, team, false);
             return new AdmissionDecision.Queued(TimeUnit.NANOSECONDS.toMillis(waitNanos));
         }
+        if (untilLatestStart >= 0) {
+            mLimit.onMissed(nowNanos);
+        }
         return offerLate(offer, urgency, team, nowNanos);
     }
 
@@ -214,7 +265,7 @@
 
     /** Returns whether no request is in flight and no offer is queued. */
     public boolean isIdle() {
-        return mInFlight.isEmpty() && waiting() == 0;
+        return mInFlight.size() == 0 && waiting() == 0;
     }
 
     /** Returns the offers to send now, and drops those that no longer have any prospect. */
@@ -233,20 +284,40 @@
     }
 
     private boolean maySendNow(PoolOffer offer, UrgencyClass urgency, long nowNanos) {
-        int inFlight = mInFlight.size();
+        SentLoad load = mInFlight.load(nowNanos);
         boolean late = latestInTimeStart(offer, urgency) - nowNanos < 0;
-        return !hasEquallyUrgentQueued(offer.urgency())
-                && mFlowLimit.admits(inFlight)
-                && (!late || (mLateQueue.isEmpty() && mFlowLimit.admitsLate(inFlight)));
+        return !hasQueuedBefore(offer)
+                && admits(offer.team(), load, nowNanos)
+                && (!late || (mLateQueue.isEmpty() && mLimit.admitsLate(load, nowNanos)));
     }
 
-    /** Returns whether an offer that can be in time and is at least as urgent is queued. */
-    private boolean hasEquallyUrgentQueued(int urgency) {
-        return mClasses.headMap(urgency, true).values().stream().anyMatch(c -> !c.mQueue.isEmpty());
+    private boolean admits(TeamId team, SentLoad load, long nowNanos) {
+        return mLimit.admits(load, nowNanos)
+                || (mShare.isGranted(team) && admitsGranted(load, nowNanos));
+    }
+
+    private boolean admitsGranted(SentLoad load, long nowNanos) {
+        return mLimit instanceof StartLimit starts && starts.admitsGranted(load, nowNanos);
+    }
+
+    /** Returns whether an offer is queued that can be in time and goes before this one. */
+    private boolean hasQueuedBefore(PoolOffer offer) {
+        if (!mGrantedQueue.isEmpty()) {
+            return true;
+        }
+        return !mShare.isGranted(offer.team())
+                && mClasses.headMap(offer.urgency(), true).values().stream()
+                        .anyMatch(each -> !each.mQueue.isEmpty());
+    }
+
+    private FairQueue inTimeQueue(PoolOffer offer) {
+        return mShare.isGranted(offer.team())
+                ? mGrantedQueue
+                : mClasses.get(offer.urgency()).mQueue;
     }
 
     private boolean isKnown(AttemptId id) {
-        return mQueuedOffers.containsKey(id) || mInFlight.containsKey(id);
+        return mQueuedOffers.containsKey(id) || mInFlight.contains(id);
     }
 
     private UrgencyClass classOf(PoolOffer offer, long nowNanos) {
@@ -263,7 +334,8 @@
         if (mDraining) {
             return new AdmissionDecision.Refused(RefusalReason.LEAVING, retryMillis);
         }
-        if (!mMechanisms.isEnabled(Mechanism.LATE_QUEUE)) {
+        boolean queues = mMechanisms.isEnabled(Mechanism.LATE_QUEUE);
+        if (!queues || !mLimit.hasProspectForLate(nowNanos)) {
             return new AdmissionDecision.Refused(RefusalReason.DEADLINE, retryMillis);
         }
         long latestNanos = latestLateStart(offer, urgency, nowNanos);
@@ -289,6 +361,10 @@
     /** Returns how long an offer would be queued behind those that are sent before it. */
     private long expectedWaitNanos(
             UrgencyClass urgency, TeamState team, PoolOffer offer, long nowNanos) {
+        if (mShare.isGranted(offer.team())) {
+            double granted = mGrantedQueue.tokensAhead(team, offer.objectiveDeadlineNanos());
+            return (long) (granted / sendRatePerSecond(nowNanos) * TimeUnit.SECONDS.toNanos(1));
+        }
         double ahead = urgency.mQueue.tokensAhead(team, offer.objectiveDeadlineNanos());
         double rate = Math.max(MIN_RATE_PER_SECOND, sendRatePerSecond(urgency, nowNanos));
         return (long) (ahead / rate * TimeUnit.SECONDS.toNanos(1));
@@ -326,6 +402,9 @@
      * that is late by then loses nothing by an even later retry, which may find more capacity.
      */
     private long retryAfterMillis(PoolOffer offer, UrgencyClass urgency, long nowNanos) {
+        if (mLimit instanceof StartLimit) {
+            return scheduledReturnMillis(offer, nowNanos);
+        }
         double backlogMillis = 1_000.0 * (waiting() + 1) / sendRatePerSecond(nowNanos);
         long leftMillis = TimeUnit.NANOSECONDS.toMillis(offer.deadlineNanos() - nowNanos);
         long latestStartMillis =
@@ -337,19 +416,42 @@
         return Math.clamp((long) millis, MIN_RETRY_AFTER_MILLIS, MAX_RETRY_AFTER_MILLIS);
     }
 
+    /**
+     * Returns when there is room for the offer that has not been promised to another one; the
+     * arrivals of the recent past are expected to go on.
+     */
+    private long scheduledReturnMillis(PoolOffer offer, long nowNanos) {
+        double sent = sendRatePerSecond(nowNanos);
+        double spare = Math.max(0, sent - mOfferRate.perSecond(nowNanos));
+        long backlogNanos = (long) (waiting() / sent * TimeUnit.SECONDS.toNanos(1));
+        long leftNanos = offer.deadlineNanos() - nowNanos;
+        long delayNanos =
+                mReturns.reserve(
+                        backlogNanos,
+                        (long) (RETURN_FRACTION * leftNanos),
+                        Math.max(MIN_SPARE_FRACTION * sent, spare),
+                        nowNanos);
+        return Math.clamp(
+                TimeUnit.NANOSECONDS.toMillis(delayNanos),
+                MIN_RETRY_AFTER_MILLIS,
+                MAX_RETRY_AFTER_MILLIS);
+    }
+
+    private void setWeight(TeamState team, double weight) {
+        mClasses.values().forEach(each -> each.mQueue.onWeight(team, weight));
+        mGrantedQueue.onWeight(team, weight);
+        mLateQueue.onWeight(team, weight);
+        mTeams.setWeight(team, weight);
+    }
+
     private QueueEntry newInTimeEntry(PoolOffer offer, UrgencyClass urgency) {
         return waiting(offer, offer.objectiveDeadlineNanos(), latestInTimeStart(offer, urgency));
     }
 
-    /**
-     * Returns the latest time at which an offer can be sent and still be in time. The expected time
-     * to the first byte counts only up to a fraction of the objective, since {@link FlowLimit}
-     * brings the replicas back to that.
-     */
-    private static long latestInTimeStart(PoolOffer offer, UrgencyClass urgency) {
-        double limitedNanos = FlowLimit.FIRST_BYTE_FRACTION * offer.objectiveNanos();
+    /** Returns the latest time at which an offer can be sent and still be in time. */
+    private long latestInTimeStart(PoolOffer offer, UrgencyClass urgency) {
         return offer.objectiveDeadlineNanos()
-                - (long) Math.min(limitedNanos, urgency.firstByteNanos());
+                - mLimit.reservedNanos(offer.objectiveNanos(), urgency);
     }
 
     private QueueEntry waiting(PoolOffer offer, long dueNanos, long latestStartNanos) {
@@ -357,7 +459,7 @@
                 new WorkOffer(
                         offer.id(),
                         offer.team(),
-                        EQUAL_WEIGHT,
+                        mShare.weight(offer.team()),
                         offer.urgency(),
                         dueNanos,
                         Work.of(0, 1));
@@ -368,13 +470,17 @@
         AttemptId id = offer.id();
         mQueuedOffers.put(id, offer);
         (late ? mLateEntries : mInTimeEntries).put(id, waiting);
-        (late ? mLateQueue : mClasses.get(offer.urgency()).mQueue).add(team, waiting);
+        FairQueue queue = late ? mLateQueue : inTimeQueue(offer);
+        queue.add(team, waiting);
+        if (!late) {
+            mInTimeQueues.put(id, queue);
+        }
         mByLatestStart.add(waiting);
         team.mQueued++;
     }
 
     private PoolOffer removeQueued(QueueEntry waiting, boolean late) {
-        FairQueue queue = late ? mLateQueue : mClasses.get(waiting.offer().priority()).mQueue;
+        FairQueue queue = late ? mLateQueue : mInTimeQueues.get(waiting.offer().id());
         boolean removed = queue.remove(waiting);
         Invariants.check(removed, "request %s is not queued", waiting.offer().id());
         return untrack(waiting);
@@ -383,6 +489,7 @@
     private PoolOffer untrack(QueueEntry waiting) {
         AttemptId id = waiting.offer().id();
         mInTimeEntries.remove(id);
+        mInTimeQueues.remove(id);
         mLateEntries.remove(id);
         mByLatestStart.remove(waiting);
         mTeams.get(waiting.offer().team()).mQueued--;
@@ -405,6 +512,9 @@
     private void requeueOrDrop(
             QueueEntry expired, boolean late, long nowNanos, List<PoolPollResult.Dropped> dropped) {
         PoolOffer offer = removeQueued(expired, late);
+        if (!late) {
+            mLimit.onMissed(nowNanos);
+        }
         UrgencyClass urgency = classOf(offer, nowNanos);
         var team = mTeams.get(offer.team());
         boolean requeued =
@@ -419,14 +529,18 @@
 
     /** Returns the queue to send the next request from; empty while none may be sent. */
     private Optional<FairQueue> nextQueue(long nowNanos) {
-        int inFlight = mInFlight.size();
-        if (!mFlowLimit.admits(inFlight)) {
+        SentLoad load = mInFlight.load(nowNanos);
+        if (!mGrantedQueue.isEmpty() && admitsGranted(load, nowNanos)) {
+            return Optional.of(mGrantedQueue);
+        }
+        if (!mLimit.admits(load, nowNanos)) {
             return Optional.empty();
         }
-        boolean hasCapacityForLate = !mLateQueue.isEmpty() && mFlowLimit.admitsLate(inFlight);
+        boolean hasCapacityForLate = !mLateQueue.isEmpty() && mLimit.admitsLate(load, nowNanos);
         boolean isLateTurn =
                 !mLateQueue.isEmpty()
                         && !mInTimeEntries.isEmpty()
+                        && mLimit.hasProspectForLate(nowNanos)
                         && (mSendCount + 1) % LATE_INTERVAL == 0;
         Optional<FairQueue> inTime = mostUnderserved(nowNanos).map(urgency -> urgency.mQueue);
         return isLateTurn || (inTime.isEmpty() && hasCapacityForLate)
@@ -461,15 +575,16 @@
     }
 
     private void send(PoolOffer offer, TeamState team, long nowNanos) {
-        mInFlight.put(offer.id(), new SentOffer(offer, nowNanos));
+        mInFlight.add(offer, nowNanos);
         team.mRunning++;
         mSendRate.add(nowNanos);
-        mFlowLimit.onSent();
+        mLimit.onSent();
         classOf(offer, nowNanos).onSent(nowNanos);
     }
 
     private void forget(TeamId team) {
         mClasses.values().forEach(each -> each.mQueue.forget(team));
+        mGrantedQueue.forget(team);
         mLateQueue.forget(team);
     }
 }
--- a/src/main/java/org/fescueport/internal/decision/admission/TeamRegistry.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/TeamRegistry.java
@@ -42,6 +42,16 @@
         return state;
     }
 
+    /** Sets the weight of a team; its queues must have been updated. */
+    void setWeight(TeamState team, double weight) {
+        mTotalWeight += weight - team.mWeight;
+        team.mWeight = weight;
+    }
+
+    void forEach(Consumer<TeamState> action) {
+        mTeams.values().forEach(action);
+    }
+
     TeamState get(TeamId team) {
         return mTeams.get(team);
     }
--- a/src/main/java/org/fescueport/internal/decision/admission/UrgencyClass.java
+++ b/src/main/java/org/fescueport/internal/decision/admission/UrgencyClass.java
@@ -1,5 +1,7 @@
 package org.fescueport.internal.decision.admission;
 
+import org.fescueport.internal.decision.share.DecayingRate;
+
 /** The requests of one urgency at one pool: the queue, and how many were sent recently. */
 final class UrgencyClass {
     private static final double RATE_TIME_CONSTANT_SECONDS = 2;
@@ -11,6 +13,7 @@
     private final DecayingRate mOffered;
     private final DecayingRate mSent;
     private double mFirstByteNanos;
+    private double mDeviationNanos;
     private double mServiceTimeNanos;
 
     UrgencyClass(long nowNanos) {
@@ -27,6 +30,7 @@
     }
 
     void onFirstByte(long nanos) {
+        mDeviationNanos += SMOOTHING * (Math.abs(nanos - mFirstByteNanos) - mDeviationNanos);
         mFirstByteNanos += SMOOTHING * (nanos - mFirstByteNanos);
     }
 
@@ -39,6 +43,11 @@
         return (long) mFirstByteNanos;
     }
 
+    /** Returns the mean deviation from {@link #firstByteNanos}. */
+    long firstByteDeviationNanos() {
+        return (long) mDeviationNanos;
+    }
+
     /** Returns the expected time from sending a request to its end. */
     long serviceTimeNanos() {
         return (long) mServiceTimeNanos;
--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaSpeeds.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaSpeeds.java
@@ -26,11 +26,23 @@
     private final Map<NodeId, Double> mSlowness = new HashMap<>();
     private boolean mAnyReported;
 
-    private ReplicaSpeeds() {}
+    private ReplicaSpeeds(boolean declared) {
+        mAnyReported = declared;
+    }
 
     /** Returns a tracker without any reports. */
     public static ReplicaSpeeds create() {
-        return new ReplicaSpeeds();
+        return new ReplicaSpeeds(false);
+    }
+
+    /**
+     * Returns a tracker without any reports.
+     *
+     * @param declared whether the settings say that the replicas are shared, so that {@link
+     *     #isAnyReported} holds before the first report
+     */
+    public static ReplicaSpeeds create(boolean declared) {
+        return new ReplicaSpeeds(declared);
     }
 
     /**
@@ -44,7 +56,10 @@
         mSlowness.merge(replica, told, (mean, latest) -> mean + SMOOTHING * (latest - mean));
     }
 
-    /** Returns whether any replica has reported, now or earlier, so that machines are shared. */
+    /**
+     * Returns whether any replica has reported, now or earlier, or the settings say so: the
+     * replicas, or their machines, are shared by more load than they can take at times.
+     */
     public boolean isAnyReported() {
         return mAnyReported;
     }
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -20,6 +20,7 @@
 import java.util.function.Supplier;
 import org.fescueport.internal.decision.Mechanisms;
 import org.fescueport.internal.decision.NodeId;
+import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.admission.ResponseTimes;
 import org.fescueport.internal.decision.attempt.AgentIncarnation;
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
@@ -28,6 +29,7 @@
 import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
+import org.fescueport.internal.direct.forward.AdmissionMetrics;
 import org.fescueport.internal.direct.forward.CallerQuota;
 import org.fescueport.internal.direct.forward.CrashCheck;
 import org.fescueport.internal.direct.forward.Forwarder;
@@ -141,7 +143,7 @@
                         parts.loop(), parts.protocol(), parts.clock(), mRandom);
         mColdReplicaLimiter = ColdReplicaLimiter.create(mRandom);
         var loads = ReplicaLoads.create();
-        var speeds = ReplicaSpeeds.create();
+        var speeds = ReplicaSpeeds.create(settings.sharedReplicas());
         var notices = ReplicaNotices.create();
         var chooser =
                 ReplicaChooser.create(
@@ -156,7 +158,14 @@
                     speeds.retain(present);
                     health.retain(present);
                 });
-        mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
+        mAdmissionControl =
+                AdmissionControl.create(
+                        mView,
+                        loads,
+                        speeds,
+                        mPeers.demand(),
+                        AdmissionMetrics.create(parts.registry()),
+                        parts.mechanisms());
         mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create(mRandom);
         crashes.onNodes(NODES_WHILE_UNKNOWN);
@@ -367,6 +376,7 @@
     private void sweep() {
         refreshAfterClockGap();
         mPeers.tick(mReader.isStoreReachable());
+        mAdmissionControl.updateShares(mParts.clock().monotonicTime());
         mForwarder.sweep();
         mShutdown.finishIfIdle(mListener);
     }
@@ -492,6 +502,11 @@
             take(batch, Optional.of(origin));
         }
 
+        @Override
+        public boolean isShort(PoolId pool) {
+            return mAdmissionControl.isShort(pool, mParts.clock().monotonicTime());
+        }
+
         @Override
         public boolean onStrike(PeerStrike strike) {
             long now = mParts.clock().monotonicTime();
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -27,6 +27,8 @@
  * @param loadBalancer what this node may rely on of the load balancer before it
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
+ * @param sharedReplicas whether the replicas are short of capacity at times, so that it is divided
+ *     fairly among the teams
  */
 public record DirectRouterSettings(
         String node,
@@ -45,7 +47,8 @@
         Duration heartbeat,
         LoadBalancerTimes loadBalancer,
         Duration stopTime,
-        MachineLimits limits) {
+        MachineLimits limits,
+        boolean sharedReplicas) {
     public DirectRouterSettings {
         seeds = List.copyOf(seeds);
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/AdmissionControl.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/AdmissionControl.java
@@ -15,6 +15,9 @@
 import org.fescueport.internal.decision.admission.PoolOffer;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
+import org.fescueport.internal.decision.share.FleetDemand;
+import org.fescueport.internal.decision.share.NodeShare;
 import org.fescueport.internal.direct.state.FleetView;
 
 /**
@@ -36,7 +39,7 @@
     private static final TeamId SHARED_TEAM = TeamId.of("");
 
     /** Identifies a request from its admission until its end. */
-    record Ticket(PoolId pool, AttemptId id) {}
+    record Ticket(PoolId pool, TeamId team, AttemptId id) {}
 
     private static final class PoolQueue {
         private final PoolAdmission mAdmission;
@@ -49,6 +52,9 @@
 
     private final FleetView mView;
     private final ReplicaLoads mLoads;
+    private final ReplicaSpeeds mSpeeds;
+    private final FleetDemand<?> mDemand;
+    private final AdmissionMetrics mMetrics;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, PoolQueue> mQueues = new HashMap<>();
     private int mNodes = 1;
@@ -57,16 +63,36 @@
     private boolean mStopping;
     private boolean mAdmittingStopped;
 
-    private AdmissionControl(FleetView view, ReplicaLoads loads, Mechanisms mechanisms) {
+    private AdmissionControl(
+            FleetView view,
+            ReplicaLoads loads,
+            ReplicaSpeeds speeds,
+            FleetDemand<?> demand,
+            AdmissionMetrics metrics,
+            Mechanisms mechanisms) {
         mView = view;
         mLoads = loads;
+        mSpeeds = speeds;
+        mDemand = demand;
+        mMetrics = metrics;
         mMechanisms = mechanisms;
     }
 
-    /** Returns an admission control for the replicas of the view. */
+    /**
+     * Returns an admission control for the replicas of the view.
+     *
+     * @param speeds shows whether the replicas share their machines; if so, the requests that wait
+     *     for the first byte are limited, and capacity is divided fairly among the teams of the
+     *     fleet
+     */
     public static AdmissionControl create(
-            FleetView view, ReplicaLoads loads, Mechanisms mechanisms) {
-        return new AdmissionControl(view, loads, mechanisms);
+            FleetView view,
+            ReplicaLoads loads,
+            ReplicaSpeeds speeds,
+            FleetDemand<?> demand,
+            AdmissionMetrics metrics,
+            Mechanisms mechanisms) {
+        return new AdmissionControl(view, loads, speeds, demand, metrics, mechanisms);
     }
 
     /** Sets the number of nodes that send requests to the same replicas, including this one. */
@@ -74,9 +100,9 @@
         mNodes = nodes;
     }
 
-    /** Returns a new ticket for a request to a pool. */
-    Ticket ticket(PoolId pool) {
-        return new Ticket(pool, AttemptId.of(RequestId.of(0, mNextId++), 1));
+    /** Returns a new ticket for a request of a team to a pool. */
+    Ticket ticket(PoolId pool, TeamId team) {
+        return new Ticket(pool, team, AttemptId.of(RequestId.of(0, mNextId++), 1));
     }
 
     /**
@@ -90,14 +116,47 @@
         }
         PoolQueue queue = queue(ticket.pool(), nowNanos);
         updateLoad(ticket.pool(), queue, nowNanos);
+        if (isCapacityShared()) {
+            queue.mAdmission.limitStarts(nowNanos);
+            mDemand.meter(ticket.pool()).onOffered(ticket.team(), nowNanos);
+        }
         AdmissionDecision decision =
                 queue.mAdmission.offer(withoutDisabledMechanisms(offer), nowNanos);
+        mMetrics.onDecision(decision);
         if (decision instanceof AdmissionDecision.Queued) {
             queue.mWaiting.put(ticket.id(), listener);
         }
         return decision;
     }
 
+    /** Returns whether refused requests are told times at which there is room for each of them. */
+    boolean plansReturns() {
+        return isCapacityShared();
+    }
+
+    /** Returns whether this node holds requests back for lack of capacity in a pool. */
+    public boolean isShort(PoolId pool, long nowNanos) {
+        PoolQueue queue = mQueues.get(pool);
+        return queue != null && queue.mAdmission.isShort(nowNanos);
+    }
+
+    /** Applies what is known of the demand of the fleet. Must be called about once a second. */
+    public void updateShares(long nowNanos) {
+        if (!isCapacityShared()) {
+            return;
+        }
+        mQueues.forEach(
+                (pool, queue) -> {
+                    NodeShare share = mDemand.share(pool, nowNanos);
+                    queue.mAdmission.onShare(share);
+                    mMetrics.onShare(share);
+                });
+    }
+
+    private boolean isCapacityShared() {
+        return mSpeeds.isAnyReported();
+    }
+
     /**
      * Returns the offer without the properties whose mechanisms an experiment has disabled, so that
      * requests that differ only in these are treated alike.
@@ -122,11 +181,14 @@
      */
     void onFirstResponseByte(Ticket ticket, long sentNanos, long nowNanos) {
         queue(ticket.pool(), nowNanos).mAdmission.onFirstByte(ticket.id(), sentNanos, nowNanos);
+        if (isCapacityShared()) {
+            mDemand.meter(ticket.pool()).onStarted(ticket.team(), nowNanos);
+        }
     }
 
     /** Records that a replica refused the request for lack of capacity. */
     void onReplicaFull(Ticket ticket, long nowNanos) {
-        queue(ticket.pool(), nowNanos).mAdmission.onReplicaFull();
+        queue(ticket.pool(), nowNanos).mAdmission.onReplicaFull(nowNanos);
     }
 
     /** Removes a request that has ended for whatever reason, and admits others in its place. */
@@ -175,6 +237,7 @@
     /** Removes the queues of pools that no longer exist. */
     public void sweep() {
         var pools = mView.pools();
+        mDemand.retain(pools);
         mQueues.entrySet()
                 .removeIf(
                         entry ->
@@ -196,6 +259,7 @@
                 queue.mWaiting.remove(offer.id()).onAdmitted();
             }
             for (var expired : step.dropped()) {
+                mMetrics.onDropped();
                 queue.mWaiting
                         .remove(expired.offer().id())
                         .onRefused(Duration.ofMillis(expired.retryAfterMillis()));
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -120,7 +120,7 @@
 
     private void requestAdmission() {
         long now = mContext.nowNanos();
-        mTicket = Optional.of(mContext.admissionControl().ticket(mPool));
+        mTicket = Optional.of(mContext.admissionControl().ticket(mPool, teamId()));
         var offer = mRequestClock.offer(mTicket.get().id(), teamId(), mAccepted.urgency());
         switch (mContext.admissionControl().admit(mTicket.get(), offer, this, now)) {
             case AdmissionDecision.Admitted admitted -> sendToNextReplica("first");
@@ -137,9 +137,10 @@
 
     @Override
     public void onRefused(Duration retryAfter) {
+        boolean planned = mContext.admissionControl().plansReturns();
         refuse(
                 "the replicas of " + mPool + " have no room in time",
-                RequestClock.withJitter(retryAfter, mContext.random()));
+                planned ? retryAfter : RequestClock.withJitter(retryAfter, mContext.random()));
     }
 
     boolean isEnded() {
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerConnection.java
@@ -71,6 +71,11 @@
         return mHello;
     }
 
+    /** Returns whether the other side has said that it understands the demand of teams. */
+    boolean readsDemand() {
+        return mHello.filter(PeerHello::getReadsDemand).isPresent();
+    }
+
     String name() {
         return mHello.map(PeerHello::getNode).orElse("a peer without a name");
     }
--- a/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
+++ b/src/main/java/org/fescueport/internal/direct/peer/PeerGroup.java
@@ -18,6 +18,8 @@
 import java.util.function.Predicate;
 import java.util.zip.DataFormatException;
 import org.fescueport.internal.decision.FailureDomain;
+import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.share.FleetDemand;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.net.ClientSockets;
 import org.fescueport.internal.direct.state.EraTracker;
@@ -53,6 +55,9 @@
         /** Called with the number of nodes of the fleet, which may have changed. */
         void onNodes(int nodes);
 
+        /** Returns whether this node holds requests back for lack of capacity in a pool. */
+        boolean isShort(PoolId pool);
+
         /** None of the known nodes can be relied on; the list of nodes may be outdated. */
         void onMembersOutdated();
     }
@@ -76,6 +81,8 @@
     private final Upstream mUpstream;
     private final PeerReports mReports;
     private final Beliefs mBeliefs;
+    private final FleetDemand<PeerConnection> mDemand = FleetDemand.create();
+    private final DemandRelay mDemandRelay;
     private final Set<PeerConnection> mOpen = new LinkedHashSet<>();
     private Listener mListener;
     private int mFleetNodes;
@@ -99,6 +106,14 @@
         mUpstream = new Upstream(new UpstreamGroup(), clock, log);
         mReports = new PeerReports(mOpen, clock);
         mBeliefs = new Beliefs(view, eras);
+        mDemandRelay =
+                new DemandRelay(
+                        mOpen,
+                        mUpstream::isConnectedTo,
+                        mDemand,
+                        pool -> mListener.isShort(pool),
+                        clock,
+                        log);
     }
 
     /** Returns a group without any other nodes. */
@@ -179,6 +194,7 @@
     public void tick(boolean storeAnswers) {
         if (!mStopped) {
             mUpstream.tick(storeAnswers);
+            mDemandRelay.tick(isServed());
         }
     }
 
@@ -250,6 +266,11 @@
         return mReports;
     }
 
+    /** Returns what this node knows of the teams' demand. */
+    public FleetDemand<?> demand() {
+        return mDemand;
+    }
+
     /** Closes all connections; no further one is opened. */
     public void stop() {
         mStopped = true;
@@ -269,6 +290,7 @@
     void onClosed(PeerConnection peer) {
         mOpen.remove(peer);
         mUpstream.onClosed(peer);
+        mDemandRelay.onClosed(peer);
     }
 
     void onBroken(PeerConnection peer, Throwable cause) {
@@ -293,6 +315,7 @@
             case STRIKE -> mReports.onStrike(peer, message);
             case HOLDERS -> mReports.onHolders(peer, message.getHolders());
             case LOSSES -> mReports.onLosses(peer, message.getLosses());
+            case DEMAND -> mDemandRelay.onMessage(peer, message.getDemand());
             case SUBTREE -> peer.onSubtree(message.getSubtree().getNodes());
             case BODY_NOT_SET ->
                     mLog.change("peer-message-unknown").with("peer", peer.name()).write();
@@ -361,6 +384,7 @@
                         .setNode(mNode)
                         .setNextReplica(next.offset())
                         .setNextReplicaEra(next.era())
+                        .setReadsDemand(true)
                         .setBeliefs(mBeliefs.encode());
         // Offsets begin at 0, which stands for a rank that is not known.
         mUpstream
--- a/src/main/java/org/fescueport/internal/load/experiment/OverloadExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/OverloadExperiment.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.load.experiment.model.Call;
 import org.fescueport.internal.load.experiment.model.EngineModel;
 import org.fescueport.internal.load.experiment.model.ModelFleet;
+import org.fescueport.internal.load.experiment.model.ModelFleet.Admission;
 import org.fescueport.internal.load.experiment.model.ModelTally;
 import org.fescueport.internal.load.experiment.model.Placer;
 import org.fescueport.internal.load.experiment.model.ServiceModel;
@@ -53,18 +54,27 @@
         var report = new Report("overload", seed, quick).with("surge_factor", SURGE);
         long time = (quick ? 8 : 20) * SECOND;
         for (var size : SIZES) {
-            for (boolean admits : new boolean[] {false, true}) {
-                String way = size.name() + (admits ? ", admission" : ", none");
+            for (var admission : Admission.values()) {
+                String way = size.name() + ", " + name(admission);
                 for (double factor : FACTORS) {
-                    new Run(size, admits, factor, 1, seed)
+                    new Run(size, admission, factor, 1, seed)
                             .measure(time, report.row(way + ", x" + factor));
                 }
-                new Run(size, admits, 0.5, SURGE, seed).measure(time, report.row(way + ", surge"));
+                new Run(size, admission, 0.5, SURGE, seed)
+                        .measure(time, report.row(way + ", surge"));
             }
         }
         return report;
     }
 
+    private static String name(Admission admission) {
+        return switch (admission) {
+            case NONE -> "none";
+            case ANSWER_TIMES -> "admission";
+            case STARTS -> "starts";
+        };
+    }
+
     /** What callers of one kind got. */
     private static final class Got {
         private long mArrived;
@@ -87,7 +97,7 @@
         private double mPopularity;
         private long mNextOwn = -1;
 
-        Run(Size size, boolean admits, double factor, double surge, long seed) {
+        Run(Size size, Admission admission, double factor, double surge, long seed) {
             mSize = size;
             mFactor = factor;
             mSurge = surge;
@@ -100,7 +110,7 @@
                             new ModelFleet.Plan(
                                     size.routers(),
                                     Placer::own,
-                                    admits,
+                                    admission,
                                     !size.service(),
                                     size.service()
                                             ? ModelKinds.SERVICE.slots()
--- a/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/PlacingExperiment.java
@@ -124,7 +124,7 @@
                             new ModelFleet.Plan(
                                     size.routers(),
                                     way.placer(),
-                                    false,
+                                    ModelFleet.Admission.NONE,
                                     true,
                                     size.service() ? SERVICE.slots() : ENGINE.slots(),
                                     size.replicas(),
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
@@ -25,6 +25,9 @@
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.decision.share.DemandMeter;
+import org.fescueport.internal.decision.share.FleetDemand;
+import org.fescueport.internal.decision.share.PoolDemand;
 import org.fescueport.internal.load.experiment.VirtualTime;
 
 /**
@@ -38,6 +41,10 @@
     /** How often a router looks after the calls that wait at it. */
     private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+    /** How often routers tell one another the demand. */
+    private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    private static final PoolId POOL = PoolId.of("pool");
     private static final TeamId NO_TEAM = TeamId.of("");
 
     /** Told what becomes of a call. */
@@ -54,11 +61,21 @@
         default void onRefused(Call call, long retryAfterMillis) {}
     }
 
+    /** How routers decide what they send. */
+    public enum Admission {
+        /** Everything is sent at once. */
+        NONE,
+        /** By the time in which answers begin, each router by itself. */
+        ANSWER_TIMES,
+        /** By the rate at which answers begin, with fair shares of the whole fleet. */
+        STARTS
+    }
+
     /** Sizes and ways of a fleet. */
     public record Plan(
             int routers,
             Function<ReplicaLoads, Placer> placer,
-            boolean admits,
+            Admission admission,
             boolean tellsLoad,
             int slots,
             int replicas,
@@ -71,13 +88,25 @@
         private final Placer mPlacer;
         private final Optional<PoolAdmission> mAdmission;
         private final Map<AttemptId, Asked> mWaiting = new HashMap<>();
+        private final FleetDemand<Router> mDemand = FleetDemand.create();
         private boolean mPumping;
+        private boolean mCutOff;
 
         Router(ReplicaLoads loads, Placer placer, Optional<PoolAdmission> admission) {
             mLoads = loads;
             mPlacer = placer;
             mAdmission = admission;
         }
+
+        private DemandMeter meter() {
+            return mDemand.meter(POOL);
+        }
+
+        private Map<PoolId, PoolDemand> subtree(long nowNanos) {
+            return mDemand.subtree(
+                    pool -> mAdmission.filter(each -> each.isShort(nowNanos)).isPresent(),
+                    nowNanos);
+        }
     }
 
     private final VirtualTime mTime;
@@ -102,7 +131,7 @@
             all.add(new Replica(node, FailureDomain.of("domain"), "", plan.slots(), 0));
             mBackends.put(node, plan.backend().get());
         }
-        mSet = ReplicaSet.of(PoolId.of("pool"), all);
+        mSet = ReplicaSet.of(POOL, all);
     }
 
     /** Returns a fleet of idle replicas. */
@@ -111,9 +140,12 @@
         for (int i = 0; i < plan.routers(); i++) {
             fleet.mRouters.add(fleet.newRouter());
         }
-        if (plan.admits()) {
+        if (plan.admission() != Admission.NONE) {
             time.every(POLL_NANOS, () -> fleet.mRouters.forEach(fleet::pump));
         }
+        if (plan.admission() == Admission.STARTS) {
+            time.every(TELL_NANOS, fleet::tellDemand);
+        }
         return fleet;
     }
 
@@ -121,9 +153,16 @@
         var loads = ReplicaLoads.create();
         loads.onNodes(mPlan.routers());
         Optional<PoolAdmission> admission =
-                mPlan.admits() ? Optional.of(PoolAdmission.create(0)) : Optional.empty();
+                mPlan.admission() == Admission.NONE
+                        ? Optional.empty()
+                        : Optional.of(PoolAdmission.create(mTime.now()));
         admission.ifPresent(
-                each -> each.onCapacity(mPlan.slots() * mPlan.replicas(), mPlan.routers()));
+                each -> {
+                    each.onCapacity(mPlan.slots() * mPlan.replicas(), mPlan.routers());
+                    if (mPlan.admission() == Admission.STARTS) {
+                        each.limitStarts(mTime.now());
+                    }
+                });
         return new Router(loads, mPlan.placer().apply(loads), admission);
     }
 
@@ -134,8 +173,14 @@
 
     /** Sends a call through any of the routers; it may be one that was refused before. */
     public void submit(Call call, Affinity affinity, TeamId team, Caller caller) {
-        var router = mRouters.get(mRandom.nextInt(mRouters.size()));
+        submit(mRandom.nextInt(mRouters.size()), call, affinity, team, caller);
+    }
+
+    /** Sends a call through one router; it may be one that was refused before. */
+    public void submit(int number, Call call, Affinity affinity, TeamId team, Caller caller) {
+        var router = mRouters.get(number);
         mTally.onArrived(call);
+        router.meter().onOffered(team, mTime.now());
         var id = AttemptId.of(RequestId.of(0, mNextId++), 1);
         var asked = new Asked(id, call, affinity, team, caller);
         if (router.mAdmission.isEmpty()) {
@@ -168,6 +213,35 @@
         return mRejected / (double) Math.max(1, mSent);
     }
 
+    /** Cuts a router off from what the others tell, or connects it again. */
+    public void setCutOff(int number, boolean cutOff) {
+        mRouters.get(number).mCutOff = cutOff;
+    }
+
+    /** Replaces a router by one that knows nothing; the calls that wait there are refused. */
+    public void restart(int number) {
+        var router = mRouters.get(number);
+        List.copyOf(router.mWaiting.values()).forEach(asked -> refuse(asked, 0));
+        mRouters.set(number, newRouter());
+    }
+
+    /** Tells each router the demand of the fleet, as the tree of nodes does. */
+    private void tellDemand() {
+        long now = mTime.now();
+        List<Map<PoolId, PoolDemand>> told =
+                mRouters.stream()
+                        .filter(router -> !router.mCutOff)
+                        .map(router -> router.subtree(now))
+                        .toList();
+        var sum = PoolDemand.sum(told.stream().flatMap(each -> each.values().stream()).toList());
+        for (var router : mRouters) {
+            if (!router.mCutOff) {
+                router.mDemand.onFleet(Map.of(POOL, sum), now);
+            }
+            router.mAdmission.ifPresent(each -> each.onShare(router.mDemand.share(POOL, now)));
+        }
+    }
+
     /** Lets go what may be sent now. */
     private void pump(Router router) {
         if (router.mPumping) {
@@ -231,7 +305,7 @@
         mRejected++;
         router.mLoads.onEnded(node);
         router.mLoads.onRefused(node, mTime.now());
-        router.mAdmission.ifPresent(PoolAdmission::onReplicaFull);
+        router.mAdmission.ifPresent(each -> each.onReplicaFull(mTime.now()));
         return false;
     }
 
@@ -258,6 +332,7 @@
                 mRouter.mLoads.onReport(mNode, mBackend.held(), now);
             }
             mTally.onFirst(call, now);
+            mRouter.meter().onStarted(mAsked.team(), now);
             mAsked.caller().onFirst(call);
             mRouter.mAdmission.ifPresent(
                     admission -> admission.onFirstByte(mAsked.id(), mSentNanos, now));
--- a/src/test/java/org/fescueport/internal/decision/admission/PoolAdmissionTest.java
+++ b/src/test/java/org/fescueport/internal/decision/admission/PoolAdmissionTest.java
@@ -79,7 +79,7 @@
         for (int i = 0; i < 500; i++) {
             assertThat(submit(offer("a", 2)), is(new AdmissionDecision.Admitted()));
         }
-        assertThat(mAdmission.isLimited(), is(false));
+        assertThat(mAdmission.isLimited(now()), is(false));
     }
 
     @Test
@@ -192,7 +192,7 @@
             submit(slow);
         }
         answerAll(Duration.ofSeconds(3), 100);
-        assertThat(mAdmission.isLimited(), is(true));
+        assertThat(mAdmission.isLimited(now()), is(true));
     }
 
     private void answerAll(Duration time, int answers) {
--- a/src/test/java/org/fescueport/internal/load/experiment/OverloadExperimentTest.java
+++ b/src/test/java/org/fescueport/internal/load/experiment/OverloadExperimentTest.java
@@ -19,7 +19,10 @@
     private static final Report REPORT = new OverloadExperiment().run(1, true);
 
     private static double figure(String size, boolean admits, String load, String column) {
-        String row = size + (admits ? ", admission, " : ", none, ") + load;
+        return figure(size + (admits ? ", admission, " : ", none, ") + load, column);
+    }
+
+    private static double figure(String row, String column) {
         return ((Number) REPORT.figure(row, column)).doubleValue();
     }
 
@@ -53,6 +56,20 @@
         assertThat(goodput(size, true, load), is(greaterThanOrEqualTo(FLAT * atCapacity)));
     }
 
+    /** In which the routers limit the requests that wait for their first byte. */
+    @ParameterizedTest
+    @CsvSource({
+        "4/8 engines, x2.0", "4/8 engines, x3.0", "4/8 engines, x4.0",
+        "33/40 engines, x2.0", "33/40 engines, x3.0", "33/40 engines, x4.0",
+        "4/3 services, x2.0", "4/3 services, x3.0", "4/3 services, x4.0",
+        "33/5 services, x2.0", "33/5 services, x3.0", "33/5 services, x4.0"
+    })
+    void shouldKeepGoodputFlatWhereStartsAreLimited(String size, String load) {
+        double atCapacity = goodput(size, false, "x1.0");
+        double limited = figure(size + ", starts, " + load, "in_time_s");
+        assertThat(limited, is(greaterThanOrEqualTo(FLAT * atCapacity)));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "4/8 engines, x2.0", "4/8 engines, x3.0", "4/8 engines, x4.0",
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -118,7 +118,8 @@
                 HEARTBEAT,
                 PlatformSettings.LOAD_BALANCER,
                 STOP_TIME,
-                new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
+                new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES),
+                false);
     }
 
     /** Waits until the router wants callers. */
