Fail for messages that end inside the lines of their chunks

What was seen: an answer in chunks that ended behind the "0" of its last chunk, or inside its trailer, passed for whole between agents or routers and the servers they call; a caller's request that ended there was run.

Cause: the library's chunk decoder takes the end of a connection for the end of a line, as its head parser does. It makes the decoder itself, so WholeHeadParser does not stand before it.

Change: WholeChunkLines gives the decoder whole lines only; the connections of both sides are made by classes of our own, which hand it this buffer. The server starts its protocols without the library's negotiation starter, which can't be given other streams.

--- a/src/main/java/org/fescueport/internal/http/CallerConnectionFactory.java
+++ b/src/main/java/org/fescueport/internal/http/CallerConnectionFactory.java
@@ -1,23 +1,28 @@
 package org.fescueport.internal.http;
 
 import java.io.IOException;
+import java.nio.channels.ReadableByteChannel;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandlerFactory;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseParserFactory;
+import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.NHttpMessageWriter;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.apache.hc.core5.http.nio.ssl.BasicClientTlsStrategy;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.reactor.EndpointParameters;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
@@ -44,17 +49,49 @@
         var due = new DueAnswer();
         var parsers = new DefaultHttpResponseParserFactory(mConfig);
         var writers = new DefaultHttpRequestWriterFactory(mConfig);
-        var streams =
-                new ClientHttp1StreamDuplexerFactory(
-                        mProcessor,
-                        mConfig,
-                        CharCodingConfig.DEFAULT,
-                        null,
-                        () -> new StrictParser(WholeHeadParser.of(parsers.create()), due),
-                        () -> new NotingWriter(writers.create(), due),
-                        null);
-        return new ClientHttp1IOEventHandlerFactory(streams, new BasicClientTlsStrategy(), null)
-                .createHandler(session, attachment);
+        var parser = new StrictParser(WholeHeadParser.of(parsers.create()), due);
+        var writer = new NotingWriter(writers.create(), due);
+        startTls(session, attachment);
+        return new ClientHttp1IOEventHandler(new Streams(session, parser, writer));
+    }
+
+    /** Starts TLS as the library's own factory does, which cannot be given other streams. */
+    private static void startTls(ProtocolIOSession session, Object attachment) {
+        if (attachment instanceof EndpointParameters endpoint
+                && URIScheme.HTTPS.same(endpoint.getScheme())) {
+            new BasicClientTlsStrategy()
+                    .upgrade(session, endpoint, endpoint.getAttachment(), null, null);
+        }
+    }
+
+    private final class Streams extends ClientHttp1StreamDuplexer {
+        private Streams(
+                ProtocolIOSession session,
+                NHttpMessageParser<HttpResponse> parser,
+                NHttpMessageWriter<HttpRequest> writer) {
+            super(
+                    session,
+                    mProcessor,
+                    mConfig,
+                    CharCodingConfig.DEFAULT,
+                    null,
+                    parser,
+                    writer,
+                    null,
+                    null,
+                    null);
+        }
+
+        @Override
+        protected ContentDecoder createContentDecoder(
+                long length,
+                ReadableByteChannel channel,
+                SessionInputBuffer buffer,
+                BasicHttpTransportMetrics metrics)
+                throws HttpException {
+            return super.createContentDecoder(
+                    length, channel, WholeChunkLines.of(length, buffer), metrics);
+        }
     }
 
     /** Whether a request was written whose answer has not begun; of one connection's thread. */
--- a/src/main/java/org/fescueport/internal/http/HttpServer.java
+++ b/src/main/java/org/fescueport/internal/http/HttpServer.java
@@ -16,27 +16,20 @@
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
-import org.apache.hc.core5.http2.HttpVersionPolicy;
 import org.apache.hc.core5.http2.config.H2Config;
 import org.apache.hc.core5.http2.impl.H2Processors;
+import org.apache.hc.core5.http2.impl.nio.HttpProtocolNegotiator;
 import org.apache.hc.core5.http2.impl.nio.ServerH2StreamMultiplexerFactory;
 import org.apache.hc.core5.http2.impl.nio.ServerH2UpgradeHandler;
-import org.apache.hc.core5.http2.impl.nio.ServerHttpProtocolNegotiationStarter;
 import org.apache.hc.core5.http2.ssl.ApplicationProtocol;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOEventHandler;
-import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOReactorConfig;
-import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolUpgradeHandler;
 import org.apache.hc.core5.util.TimeValue;
 import org.slf4j.Logger;
@@ -219,15 +212,24 @@
         ServerH2StreamMultiplexerFactory http2 = http2(exchanges);
         ProtocolUpgradeHandler http2Start =
                 SettingsRepair.before(new ServerH2UpgradeHandler(http2, onError));
-        boolean isPlain = mSettings.tls().isEmpty();
+        var http1 =
+                new WholeRequestStreams.Settings(mHttp1Rules, exchanges, http1Config(), onError);
+        var parsers = new DefaultHttpRequestParserFactory(http1.config());
         return new HttpAsyncServer(
                 (session, attachment) -> {
-                    // Called for plain connections too: it registers both protocols.
-                    IOEventHandler negotiating =
-                            negotiator(session, exchanges, http2, onError)
-                                    .createHandler(session, attachment);
+                    var parser =
+                            new HeadParser(this, session, WholeHeadParser.of(parsers.create()));
+                    // Both are needed on plain connections too.
+                    session.registerProtocol(
+                            ApplicationProtocol.HTTP_1_1.id,
+                            WholeRequestStreams.start(http1, parser));
                     session.registerProtocol(ApplicationProtocol.HTTP_2.id, http2Start);
-                    return isPlain ? new ProtocolDetector(session) : negotiating;
+                    if (mSettings.tls().isEmpty()) {
+                        return new ProtocolDetector(session);
+                    }
+                    RenewedTlsStrategy.of(mSettings.tls().get())
+                            .upgrade(session, null, null, null, null);
+                    return new HttpProtocolNegotiator(session, null);
                 },
                 reactorConfig(),
                 session -> new WatchedSession(session, mConnections::peerClosed),
@@ -238,31 +240,6 @@
                 mSettings.host());
     }
 
-    private IOEventHandlerFactory negotiator(
-            IOSession session,
-            HandlerFactory<AsyncServerExchangeHandler> exchanges,
-            ServerH2StreamMultiplexerFactory http2,
-            Callback<Exception> onError) {
-        Http1Config http1 = http1Config();
-        var parsers = new DefaultHttpRequestParserFactory(http1);
-        return new ServerHttpProtocolNegotiationStarter(
-                new ServerHttp1StreamDuplexerFactory(
-                        mHttp1Rules,
-                        exchanges,
-                        http1,
-                        CharCodingConfig.DEFAULT,
-                        DefaultConnectionReuseStrategy.INSTANCE,
-                        () -> new HeadParser(this, session, WholeHeadParser.of(parsers.create())),
-                        new DefaultHttpResponseWriterFactory(http1),
-                        null,
-                        onError),
-                http2,
-                HttpVersionPolicy.NEGOTIATE,
-                mSettings.tls().map(RenewedTlsStrategy::of).orElse(null),
-                null,
-                onError);
-    }
-
     private ServerH2StreamMultiplexerFactory http2(
             HandlerFactory<AsyncServerExchangeHandler> exchanges) {
         return new ServerH2StreamMultiplexerFactory(
--- a/src/test/java/org/fescueport/internal/http/TruncatedRequestTest.java
+++ b/src/test/java/org/fescueport/internal/http/TruncatedRequestTest.java
@@ -10,14 +10,30 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
-/** Guards against running a request whose connection ends inside its head. */
+/** Guards against running a request whose connection ends inside its head or its chunks. */
 class TruncatedRequestTest {
     private static final String HEAD =
             "POST /orders HTTP/1.1\r\nHost: a\r\nIdempotency-Key: k\r\n\r\n";
 
+    private static final String CHUNKED_HEAD =
+            "POST /orders HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
     @Test
     void shouldNotHandleARequestThatEndsInsideItsHead() throws Exception {
+        assertHandledOnlyIfWhole(HEAD, 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"5\r\nwhole\r\n0\r\n\r\n", "5\r\nwhole\r\n0;x=y\r\nA: b\r\n\r\n"})
+    void shouldNotHandleARequestThatEndsInsideItsChunks(String chunks) throws Exception {
+        assertHandledOnlyIfWhole(CHUNKED_HEAD + chunks, CHUNKED_HEAD.length());
+    }
+
+    /** Sends the request cut off behind at least so many bytes, and at last whole. */
+    private static void assertHandledOnlyIfWhole(String request, int from) throws Exception {
         var handled = new AtomicInteger();
         HttpHandler handler =
                 exchange -> {
@@ -25,13 +41,14 @@
                     exchange.respond(200, Map.of(), new byte[0]);
                 };
         try (var server = HttpServer.start(HttpServerSettings.of("127.0.0.1", 0), handler)) {
-            for (int end = 0; end < HEAD.length(); end++) {
+            for (int end = from; end <= request.length(); end++) {
                 try (var socket = new Socket("127.0.0.1", server.port())) {
-                    socket.getOutputStream().write(HEAD.substring(0, end).getBytes(US_ASCII));
+                    socket.getOutputStream().write(request.substring(0, end).getBytes(US_ASCII));
                     socket.shutdownOutput();
                     awaitEnd(socket);
                 }
-                assertThat("ended behind " + end + " bytes", handled.get(), is(0));
+                int whole = end == request.length() ? 1 : 0;
+                assertThat("ended behind " + end + " bytes", handled.get(), is(whole));
             }
         }
     }
