Write no body behind the head of an answer to HEAD

By RFC 9110 (9.3.2) and RFC 9112 (6.3) an answer to HEAD ends with its head.

Cause: callers' answers were encoded by an encoder that doesn't know the method of the request. The same acted on replicas' answers to HEAD without a length (a chunk of no length followed). 304s bore a transfer coding that no replica had set.

--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -57,6 +58,7 @@
     private final CallerConnections mConnections;
     private final Deque<Object> mPipelined = new ArrayDeque<>();
     private ChannelHandlerContext mChannel;
+    private HttpMethod mMethod = HttpMethod.GET;
     private CallerRequest mRequest;
     private CompositeByteBuf mBody;
     private Exchange mExchange;
@@ -139,6 +141,11 @@
         }
     }
 
+    /** Returns the method of the request that is being received or processed, or was last. */
+    HttpMethod method() {
+        return mMethod;
+    }
+
     /** Returns whether no request is being received or processed. */
     boolean isIdle() {
         return !mProcessing && mRequest == null;
@@ -220,6 +227,7 @@
         mStateSinceNanos = mContext.nowNanos();
         mHeaderStartNanos = OptionalLong.empty();
         mRequestReceived = true;
+        mMethod = request.method();
         mCloseAfterResponse = !HttpUtil.isKeepAlive(request);
         mDiscardBody = false;
         if (request.decoderResult().isFailure()) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.fescueport.internal.decision.admission.ShutdownSchedule;
 
 /** Serves the connections of callers. Entry point of the forwarding of requests. */
@@ -35,7 +34,7 @@
                 var connection = new CallerConnection(mContext, mConnections);
                 channel.pipeline()
                         .addLast(new StrictRequestDecoder(maxHeader, connection::onBytesReceived))
-                        .addLast(new HttpResponseEncoder())
+                        .addLast(new CallerResponseEncoder(connection::method))
                         .addLast(connection);
             }
         };
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -58,6 +58,13 @@
         return receive(mSocket.getInputStream());
     }
 
+    /** Reads an answer that has no body, whatever its headers say. */
+    Answer receiveHead() throws IOException {
+        String start = RawHttp.readLine(mSocket.getInputStream());
+        int status = start == null ? 0 : Integer.parseInt(start.split(" ")[1]);
+        return new Answer(status, RawHttp.readHeaders(mSocket.getInputStream()), "", start != null);
+    }
+
     /** Reads one answer from the bytes that {@link #receiveThrough} has returned. */
     static Answer parse(String bytes) throws IOException {
         return receive(new ByteArrayInputStream(bytes.getBytes(StandardCharsets.UTF_8)));
