Answer a request that this node fails to send

What callers saw: no answer, and no end of the connection, if anything threw while a request was being sent; one trigger is a team whose name no header can carry. The exception went to the event loop, which dropped it.

Change: Exchange.sendToNextReplica ends the request, as not run if nothing was written, else with an unknown outcome, and logs unexpected-failure.

--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -380,7 +380,32 @@
         sendToNextReplica(why);
     }
 
+    /** Sends the request to a replica; whatever goes wrong here, the caller gets an answer. */
     private void sendToNextReplica(String why) {
+        try {
+            chooseAndSend(why);
+        } catch (RuntimeException e) {
+            onUnexpected(e);
+        }
+    }
+
+    private void onUnexpected(RuntimeException failure) {
+        mContext.log()
+                .decision("unexpected-failure")
+                .with("request", mRequest.id())
+                .with("reason", failure)
+                .write();
+        if (mEnded) {
+            return;
+        }
+        if (mAttempt != null) {
+            mMayHaveRun |= mAttempt.isSent();
+            mAttempt.cancel();
+        }
+        endUnsent("this node failed to send it");
+    }
+
+    private void chooseAndSend(String why) {
         var crashing = mCrashEvidence.checkBeforeSend(mMayHaveRun);
         if (crashing.isPresent()) {
             endUnsent(crashing.get());
