Read the store's newest records beside a key that is not UTF-8

What was seen by reading: one entry whose key holds raw bytes that are not UTF-8 makes the JSON of the whole page unreadable, and a node that starts reads it again and again.

--- a/src/test/java/org/fescueport/platform/LogStoreTest.java
+++ b/src/test/java/org/fescueport/platform/LogStoreTest.java
@@ -110,6 +110,23 @@
         assertThat(keys, is(Set.of("a", odd, odd + odd, "b", "c", odd + "c", "d")));
     }
 
+    /** Guards against raw bytes of one key that make the records of all others unreadable. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x\u00ff", "\u00c3", "\u0080\u0080", "\u00ed\u00a0\u0080"})
+    void shouldReadARecordBesideAKeyOfRawBytesThatAreNotUtf8(String odd) throws Exception {
+        String page =
+                "{\"items\":[{\"key\":\"%s\",\"value\":\"MQ==\",\"offset\":0},"
+                        + "{\"key\":\"a\",\"value\":\"Mg==\",\"offset\":1}],\"end\":2}";
+        byte[] body = page.formatted(odd).getBytes(StandardCharsets.ISO_8859_1);
+        try (var server = RawServer.start((request, wire) -> wire.answer(200, "", body))) {
+            mStore = LogStore.at(server.address(), mLoop, mEras);
+            var records = await(() -> mStore.newest(StateTopic.REPLICAS)).records();
+            assertThat(records.size(), is(2));
+            assertThat(records.getLast().key(), is("a"));
+            assertThat(new String(records.getLast().value().orElseThrow()), is("2"));
+        }
+    }
+
     @Test
     void shouldReportAPageWithoutAKeyThatCanBeNamedInACall() {
         mStandIn.put("keyed.servers", "x-\udcff", "1");
