Show that small crowds with odd heads end the direct router's process

HostileCallersTest starts a router process with 64 MB of heap and a crowd of callers whose requests have a legal size and are costly to hold. It checks that the process lives, that its memory and descriptors stay under a bound, and that an ordinary request is answered afterwards.

EdgeProcess gets the allocator flags of the deploy file.

--- a/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
+++ b/src/test/java/org/fescueport/platform/soak/EdgeProcess.java
@@ -87,6 +87,23 @@
         return Files.readString(log());
     }
 
+    /** Returns the memory of the process that is in use, in bytes. */
+    long residentBytes() throws IOException {
+        String line =
+                Files.readAllLines(Path.of("/proc/" + mProcess.pid() + "/status")).stream()
+                        .filter(status -> status.startsWith("VmRSS:"))
+                        .findFirst()
+                        .orElseThrow();
+        return Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024;
+    }
+
+    /** Returns the number of the descriptors that the process has open. */
+    long openDescriptors() throws IOException {
+        try (var descriptors = Files.list(Path.of("/proc/" + mProcess.pid() + "/fd"))) {
+            return descriptors.count();
+        }
+    }
+
     private Path log() {
         return mFolder.resolve(mNode + "." + mLives + ".log");
     }
@@ -106,6 +123,8 @@
                         "-XX:+UseSerialGC",
                         "-XX:+ExitOnOutOfMemoryError",
                         "-XX:TieredStopAtLevel=1",
+                        "-Dio.netty.allocator.type=unpooled",
+                        "-Dio.netty.noPreferDirect=true",
                         "--sun-misc-unsafe-memory-access=allow",
                         "-cp",
                         System.getProperty("java.class.path"),
