Account for what callers' heads cost, and decode one request at a time

A head of legal size made of short lines takes some 25 times its size, and only bytes of bodies counted in CallerQuota. Now each line is added to the connection's HeadAccount before it is kept: 4,096 lines a head at 16,384 bytes (431 above), 15% of the heap for all (503 with Retry-After above, half of it for ordinary heads alone). The parts of a prompt, undecoded bytes and the decoder's line buffer count as well. Bytes behind a request in progress stay undecoded, where they were decoded and queued. Bodies are copied into one buffer, as a chunk of one byte kept all that was read with it. Trailers aren't kept. The head is no longer copied when it is read. Many Connection options are removed in one pass. Admin and metrics addresses take 100 lines a head and 128 connections, and close a caller that doesn't read its answers.

Not measured: processor time of ordinary traffic.

--- a/src/main/java/org/fescueport/internal/direct/AdminHandler.java
+++ b/src/main/java/org/fescueport/internal/direct/AdminHandler.java
@@ -28,6 +28,11 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+        if (request.decoderResult().isFailure() || !context.channel().isWritable()) {
+            // A caller that sends on without reading its answers would fill the memory with them.
+            context.close();
+            return;
+        }
         String path = request.uri();
         if (path.equals(mSettings.readyPath())) {
             boolean ready = mReady.getAsBoolean();
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -148,14 +148,7 @@
                         mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
         chooser.listen(new ChooserReports());
         var health = ReplicaLiveness.create();
-        mView.listen(
-                () -> {
-                    var present = mView.replicaIds();
-                    chooser.onReplicasChanged();
-                    loads.retain(present);
-                    speeds.retain(present);
-                    health.retain(present);
-                });
+        mView.listen(() -> onReplicasChanged(chooser, loads, speeds, health));
         mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
         mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create(mRandom);
@@ -177,7 +170,7 @@
                         mBudgets,
                         crashes,
                         CrashCheck.of(mConnectionPools, crashes),
-                        CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
+                        newQuota(settings.limits()),
                         ForwardingMetrics.create(parts.registry()),
                         ResponseTimes.create(),
                         parts.log(),
@@ -188,6 +181,22 @@
         mStopped = mShutdown.finished().thenRun(() -> guarded("stop", this::close));
     }
 
+    private static CallerQuota newQuota(MachineLimits limits) {
+        return CallerQuota.of(limits.callers(), limits.bodyBytes(), limits.headBytes());
+    }
+
+    private void onReplicasChanged(
+            ReplicaChooser chooser,
+            ReplicaLoads loads,
+            ReplicaSpeeds speeds,
+            ReplicaLiveness health) {
+        var present = mView.replicaIds();
+        chooser.onReplicasChanged();
+        loads.retain(present);
+        speeds.retain(present);
+        health.retain(present);
+    }
+
     private RetryBudgets newBudgets() {
         return RetryBudgets.create(
                 mSettings.retryShare(),
@@ -540,11 +549,13 @@
     }
 
     private ChannelInitializer<Channel> adminInitializer() {
+        var connections = new AdminConnections();
         var handler = new AdminHandler(mSettings, this::isReady, mParts.counters());
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new HttpServerCodec());
+                channel.pipeline().addLast(connections);
+                channel.pipeline().addLast(new HttpServerCodec(FewHeaders.decoderConfig()));
                 channel.pipeline().addLast(new HttpObjectAggregator(MAX_ADMIN_BODY));
                 channel.pipeline().addLast(handler);
             }
--- a/src/main/java/org/fescueport/internal/direct/MachineLimits.java
+++ b/src/main/java/org/fescueport/internal/direct/MachineLimits.java
@@ -18,14 +18,18 @@
  *
  * @param callers connections of callers at a time
  * @param bodyBytes bytes of callers' bodies that are held at a time
+ * @param headBytes memory that the heads of callers' requests take at a time
  */
-public record MachineLimits(int callers, long bodyBytes) {
+public record MachineLimits(int callers, long bodyBytes, long headBytes) {
     /** Of the open files; the rest is for replicas, peers and the store. */
     private static final double CALLERS_PART = 0.6;
 
     /** Of the heap; a body is held until its answer is complete, and is copied once to be sent. */
     private static final double BODIES_PART = 0.25;
 
+    /** Of the heap; several thousand ordinary heads fit into the smallest deployed one. */
+    private static final double HEADS_PART = 0.15;
+
     /** What Linux allows a process that was given no other limit. */
     private static final int STANDARD_FILES = 1_024;
 
@@ -39,14 +43,19 @@
      *     files holds
      */
     public static MachineLimits of(OptionalInt sockets, EventLog log) {
-        long bodies = (long) (BODIES_PART * Runtime.getRuntime().maxMemory());
+        long heap = Runtime.getRuntime().maxMemory();
         long most = sockets.isPresent() ? sockets.getAsInt() : openFiles(log);
-        var limits = new MachineLimits((int) (CALLERS_PART * most), bodies);
+        var limits =
+                new MachineLimits(
+                        (int) (CALLERS_PART * most),
+                        (long) (BODIES_PART * heap),
+                        (long) (HEADS_PART * heap));
         log.change("machine-limits")
                 .with("source", sockets.isPresent() ? "settings" : "process")
                 .with("sockets", most)
                 .with("callers", limits.callers())
                 .with("body_bytes", limits.bodyBytes())
+                .with("head_bytes", limits.headBytes())
                 .write();
         return limits;
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.fescueport.internal.direct.forward;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,20 +17,20 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fescueport.internal.direct.config.CallerLimits;
+import org.fescueport.internal.direct.forward.ForwardingMetrics.HeadRefusal;
 
 /**
  * One connection of a caller. Reads one complete request at a time and writes its response.
  *
  * <p>The connection stays readable while a request is processed, so that a disconnect of the caller
- * is noticed at once. Messages of a pipelined request that arrive in this time are queued, and
+ * is noticed at once. Bytes of a pipelined request that arrive in this time wait undecoded, and
  * reading stops until they can be processed.
  */
-final class CallerConnection extends ChannelInboundHandlerAdapter implements ResponseWriter {
+final class CallerConnection extends ChannelInboundHandlerAdapter
+        implements ResponseWriter, StrictRequestDecoder.Connection {
     private static final HttpResponse CONTINUE =
             new io.netty.handler.codec.http.DefaultFullHttpResponse(
                     io.netty.handler.codec.http.HttpVersion.HTTP_1_1,
@@ -55,10 +54,11 @@
 
     private final ForwardingContext mContext;
     private final CallerConnections mConnections;
-    private final Deque<Object> mPipelined = new ArrayDeque<>();
+    private final HeadAccount mAccount;
+    private StrictRequestDecoder mDecoder;
     private ChannelHandlerContext mChannel;
     private CallerRequest mRequest;
-    private CompositeByteBuf mBody;
+    private CallerBody mBody;
     private Exchange mExchange;
     private boolean mProcessing;
     private boolean mCloseAfterResponse;
@@ -70,9 +70,16 @@
     private OptionalLong mHeaderStartNanos = OptionalLong.empty();
     private long mReservedBytes;
 
-    CallerConnection(ForwardingContext context, CallerConnections connections) {
+    CallerConnection(
+            ForwardingContext context, CallerConnections connections, HeadAccount account) {
         mContext = context;
         mConnections = connections;
+        mAccount = account;
+    }
+
+    /** Sets the decoder of this connection; must be called once, before anything is read. */
+    void use(StrictRequestDecoder decoder) {
+        mDecoder = decoder;
     }
 
     @Override
@@ -86,6 +93,7 @@
     public void channelInactive(ChannelHandlerContext context) {
         mConnections.onClosed(this);
         releaseAll();
+        mAccount.close();
         if (mExchange != null) {
             mExchange.onCallerDisconnected();
             mExchange = null;
@@ -114,24 +122,32 @@
             }
             return;
         }
-        if (mProcessing) {
-            mPipelined.add(message);
-            context.channel().config().setAutoRead(false);
-            return;
-        }
         read(message);
     }
 
-    /**
-     * Called when bytes have been received. On an idle connection they begin the headers of a
-     * request, and the header timeout starts.
-     */
-    void onBytesReceived() {
+    /** On an idle connection the bytes begin the headers of a request: the timeout starts. */
+    @Override
+    public void onBytesReceived() {
         if (isIdle() && mHeaderStartNanos.isEmpty()) {
             mHeaderStartNanos = OptionalLong.of(mContext.nowNanos());
         }
     }
 
+    @Override
+    public boolean isProcessing() {
+        return mProcessing && !mLingering;
+    }
+
+    @Override
+    public void onNoRoomForUnread() {
+        mContext.metrics().onHeadRefused(HeadRefusal.NO_ROOM);
+        mContext.log()
+                .decision("caller-closed")
+                .with("reason", "no room for what it has sent ahead")
+                .write();
+        mChannel.close();
+    }
+
     /** Checks the timeouts of the request that is being forwarded. */
     void checkTimeouts(long nowNanos) {
         if (mExchange != null) {
@@ -223,29 +239,49 @@
         mCloseAfterResponse = !HttpUtil.isKeepAlive(request);
         mDiscardBody = false;
         if (request.decoderResult().isFailure()) {
-            boolean large = request.decoderResult().cause() instanceof TooLongFrameException;
-            refuse(
-                    large ? Refusal.Reason.HEADERS_TOO_LARGE : Refusal.Reason.BAD_REQUEST,
-                    "the request cannot be read: " + request.decoderResult().cause().getMessage());
+            refuseHead(request.decoderResult().cause());
             return;
         }
+        boolean expectsContinue = HttpUtil.is100ContinueExpected(request);
+        long length = HttpUtil.getContentLength(request, -1L);
         try {
             mRequest = mContext.protocol().readRequest(request);
-            mBody = mChannel.alloc().compositeBuffer(1_024);
+            int maxBody = mConnections.limits().maxBodyBytes();
+            mBody = new CallerBody(mChannel.alloc(), length < 0 ? maxBody : length);
         } catch (WireProtocol.BadRequestException e) {
             refuse(Refusal.Reason.BAD_REQUEST, e.getMessage());
             return;
         }
+        if (!mAccount.tryAddPromptParts(mRequest.prompt().parts().size())) {
+            mContext.metrics().onHeadRefused(HeadRefusal.NO_ROOM);
+            refuse(Refusal.Reason.NOT_RUN, "this node holds too many headers");
+            return;
+        }
         mOverLimit = mOverLimit && mConnections.isOverLimit();
         if (mOverLimit) {
             refuse(Refusal.Reason.NOT_RUN, "this node has too many connections");
             return;
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
+        if (expectsContinue) {
             mChannel.writeAndFlush(CONTINUE);
         }
     }
 
+    private void refuseHead(Throwable cause) {
+        String message = "the request cannot be read: " + cause.getMessage();
+        switch (cause) {
+            case HeadAccount.NoRoomException full -> {
+                mContext.metrics().onHeadRefused(HeadRefusal.NO_ROOM);
+                refuse(Refusal.Reason.NOT_RUN, message);
+            }
+            case TooLongFrameException large -> {
+                mContext.metrics().onHeadRefused(HeadRefusal.TOO_LARGE);
+                refuse(Refusal.Reason.HEADERS_TOO_LARGE, message);
+            }
+            default -> refuse(Refusal.Reason.BAD_REQUEST, message);
+        }
+    }
+
     private void onContent(HttpContent content) {
         if (mDiscardBody || mRequest == null) {
             content.release();
@@ -256,23 +292,20 @@
             refuse(Refusal.Reason.BAD_REQUEST, "the body cannot be read");
             return;
         }
-        if (mBody.readableBytes() + content.content().readableBytes()
-                > mConnections.limits().maxBodyBytes()) {
+        int bytes = content.content().readableBytes();
+        if (mBody.size() + bytes > mConnections.limits().maxBodyBytes()) {
             content.release();
             refuse(Refusal.Reason.BODY_TOO_LARGE, "the body is larger than the limit");
             return;
         }
-        if (!mContext.quota().tryReserve(content.content().readableBytes())) {
+        int growth = mBody.growth(bytes);
+        if (!mContext.quota().tryReserve(growth)) {
             content.release();
             refuse(Refusal.Reason.NOT_RUN, "this node holds too many bodies");
             return;
         }
-        mReservedBytes += content.content().readableBytes();
-        if (content.content().isReadable()) {
-            mBody.addComponent(true, content.content());
-        } else {
-            content.release();
-        }
+        mReservedBytes += growth;
+        mBody.append(content.content());
         if (content instanceof LastHttpContent) {
             mProcessing = true;
             mChannel.executor().execute(this::onRequestComplete);
@@ -294,7 +327,7 @@
             return;
         }
         CallerRequest request = mRequest;
-        ByteBuf body = mBody;
+        ByteBuf body = mBody.bytes();
         mRequest = null;
         mBody = null;
         switch (RequestResolver.of(mContext.view()).resolve(request)) {
@@ -376,7 +409,7 @@
     }
 
     private void setConnectionClose(HttpResponse head) {
-        if (mConnections.isStopping()) {
+        if (mConnections.isStopping() || mAccount.isWorthClosing()) {
             mCloseAfterResponse = true;
         }
         if (mCloseAfterResponse) {
@@ -402,13 +435,15 @@
         mChannel.executor().execute(this::readPipelined);
     }
 
-    /** Processes the messages that arrived while the previous request was being processed. */
+    /** Reads what arrived while the previous request was being processed. */
     private void readPipelined() {
         mProcessing = false;
-        while (!mProcessing && !mPipelined.isEmpty()) {
-            read(mPipelined.poll());
+        try {
+            mDecoder.resume();
+        } catch (Exception e) {
+            exceptionCaught(mChannel, e);
         }
-        if (mPipelined.isEmpty()) {
+        if (!mProcessing || !mDecoder.hasUnread()) {
             mChannel.channel().config().setAutoRead(true);
         }
     }
@@ -450,6 +485,7 @@
     private void releaseQuota() {
         mContext.quota().release(mReservedBytes);
         mReservedBytes = 0;
+        mAccount.release();
     }
 
     private void releaseAll() {
@@ -459,10 +495,5 @@
             mBody.release();
             mBody = null;
         }
-        for (Object pipelined = mPipelined.poll();
-                pipelined != null;
-                pipelined = mPipelined.poll()) {
-            ReferenceCountUtil.release(pipelined);
-        }
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Forwarder.java
@@ -32,9 +32,12 @@
             protected void initChannel(Channel channel) {
                 channel.config().setRecvByteBufAllocator(readUntilEmpty());
                 int maxHeader = mConnections.limits().maxHeaderBytes();
-                var connection = new CallerConnection(mContext, mConnections);
+                var account = new HeadAccount(mContext.quota(), maxHeader);
+                var connection = new CallerConnection(mContext, mConnections, account);
+                var decoder = new StrictRequestDecoder(maxHeader, account, connection);
+                connection.use(decoder);
                 channel.pipeline()
-                        .addLast(new StrictRequestDecoder(maxHeader, connection::onBytesReceived))
+                        .addLast(decoder)
                         .addLast(new HttpResponseEncoder())
                         .addLast(connection);
             }
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -27,6 +27,14 @@
         CUT
     }
 
+    /** Why the head of a request was not read to its end. */
+    public enum HeadRefusal {
+        /** It exceeds the limit of one head. */
+        TOO_LARGE,
+        /** The heads of all callers leave no room for it. */
+        NO_ROOM
+    }
+
     private static final Duration[] BUCKETS = {
         Duration.ofMillis(10),
         Duration.ofMillis(30),
@@ -39,6 +47,7 @@
 
     private final Map<End, Counter> mEnds = new EnumMap<>(End.class);
     private final Map<Decision, Counter> mWhileStopping = new EnumMap<>(Decision.class);
+    private final Map<HeadRefusal, Counter> mHeadRefusals = new EnumMap<>(HeadRefusal.class);
     private final Timer mFirstByte;
     private final Counter mSends;
     private final Counter mRetries;
@@ -59,6 +68,13 @@
                             .tag("decision", decision.name().toLowerCase(java.util.Locale.ROOT))
                             .register(registry));
         }
+        for (var refusal : HeadRefusal.values()) {
+            mHeadRefusals.put(
+                    refusal,
+                    Counter.builder("fescue.head.refusals")
+                            .tag("reason", refusal.name().toLowerCase(java.util.Locale.ROOT))
+                            .register(registry));
+        }
         mFirstByte =
                 Timer.builder("fescue.first.byte")
                         .serviceLevelObjectives(BUCKETS)
@@ -77,6 +93,11 @@
         mEnds.get(end).increment();
     }
 
+    /** Counts a head that was refused, or whose connection was closed. */
+    void onHeadRefused(HeadRefusal refusal) {
+        mHeadRefusals.get(refusal).increment();
+    }
+
     /** Counts a request that arrived while this node was stopping. */
     void onWhileStopping(Decision decision) {
         mWhileStopping.get(decision).increment();
--- a/src/main/java/org/fescueport/internal/direct/forward/WireProtocol.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/WireProtocol.java
@@ -23,7 +23,8 @@
     }
 
     /**
-     * Parses the head of a caller's request.
+     * Parses the head of a caller's request. Takes its headers over: those that are not forwarded
+     * are removed from it.
      *
      * @throws BadRequestException if the request violates the protocol
      */
