Read the next request once the answers before it have left

A caller that sends request after request and reads none of the answers was served on, and its answers queued in the process without a bound. The next request now waits until the connection is writable again; after the idle time it is closed.

Seen by reading: the crowd UNREAD_ANSWERS of HostileCallersTest (20 callers, 60,000 requests each) passes with and without the change, one run each. HostileCallersTest passes whole, 17 of 17 in one run (89 s on a busy machine); ForwardingTest, KeptConnectionTest and StreamsTest pass (113 of 113).

--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -66,6 +66,10 @@
     private boolean mRequestReceived;
     private boolean mOverLimit;
     private boolean mLingering;
+
+    /** Whether the next request waits until the caller has read more of its answers. */
+    private boolean mAnswersUnread;
+
     private long mStateSinceNanos;
     private OptionalLong mHeaderStartNanos = OptionalLong.empty();
     private long mReservedBytes;
@@ -111,6 +115,10 @@
         if (mExchange != null) {
             mExchange.onWritable(context.channel().isWritable());
         }
+        if (mAnswersUnread && context.channel().isWritable()) {
+            mAnswersUnread = false;
+            context.executor().execute(this::readPipelined);
+        }
     }
 
     @Override
@@ -190,11 +198,15 @@
             mChannel.close();
             return;
         }
+        var limits = mConnections.limits();
+        long waited = nanosInState(nowNanos);
+        if (mAnswersUnread && waited > limits.connectionIdleTimeout().toNanos()) {
+            mChannel.close();
+            return;
+        }
         if (mProcessing) {
             return;
         }
-        var limits = mConnections.limits();
-        long waited = nanosInState(nowNanos);
         if (isHeaderTimeoutExceeded(limits, nowNanos)) {
             refuse(Refusal.Reason.TOO_SLOW, "the headers did not come in time");
         } else if (mRequest == null) {
@@ -437,6 +449,11 @@
 
     /** Reads what arrived while the previous request was being processed. */
     private void readPipelined() {
+        if (!mChannel.channel().isWritable()) {
+            mAnswersUnread = true;
+            mChannel.channel().config().setAutoRead(false);
+            return;
+        }
         mProcessing = false;
         try {
             mDecoder.resume();
--- a/src/test/java/org/fescueport/platform/soak/HostileCallersTest.java
+++ b/src/test/java/org/fescueport/platform/soak/HostileCallersTest.java
@@ -67,6 +67,7 @@
         TINY_CHUNKS(CROWD, chunked() + "1\r\nx\r\n".repeat(4_000)),
         PIPELINED_TINY_CHUNKS(
                 CROWD, head("/once/slow") + "\r\n" + chunked() + "1\r\nx\r\n".repeat(4_000)),
+        UNREAD_ANSWERS(20, (head("/none/x") + "\r\n").repeat(60_000)),
         ADMIN_SHORT_LINES(
                 CROWD, "GET /api/readyz HTTP/1.1\r\nHost: h\r\n" + "a:\r\n".repeat(3_900)),
         ADMIN_PIPELINED(20, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n".repeat(10_000)),
