Let new and recovered replicas get requests as fast as they answer well

Cause: a replica that started, or came back from a crash, a freeze, an ejection or a pause, got its full share at once, or, with a cold rate, the moment it counted as warm. At 33 nodes each node sends it a request before any has seen an answer; one that fails at once is the least loaded and attracts requests.

Change: ReplicaPace keeps a share from 1/16 to 1 for each incarnation at each node. It doubles with rounds of answers that are successes and quick beside the pool's running median for the same kind of work, falls with late answers, refusals and failures, and doubles each second without signs. Credit for each request of the node makes all nodes together send the share without messages. Cold rates stay an upper bound. If nobody else is left, the pace gives way. It takes effect only where replicas report the speed of their machines. Changes are counted, told in the line replica-pace, and can be left out with FESCUE_WITHOUT=pace. The model fleet can now replace a replica by one that is slow or fails for a time.

--- a/src/main/java/org/fescueport/internal/decision/Mechanism.java
+++ b/src/main/java/org/fescueport/internal/decision/Mechanism.java
@@ -33,5 +33,7 @@
     /** Requests that crash replicas are refused, as observed by this node or reported by peers. */
     POISON,
     /** Replicas that state in their answers that they accept no new work are skipped. */
-    NOTICES
+    NOTICES,
+    /** Replicas that start or recover get more requests only as they answer well. */
+    PACE
 }
--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -25,6 +25,7 @@
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaPace;
 import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
@@ -41,6 +42,7 @@
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Outcome;
+import org.fescueport.internal.direct.place.PaceReports;
 import org.fescueport.internal.direct.place.PartStrike;
 import org.fescueport.internal.direct.place.PromptPartId;
 import org.fescueport.internal.direct.place.ReplicaChooser;
@@ -143,10 +145,7 @@
         var loads = ReplicaLoads.create();
         var speeds = ReplicaSpeeds.create();
         var notices = ReplicaNotices.create();
-        var chooser =
-                ReplicaChooser.create(
-                        mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
-        chooser.listen(new ChooserReports());
+        var chooser = newChooser(loads, speeds, notices);
         var health = ReplicaLiveness.create();
         mView.listen(
                 () -> {
@@ -188,6 +187,23 @@
         mStopped = mShutdown.finished().thenRun(() -> guarded("stop", this::close));
     }
 
+    private ReplicaChooser newChooser(
+            ReplicaLoads loads, ReplicaSpeeds speeds, ReplicaNotices notices) {
+        var pace = ReplicaPace.create(loads, mRandom);
+        pace.listen(PaceReports.create(mParts.registry(), mParts.log(), pace));
+        var chooser =
+                ReplicaChooser.create(
+                        mView,
+                        loads,
+                        notices,
+                        mColdReplicaLimiter,
+                        pace,
+                        speeds,
+                        mParts.mechanisms());
+        chooser.listen(new ChooserReports());
+        return chooser;
+    }
+
     private RetryBudgets newBudgets() {
         return RetryBudgets.create(
                 mSettings.retryShare(),
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -3,6 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
 import org.fescueport.internal.decision.placement.ReplicaNotice;
+import org.fescueport.internal.decision.placement.ReplicaPace;
+import org.fescueport.internal.decision.placement.WorkKind;
+import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /**
@@ -17,19 +20,26 @@
     private final ReplicaEntry mReplica;
     private final int mNumber;
     private final long mStartNanos;
+    private final ReplicaPace.Sending mSending;
     private ReplicaConnection mConnection;
     private boolean mSent;
     private boolean mEnded;
     private ResponseHead mHead;
     private boolean mHasContent;
 
-    Attempt(Exchange exchange, ForwardingContext context, ReplicaEntry replica, int number) {
+    Attempt(
+            Exchange exchange,
+            ForwardingContext context,
+            ReplicaChooser.Selection selection,
+            WorkKind kind,
+            int number) {
         mExchange = exchange;
         mContext = context;
-        mReplica = replica;
+        mReplica = selection.replica();
         mNumber = number;
         mStartNanos = context.nowNanos();
-        context.loads().onSent(replica.id());
+        context.loads().onSent(mReplica.id());
+        mSending = context.chooser().onSent(selection, kind, mStartNanos);
     }
 
     ReplicaEntry replica() {
@@ -143,6 +153,9 @@
 
     @Override
     public void onContent(ByteBuf content) {
+        if (!mHasContent && mHead.isSuccess()) {
+            mContext.chooser().onFirstByte(mSending, mContext.nowNanos());
+        }
         mHasContent = true;
         mContext.health().onDataReceived(mReplica.id(), mContext.nowNanos());
         mExchange.onContent(this, content);
@@ -169,6 +182,9 @@
 
     private void applyNotice(ReplicaNotice notice, long nowNanos) {
         if (mContext.notices().onNotice(mReplica.life(), notice, nowNanos)) {
+            if (notice.pause().isPresent()) {
+                mContext.chooser().onPaused(mReplica, nowNanos);
+            }
             mContext.log()
                     .change("replica-notice")
                     .with("replica", mReplica.id())
@@ -186,6 +202,7 @@
         }
         mEnded = true;
         mContext.loads().onEnded(mReplica.id());
+        mContext.chooser().onEnded(mSending);
         return true;
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.admission.AdmissionDecision;
 import org.fescueport.internal.decision.placement.Affinity;
+import org.fescueport.internal.decision.placement.WorkKind;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
@@ -360,6 +361,7 @@
     private void onNotRun(Attempt attempt, ResponseHead head) {
         mLog.attempt("refused-by-replica", attempt, "status " + head.status());
         mContext.loads().onRefused(attempt.replica().id(), mContext.nowNanos());
+        mContext.chooser().onRefused(attempt.replica(), mContext.nowNanos());
         if (head.status() == SERVICE_UNAVAILABLE) {
             mTicket.ifPresent(
                     ticket ->
@@ -400,7 +402,8 @@
         boolean triedBefore = !mTriedReplicas.add(replica.id());
         mAttemptCount++;
         checkSendAllowed();
-        mAttempt = new Attempt(this, mContext, replica, mAttemptCount);
+        var kind = WorkKind.of(mRoute.name(), mRequest.prompt().tokens());
+        mAttempt = new Attempt(this, mContext, chosen.get(), kind, mAttemptCount);
         mContext.metrics().onSend(mAttemptCount > 1);
         mLog.sent(chosen.get(), mAttempt, why);
         if (mRequest.prompt().sharedTokens() >= MIN_REPORTED_TOKENS) {
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -22,7 +22,10 @@
 import org.fescueport.internal.decision.placement.ReplicaFilter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaPace;
 import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
+import org.fescueport.internal.decision.placement.WorkKind;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
@@ -74,6 +77,8 @@
     private final PrefixPlacement mPlacement;
     private final ReplicaNotices mNotices;
     private final ColdReplicaLimiter mColdReplicaLimiter;
+    private final ReplicaPace mPace;
+    private final ReplicaSpeeds mSpeeds;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
     private final PrefixHolders mHolders = PrefixHolders.create();
@@ -84,8 +89,12 @@
             ReplicaLoads loads,
             ReplicaNotices notices,
             ColdReplicaLimiter coldReplicaLimiter,
+            ReplicaPace pace,
+            ReplicaSpeeds speeds,
             Mechanisms mechanisms) {
         mView = view;
+        mPace = pace;
+        mSpeeds = speeds;
         mColdReplicaLimiter = coldReplicaLimiter;
         mNotices = notices;
         mMechanisms = mechanisms;
@@ -98,8 +107,10 @@
             ReplicaLoads loads,
             ReplicaNotices notices,
             ColdReplicaLimiter coldTurns,
+            ReplicaPace pace,
+            ReplicaSpeeds speeds,
             Mechanisms mechanisms) {
-        return new ReplicaChooser(view, loads, notices, coldTurns, mechanisms);
+        return new ReplicaChooser(view, loads, notices, coldTurns, pace, speeds, mechanisms);
     }
 
     /**
@@ -121,7 +132,11 @@
                 mMechanisms.isEnabled(Mechanism.EJECTION)
                         ? ejection(set).filter(affinity.key(), nowNanos).and(eligible)
                         : eligible;
-        Optional<Replica> chosen = mPlacement.choose(set, all, affinity, healthy, nowNanos);
+        ReplicaFilter paced = withinPace(set, affinity, healthy, nowNanos);
+        Optional<Replica> chosen = mPlacement.choose(set, all, affinity, paced, nowNanos);
+        if (chosen.isEmpty()) {
+            chosen = mPlacement.choose(set, all, affinity, healthy, nowNanos);
+        }
         if (chosen.isEmpty()) {
             chosen = mPlacement.choose(set, all, affinity, eligible, nowNanos);
         }
@@ -131,6 +146,57 @@
                 .map(replica -> new Selection(replica, cacheHolder(replica, affinity, nowNanos)));
     }
 
+    /** Returns a filter for the allowed replicas that may get a request at their present pace. */
+    private ReplicaFilter withinPace(
+            ReplicaSet set, Affinity affinity, ReplicaFilter allowed, long nowNanos) {
+        boolean active = isPaceActive();
+        mPace.onReplicas(set, active, nowNanos);
+        if (!active) {
+            return allowed;
+        }
+        mPace.onRequest(set, allowed, nowNanos);
+        return mPace.filter(set, affinity, nowNanos).and(allowed);
+    }
+
+    /** The pace needs replicas that share their machines; others take their full share at once. */
+    private boolean isPaceActive() {
+        return mMechanisms.isEnabled(Mechanism.PACE) && mSpeeds.isAnyReported();
+    }
+
+    /** Records that a request is sent; the pace learns from what becomes of it. */
+    public ReplicaPace.Sending onSent(Selection selection, WorkKind kind, long nowNanos) {
+        var replica = selection.replica();
+        double slowness = mSpeeds.slowness(replica.id());
+        double slowFactor = ReplicaPace.slowFactor(selection.cacheHolder().isEmpty(), slowness);
+        return mPace.onSent(replica.pool(), replica.life(), kind, slowFactor, nowNanos);
+    }
+
+    /** Records the first byte of a replica's successful response. */
+    public void onFirstByte(ReplicaPace.Sending sending, long nowNanos) {
+        if (isPaceActive()) {
+            mPace.onFirstByte(sending, nowNanos);
+        }
+    }
+
+    /** Records that a request is no longer at its replica. */
+    public void onEnded(ReplicaPace.Sending sending) {
+        mPace.onEnded(sending);
+    }
+
+    /** Records that a replica has refused a request. */
+    public void onRefused(ReplicaEntry replica, long nowNanos) {
+        if (isPaceActive()) {
+            mPace.onRefused(replica.pool(), replica.life(), nowNanos);
+        }
+    }
+
+    /** Records that a replica has asked for a pause. */
+    public void onPaused(ReplicaEntry replica, long nowNanos) {
+        if (isPaceActive()) {
+            mPace.onPaused(replica.pool(), replica.life(), nowNanos);
+        }
+    }
+
     /**
      * Returns the time until the first replica of the pool accepts requests again; empty if one
      * accepts requests now, or none ever will.
@@ -251,6 +317,9 @@
     /** Records that a replica could not be reached, fell silent, or responded with an error. */
     public void onFailure(ReplicaEntry replica, long nowNanos) {
         ejection(mView.pool(replica.pool())).onFailure(replica.id(), nowNanos);
+        if (isPaceActive()) {
+            mPace.onFailure(replica.pool(), replica.life(), nowNanos);
+        }
     }
 
     /**
@@ -280,6 +349,7 @@
     /** Drops the state of pools that no longer exist. */
     public void onReplicasChanged() {
         mEjections.keySet().retainAll(mView.pools());
+        mPace.retain(mView.pools());
     }
 
     private OutlierEjection ejection(ReplicaSet set) {
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
@@ -86,7 +86,7 @@
     private final Plan mPlan;
     private final List<Router> mRouters = new ArrayList<>();
     private final Map<NodeId, Backend> mBackends = new HashMap<>();
-    private final ReplicaSet mSet;
+    private ReplicaSet mSet;
     private long mNextId;
     private long mSent;
     private long mRejected;
@@ -127,6 +127,15 @@
         return new Router(loads, mPlan.placer().apply(loads), admission);
     }
 
+    /** Replaces a replica by a new one at the same place, which begins idle. */
+    public void replace(int index, Backend backend) {
+        List<Replica> all = new ArrayList<>(mSet.replicas());
+        Replica old = all.get(index);
+        all.set(index, old.withIncarnation(old.incarnation() + 1));
+        mBackends.put(old.node(), backend);
+        mSet = ReplicaSet.of(mSet.pool(), all);
+    }
+
     /** Sends a call through any of the routers. */
     public void submit(Call call, Affinity affinity) {
         submit(call, affinity, NO_TEAM, Caller.deaf());
@@ -206,9 +215,8 @@
             if (chosen.isEmpty()) {
                 break;
             }
-            NodeId node = chosen.get().node();
-            tried.add(node);
-            if (offer(asked, router, node)) {
+            tried.add(chosen.get().node());
+            if (offer(asked, router, chosen.get())) {
                 return;
             }
         }
@@ -221,13 +229,17 @@
         asked.caller().onRefused(asked.call(), retryAfterMillis);
     }
 
-    private boolean offer(Asked asked, Router router, NodeId node) {
+    private boolean offer(Asked asked, Router router, Replica replica) {
+        NodeId node = replica.node();
         Backend backend = mBackends.get(node);
         router.mLoads.onSent(node);
         mSent++;
-        if (backend.offer(asked.call(), new Answer(asked, router, node, backend, mTime.now()))) {
+        var watcher = router.mPlacer.onSent(replica, mTime.now());
+        var answer = new Answer(asked, router, node, backend, watcher, mTime.now());
+        if (backend.offer(asked.call(), answer)) {
             return true;
         }
+        watcher.onRefused(mTime.now());
         mRejected++;
         router.mLoads.onEnded(node);
         router.mLoads.onRefused(node, mTime.now());
@@ -241,9 +253,17 @@
         private final Router mRouter;
         private final NodeId mNode;
         private final Backend mBackend;
+        private final Placer.Watcher mWatcher;
         private final long mSentNanos;
 
-        Answer(Asked asked, Router router, NodeId node, Backend backend, long sentNanos) {
+        Answer(
+                Asked asked,
+                Router router,
+                NodeId node,
+                Backend backend,
+                Placer.Watcher watcher,
+                long sentNanos) {
+            mWatcher = watcher;
             mAsked = asked;
             mRouter = router;
             mNode = node;
@@ -258,6 +278,7 @@
                 mRouter.mLoads.onReport(mNode, mBackend.held(), now);
             }
             mTally.onFirst(call, now);
+            mWatcher.onFirst(now);
             mAsked.caller().onFirst(call);
             mRouter.mAdmission.ifPresent(
                     admission -> admission.onFirstByte(mAsked.id(), mSentNanos, now));
@@ -267,6 +288,9 @@
         public void onEnded(Call call, boolean complete) {
             mRouter.mLoads.onEnded(mNode);
             mTally.onEnded(complete);
+            if (!complete) {
+                mWatcher.onFailed(mTime.now());
+            }
             mRouter.mAdmission.ifPresent(
                     admission -> {
                         admission.onEnded(mAsked.id(), mTime.now());
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
@@ -18,6 +18,26 @@
     /** Returns where the request goes, or nothing when the filter allows no replica. */
     Optional<Replica> choose(ReplicaSet set, Affinity affinity, ReplicaFilter filter, long now);
 
+    /** Told what becomes of a request. */
+    interface Watcher {
+        /** One that does not look. */
+        Watcher NONE = new Watcher() {};
+
+        /** The answer begins. */
+        default void onFirst(long now) {}
+
+        /** The replica has refused the request. */
+        default void onRefused(long now) {}
+
+        /** The request failed at the replica. */
+        default void onFailed(long now) {}
+    }
+
+    /** A request is sent to this replica; returns who is told what becomes of it. */
+    default Watcher onSent(Replica replica, long now) {
+        return Watcher.NONE;
+    }
+
     /** Returns the product's own decision. */
     static Placer own(ReplicaLoads loads) {
         return PrefixPlacement.create(loads)::choose;
--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -26,6 +26,8 @@
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaPace;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.PlainDecoder;
@@ -52,10 +54,13 @@
                     new PlainDecoder(), mLog, Duration.ofSeconds(2), Duration.ofMillis(1_200));
     private final ReplicaLoads mLoads = ReplicaLoads.create();
     private final ReplicaNotices mNotices = ReplicaNotices.create();
+    private final ReplicaPace mPace = ReplicaPace.create(mLoads, new SplittableRandom(1));
+    private final ReplicaSpeeds mSpeeds = ReplicaSpeeds.create();
     private final ColdReplicaLimiter mColdReplicaLimiter =
             ColdReplicaLimiter.create(new SplittableRandom(1));
     private final ReplicaChooser mChooser =
-            ReplicaChooser.create(mView, mLoads, mNotices, mColdReplicaLimiter, Mechanisms.all());
+            ReplicaChooser.create(
+                    mView, mLoads, mNotices, mColdReplicaLimiter, mPace, mSpeeds, Mechanisms.all());
     private long mOffset;
 
     ReplicaChooserTest() {
@@ -115,6 +120,41 @@
         assertThat(counts.size(), is(REPLICAS));
     }
 
+    @ParameterizedTest
+    @CsvSource({"false, 3, 8", "true, 0, 1"})
+    void shouldSendFewRequestsToANewReplicaWhereReplicasShareTheirMachines(
+            boolean shared, int atLeast, int atMost) {
+        if (shared) {
+            mSpeeds.onReport(NodeId.of("r1"), 100, 0);
+        }
+        choose(key(0), 0);
+        change("r8", "ready", 2 * SECOND);
+        int chosen = 0;
+        for (int i = 0; i < 4 * REPLICAS; i++) {
+            var any = new Affinity(i * 0x9e3779b97f4a7c15L, false);
+            var replica = choose(any, 2 * SECOND + i).replica();
+            mLoads.onSent(replica.id());
+            chosen += replica.id().equals(NodeId.of("r8")) ? 1 : 0;
+        }
+        assertThat(chosen, is(greaterThan(atLeast - 1)));
+        assertThat(chosen, is(lessThan(atMost + 1)));
+    }
+
+    @Test
+    void shouldLetThePaceGiveWayIfNoOtherReplicaIsLeft() {
+        mSpeeds.onReport(NodeId.of("r1"), 100, 0);
+        choose(key(0), 0);
+        change("r8", "ready", 2 * SECOND);
+        Set<NodeId> tried = new HashSet<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            tried.add(NodeId.of("r" + i));
+        }
+        for (int i = 0; i < 10; i++) {
+            var chosen = mChooser.choose(POOL, key(i), tried, 2 * SECOND + i);
+            assertThat(chosen.orElseThrow().replica().id(), is(NodeId.of("r8")));
+        }
+    }
+
     private void configure(int version) {
         var record = StateRecord.set(at(version), "config", String.valueOf(version).getBytes());
         mView.applyBatch(
@@ -341,6 +381,8 @@
                                 mLoads,
                                 ReplicaNotices.create(),
                                 mColdReplicaLimiter,
+                                mPace,
+                                mSpeeds,
                                 mechanisms);
                 chooser.listen(
                         new ReplicaChooser.Reports() {
