--- a/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
+++ b/src/test/java/org/fescueport/internal/direct/place/ReplicaChooserTest.java
@@ -168,9 +168,12 @@
     }
 
     @ParameterizedTest
-    @ValueSource(ints = {1, 4, 33})
-    void shouldLimitAColdReplicaToThisNodesPartOfItsColdRate(int nodes) {
+    @CsvSource({"1, false", "4, false", "33, false", "1, true", "4, true", "33, true"})
+    void shouldLimitAColdReplicaToThisNodesPartOfItsColdRate(int nodes, boolean paced) {
         configure(1);
+        if (paced) {
+            mSpeeds.onReport(NodeId.of("r1"), 100, 0);
+        }
         mColdReplicaLimiter.onNodes(nodes);
         change("r0", "cold", SECOND);
         int sent = 0;
@@ -181,6 +184,24 @@
         assertThat(sent, lessThan(30 / nodes + 4));
     }
 
+    @Test
+    void shouldKeepTheColdRateOfANewReplicaIfThePaceGivesWay() {
+        configure(1);
+        mColdReplicaLimiter.onNodes(330);
+        mSpeeds.onReport(NodeId.of("r1"), 100, 0);
+        choose(key(0), 0);
+        change("r8", "cold", 2 * SECOND);
+        Set<NodeId> tried = new HashSet<>();
+        for (int i = 0; i < REPLICAS; i++) {
+            tried.add(NodeId.of("r" + i));
+        }
+        int sent = 0;
+        for (int i = 0; i < 100; i++) {
+            sent += mChooser.choose(POOL, key(i), tried, 2 * SECOND).isPresent() ? 1 : 0;
+        }
+        assertThat(sent, lessThan(5));
+    }
+
     @Test
     void shouldNotLimitAReplicaThatHasWarmedUp() {
         configure(1);
