--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -26,6 +26,7 @@
 import org.fescueport.internal.decision.placement.ColdReplicaLimiter;
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
+import org.fescueport.internal.decision.placement.ReplicaPace;
 import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
@@ -43,6 +44,7 @@
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
 import org.fescueport.internal.direct.place.CrashingRequestDetector.Outcome;
+import org.fescueport.internal.direct.place.PaceReports;
 import org.fescueport.internal.direct.place.PartStrike;
 import org.fescueport.internal.direct.place.PromptPartId;
 import org.fescueport.internal.direct.place.ReplicaChooser;
@@ -145,10 +147,7 @@
         var loads = ReplicaLoads.create();
         var speeds = ReplicaSpeeds.create(settings.sharedReplicas());
         var notices = ReplicaNotices.create();
-        var chooser =
-                ReplicaChooser.create(
-                        mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
-        chooser.listen(new ChooserReports());
+        var chooser = newChooser(loads, speeds, notices);
         var health = ReplicaLiveness.create();
         mView.listen(() -> onReplicasChanged(chooser, loads, speeds, health));
         mAdmissionControl =
@@ -206,6 +205,23 @@
         health.retain(present);
     }
 
+    private ReplicaChooser newChooser(
+            ReplicaLoads loads, ReplicaSpeeds speeds, ReplicaNotices notices) {
+        var pace = ReplicaPace.create(loads, mRandom);
+        pace.listen(PaceReports.create(mParts.registry(), mParts.log(), pace));
+        var chooser =
+                ReplicaChooser.create(
+                        mView,
+                        loads,
+                        notices,
+                        mColdReplicaLimiter,
+                        pace,
+                        speeds,
+                        mParts.mechanisms());
+        chooser.listen(new ChooserReports());
+        return chooser;
+    }
+
     private RetryBudgets newBudgets() {
         return RetryBudgets.create(
                 mSettings.retryShare(),
