Eject replicas whose share of failures is far above that of their pool

Cause: only failures in a row eject a replica, so one that fails 40 to 50 in 100 requests while its health check passes goes on getting its full share. Change: decaying shares of failures a replica; one that stands out by more than chance explains is ejected, longer each time, and nobody is if all fail alike. Asked for by a supplier, so pools that don't ask are judged as before.

--- a/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
+++ b/src/main/java/org/fescueport/internal/decision/ejection/OutlierEjection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.Invariants;
 import org.fescueport.internal.decision.NodeId;
@@ -18,6 +19,9 @@
  * in addition to that fraction, and its traffic ramps up as a whole; see {@link
  * FailureDomainMonitor}. A replica that is busy does not count as failing.
  *
+ * <p>A replica is ejected for consecutive failures and, where its pool is judged by {@link
+ * FailureShares}, also for a share of failures far above that of the other replicas.
+ *
  * <pre>{@code
  * ejection.onFailure(node, now);
  * ReplicaFilter filter = ejection.filter(affinity.key(), now);
@@ -35,6 +39,7 @@
         private final Ejection mEjection;
         private double mFailures;
         private long mLastFailureNanos;
+        private boolean mEjectedForShare;
 
         Health(EjectionSettings settings) {
             mEjection = new Ejection(settings);
@@ -45,10 +50,15 @@
     private final Map<NodeId, Health> mHealth = new HashMap<>();
     private final FailureDomainMonitor mDomainMonitor;
     private final ReportedReplicas mReports = new ReportedReplicas();
+    private final BooleanSupplier mJudgesShares;
+    private final FailureShares mShares = new FailureShares();
     private ReplicaSet mSet;
+    private long mShareEjections;
 
-    private OutlierEjection(EjectionSettings settings, ReplicaSet set) {
+    private OutlierEjection(
+            EjectionSettings settings, ReplicaSet set, BooleanSupplier judgesShares) {
         mSettings = settings;
+        mJudgesShares = judgesShares;
         mDomainMonitor = new FailureDomainMonitor(settings);
         mSet = set;
         mDomainMonitor.onReplicas(set);
@@ -56,7 +66,17 @@
 
     /** Returns an ejection that takes every replica of the set to be healthy. */
     public static OutlierEjection create(EjectionSettings settings, ReplicaSet set) {
-        return new OutlierEjection(settings, set);
+        return create(settings, set, () -> false);
+    }
+
+    /**
+     * Returns an ejection that takes every replica of the set to be healthy.
+     *
+     * @param judgesShares whether replicas are also ejected for their share of failures
+     */
+    public static OutlierEjection create(
+            EjectionSettings settings, ReplicaSet set, BooleanSupplier judgesShares) {
+        return new OutlierEjection(settings, set, judgesShares);
     }
 
     /** Updates the set of replicas; forgets those that are gone or were replaced. */
@@ -65,6 +85,7 @@
             var previous = mSet;
             mSet = set;
             mHealth.keySet().removeIf(node -> isGone(node, previous, set));
+            mShares.nodes().removeIf(node -> isGone(node, previous, set));
             mDomainMonitor.onReplicas(set);
         }
     }
@@ -76,16 +97,28 @@
             return;
         }
         mDomainMonitor.onSuccess(mSet.replica(index).domain(), nowNanos);
+        if (mJudgesShares.getAsBoolean()) {
+            mShares.add(node, false, nowNanos);
+        }
         var health = mHealth.get(node);
         if (health == null) {
             return;
         }
         health.mFailures = 0;
-        if (health.mEjection.share(nowNanos) >= 1) {
+        if (health.mEjection.share(nowNanos) >= 1 && !isStillJudged(health, nowNanos)) {
             mHealth.remove(node);
         }
     }
 
+    /**
+     * Returns whether a replica was ejected for its share of failures a short while ago. Successes
+     * between the failures do not end that, so its next ejection lasts longer.
+     */
+    private boolean isStillJudged(Health health, long nowNanos) {
+        return health.mEjectedForShare
+                && nowNanos - health.mLastFailureNanos <= mSettings.maxEjectionTime().toNanos();
+    }
+
     /**
      * Records that other routers have lost answers of a replica. Each counts less than a failure
      * here, and reports about many replicas at once are ignored: they tell of a network rather than
@@ -105,6 +138,30 @@
         }
         mDomainMonitor.onFailure(mSet.replica(index).domain(), node, nowNanos);
         addFailures(node, 1, nowNanos);
+        if (mJudgesShares.getAsBoolean()) {
+            mShares.add(node, true, nowNanos);
+            ejectForShare(node, nowNanos);
+        }
+    }
+
+    private void ejectForShare(NodeId node, long nowNanos) {
+        var health = mHealth.get(node);
+        var domain = mSet.replica(mSet.indexOf(node)).domain();
+        if (health.mEjection.isActive(nowNanos)
+                || mDomainMonitor.isEjected(domain, nowNanos)
+                || individuallyEjected(nowNanos) >= maxEjected()
+                || !mShares.standsOut(node, nowNanos)) {
+            return;
+        }
+        health.mEjection.begin(nowNanos);
+        health.mEjectedForShare = true;
+        mShares.onEjected(node);
+        mShareEjections++;
+    }
+
+    /** Returns how many times a replica has been ejected for its share of failures. */
+    public synchronized long shareEjections() {
+        return mShareEjections;
     }
 
     private void addFailures(NodeId node, double failures, long nowNanos) {
--- a/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
+++ b/src/test/java/org/fescueport/internal/decision/ejection/OutlierEjectionTest.java
@@ -3,16 +3,27 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.Replica;
 import org.fescueport.internal.decision.placement.ReplicaSet;
 import org.fescueport.internal.decision.placement.Replicas;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class OutlierEjectionTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
@@ -21,6 +32,14 @@
     private final OutlierEjection mEjection =
             OutlierEjection.create(EjectionSettings.defaults(), mSet);
 
+    /** The same replicas in one failure domain, which is never ejected as a whole. */
+    private final ReplicaSet mOneDomain =
+            ReplicaSet.of(
+                    Replicas.POOL,
+                    mSet.replicas().stream()
+                            .map(r -> Replica.of(r.node(), FailureDomain.of("fd"), r.address()))
+                            .toList());
+
     private void fail(NodeId node, long now) {
         for (int i = 0; i < 3; i++) {
             mEjection.onFailure(node, now);
@@ -206,4 +225,95 @@
         }
         assertThat(share(node, 20 * 200 * SECOND), is(1.0));
     }
+
+    /**
+     * Sends requests in turn, of which each replica fails its share, and returns who is ejected.
+     */
+    private List<NodeId> ejectedAfter(OutlierEjection ejection, ToDoubleFunction<NodeId> failing) {
+        var random = new Random(3);
+        Set<NodeId> ejected = new HashSet<>();
+        for (int i = 0; i < 6_000; i++) {
+            long now = i * SECOND / 200;
+            var node = mOneDomain.replica(i % mOneDomain.size()).node();
+            if (!ejection.filter(random.nextLong(), now)
+                    .allows(mOneDomain.replica(i % mOneDomain.size()))) {
+                ejected.add(node);
+            } else if (random.nextDouble() < failing.applyAsDouble(node)) {
+                ejection.onFailure(node, now);
+            } else {
+                ejection.onSuccess(node, now);
+            }
+        }
+        return ejected.stream().sorted(Comparator.comparing(NodeId::name)).toList();
+    }
+
+    /** Returns one that ejects for shares of failures only, or for nothing at all. */
+    private OutlierEjection judgingShares(boolean judges) {
+        var settings =
+                new EjectionSettings(
+                        1_000_000,
+                        1_000_000,
+                        0.4,
+                        Duration.ofMillis(1_200),
+                        Duration.ofSeconds(8),
+                        Duration.ofSeconds(2));
+        return OutlierEjection.create(settings, mOneDomain, () -> judges);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0.40, 0", "0.45, 0.02", "0.50, 0.14"})
+    void shouldEjectTheReplicaThatFailsFarMoreOftenThanTheOthers(double bad, double usual) {
+        var faulty = NodeId.of("r4");
+        assertThat(
+                ejectedAfter(judgingShares(true), node -> node.equals(faulty) ? bad : usual),
+                is(List.of(faulty)));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.14, 0.45, 0.9})
+    void shouldEjectNoReplicaForAShareOfFailuresThatAllHave(double usual) {
+        assertThat(ejectedAfter(judgingShares(true), node -> usual), is(List.of()));
+    }
+
+    @Test
+    void shouldSendLittleToAReplicaThatGoesOnFailing() {
+        var ejection = judgingShares(true);
+        var faulty = NodeId.of("r4");
+        var random = new Random(3);
+        int sent = 0;
+        for (int i = 0; i < 24_000; i++) {
+            long now = i * SECOND / 200;
+            var replica = mOneDomain.replica(i % mOneDomain.size());
+            if (!ejection.filter(random.nextLong(), now).allows(replica)) {
+                continue;
+            }
+            sent += replica.node().equals(faulty) ? 1 : 0;
+            if (replica.node().equals(faulty) && random.nextDouble() < 0.45) {
+                ejection.onFailure(replica.node(), now);
+            } else {
+                ejection.onSuccess(replica.node(), now);
+            }
+        }
+        assertThat(sent, lessThan(24_000 / mOneDomain.size() / 3));
+    }
+
+    @Test
+    void shouldSendAllTrafficAgainToAReplicaThatFailsNoLonger() {
+        var ejection = judgingShares(true);
+        ejectedAfter(ejection, node -> node.equals(NodeId.of("r4")) ? 0.5 : 0);
+        var replica = mOneDomain.replica(mOneDomain.indexOf(NodeId.of("r4")));
+        for (int i = 0; i < 2_000; i++) {
+            ejection.onSuccess(replica.node(), 30 * SECOND + i * SECOND / 100);
+        }
+        long now = 50 * SECOND;
+        assertThat(ejection.filter(-1, now).allows(replica), is(true));
+        assertThat(ejection.ejected(now), is(0));
+    }
+
+    @Test
+    void shouldNotJudgeSharesUnlessAsked() {
+        assertThat(
+                ejectedAfter(judgingShares(false), node -> node.equals(NodeId.of("r4")) ? 0.5 : 0),
+                is(List.of()));
+    }
 }
