Place requests by the speed of the replicas where they report it

Cause: loads were compared as counts, so a replica four times slower got as much as the others. Change: ReplicaSpeeds compares smoothed reports, and the times of the node's own requests, with the median of the pool; a replica of slowness s keeps 1/s of the prefixes for which it ranks first, and its load counts s times. A request without a prefix goes to one of several good replicas, so that nodes with the same stale reports don't all choose one. Where nothing is reported, the placement is as before; the spill limit that counts requests holds in any case.

--- a/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/PrefixPlacement.java
@@ -1,8 +1,10 @@
 package org.fescueport.internal.decision.placement;
 
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Optional;
 import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.decision.Mechanisms;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds.Slowness;
 
 /**
  * Sends requests that share a prompt prefix to as few replicas as their load requires.
@@ -14,6 +16,12 @@
  * replica is its number of slots, and loads are compared relative to it. This class is not
  * thread-safe.
  *
+ * <p>Where replicas report their speed, a slow replica keeps a part of its prefixes that
+ * corresponds to its speed, and a request there counts for as many as the replica is slower when
+ * loads are compared. The spill limit counts requests as before. All nodes read the same reports,
+ * which are a little old, so a request without a shared prefix goes to one of the several best
+ * replicas, in an order that differs for each request.
+ *
  * <pre>{@code
  * var placement = PrefixPlacement.create(loads);
  * Optional<Replica> replica = placement.choose(set, affinity, ReplicaFilter.ALL, now);
@@ -26,11 +34,16 @@
     /** Number of requests in flight that a replica may have in addition, whatever the mean is. */
     private static final int SPILL_FLOOR = 3;
 
+    /** Ratio to the lowest cost up to which a replica counts as one of the best. */
+    private static final double BEST_MARGIN = 1.25;
+
     private final ReplicaLoads mLoads;
+    private final ReplicaSpeeds mSpeeds;
     private final Mechanisms mMechanisms;
 
-    private PrefixPlacement(ReplicaLoads loads, Mechanisms mechanisms) {
+    private PrefixPlacement(ReplicaLoads loads, ReplicaSpeeds speeds, Mechanisms mechanisms) {
         mLoads = loads;
+        mSpeeds = speeds;
         mMechanisms = mechanisms;
     }
 
@@ -41,7 +54,13 @@
 
     /** Returns a placement that compares replicas by the given loads, with some mechanisms only. */
     public static PrefixPlacement create(ReplicaLoads loads, Mechanisms mechanisms) {
-        return new PrefixPlacement(loads, mechanisms);
+        return create(loads, ReplicaSpeeds.create(), mechanisms);
+    }
+
+    /** Returns a placement that also takes the speeds of the replicas into account. */
+    public static PrefixPlacement create(
+            ReplicaLoads loads, ReplicaSpeeds speeds, Mechanisms mechanisms) {
+        return new PrefixPlacement(loads, speeds, mechanisms);
     }
 
     /** Returns the replica for a request; empty if the filter allows none. */
@@ -66,6 +85,9 @@
             long nowNanos) {
         if (affinity.cacheable() && mMechanisms.isEnabled(Mechanism.PROMPT_PLACING)) {
             ReplicaFilter belowLimit = belowSpillLimit(loadBasis, nowNanos);
+            if (mSpeeds.isAnyReported()) {
+                belowLimit = belowLimit.and(keepsPrefix(loadBasis, affinity, nowNanos));
+            }
             int index =
                     candidates(
                                     set,
@@ -81,12 +103,49 @@
                 return Optional.of(set.replica(index));
             }
         }
+        if (mSpeeds.isAnyReported()) {
+            int index = oneOfTheBest(set, loadBasis, affinity, filter, nowNanos);
+            return index < 0 ? Optional.empty() : Optional.of(set.replica(index));
+        }
         var candidates = candidates(set, affinity, filter, replica -> false, nowNanos);
         candidates.next();
         int index = candidates.leastLoaded();
         return index < 0 ? Optional.empty() : Optional.of(set.replica(index));
     }
 
+    /**
+     * Returns the first replica by rank whose cost is close to the lowest one; -1 if the filter
+     * allows none.
+     */
+    private int oneOfTheBest(
+            ReplicaSet set,
+            ReplicaSet loadBasis,
+            Affinity affinity,
+            ReplicaFilter filter,
+            long nowNanos) {
+        Slowness slowness = mSpeeds.slowness(loadBasis, nowNanos);
+        double lowest = Double.POSITIVE_INFINITY;
+        for (var replica : set.replicas()) {
+            double cost = cost(replica, slowness, nowNanos);
+            if (cost < lowest && filter.allows(replica)) {
+                lowest = cost;
+            }
+        }
+        double margin = BEST_MARGIN * lowest;
+        ReplicaFilter best = replica -> cost(replica, slowness, nowNanos) <= margin;
+        return candidates(set, affinity, filter, best, nowNanos).next();
+    }
+
+    /**
+     * Returns the expected time to the first byte of one more request, in multiples of what a usual
+     * replica without other requests needs: its slots are shared, and each request there takes
+     * longer by the slowness.
+     */
+    private double cost(Replica replica, Slowness slowness, long nowNanos) {
+        double held = mLoads.placementLoad(replica.node(), nowNanos);
+        return slowness.of(replica.node()) * (held + 1) / replica.weight();
+    }
+
     private CandidateIterator candidates(
             ReplicaSet set,
             Affinity affinity,
@@ -112,6 +171,26 @@
         return replica -> mLoads.placementLoad(replica.node(), nowNanos) < replica.weight();
     }
 
+    /**
+     * Returns a filter for the replicas that keep a prefix for which they rank first. A slow
+     * replica keeps only part of its prefixes, always the same ones, so that the other ones are
+     * computed at one other replica each and not at several by turns.
+     */
+    private ReplicaFilter keepsPrefix(ReplicaSet set, Affinity affinity, long nowNanos) {
+        Slowness slowness = mSpeeds.slowness(set, nowNanos);
+        return replica -> {
+            double factor = slowness.of(replica.node());
+            return factor <= 1 || draw(affinity, replica) < 1 / factor;
+        };
+    }
+
+    /** Returns a number in [0, 1) that depends on the key and the replica only. */
+    private static double draw(Affinity affinity, Replica replica) {
+        long seed = Hashing.komihash5_0().hashCharsToLong(replica.node().name());
+        long bits = Hashing.komihash5_0().hashLongLongToLong(affinity.key(), seed);
+        return (bits >>> 11) * 0x1p-53;
+    }
+
     private ReplicaFilter belowSpillLimit(ReplicaSet set, long nowNanos) {
         if (!mMechanisms.isEnabled(Mechanism.SPILL)) {
             return replica -> true;
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -23,6 +23,7 @@
 import org.fescueport.internal.decision.placement.ReplicaLoads;
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.decision.placement.ReplicaSet;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
@@ -71,6 +72,7 @@
     public record Selection(ReplicaEntry replica, Optional<ReplicaEntry> cacheHolder) {}
 
     private final FleetView mView;
+    private final ReplicaSpeeds mSpeeds;
     private final PrefixPlacement mPlacement;
     private final ReplicaNotices mNotices;
     private final ColdReplicaLimiter mColdReplicaLimiter;
@@ -82,14 +84,16 @@
     private ReplicaChooser(
             FleetView view,
             ReplicaLoads loads,
+            ReplicaSpeeds speeds,
             ReplicaNotices notices,
             ColdReplicaLimiter coldReplicaLimiter,
             Mechanisms mechanisms) {
         mView = view;
+        mSpeeds = speeds;
         mColdReplicaLimiter = coldReplicaLimiter;
         mNotices = notices;
         mMechanisms = mechanisms;
-        mPlacement = PrefixPlacement.create(loads, mechanisms);
+        mPlacement = PrefixPlacement.create(loads, speeds, mechanisms);
     }
 
     /** Returns a chooser among the replicas of the view. */
@@ -99,7 +103,19 @@
             ReplicaNotices notices,
             ColdReplicaLimiter coldTurns,
             Mechanisms mechanisms) {
-        return new ReplicaChooser(view, loads, notices, coldTurns, mechanisms);
+        var speeds = ReplicaSpeeds.create();
+        return new ReplicaChooser(view, loads, speeds, notices, coldTurns, mechanisms);
+    }
+
+    /** Returns a chooser that also takes the speeds of the replicas into account. */
+    public static ReplicaChooser create(
+            FleetView view,
+            ReplicaLoads loads,
+            ReplicaSpeeds speeds,
+            ReplicaNotices notices,
+            ColdReplicaLimiter coldTurns,
+            Mechanisms mechanisms) {
+        return new ReplicaChooser(view, loads, speeds, notices, coldTurns, mechanisms);
     }
 
     /**
@@ -285,7 +301,8 @@
     private OutlierEjection ejection(ReplicaSet set) {
         var ejection =
                 mEjections.computeIfAbsent(
-                        set.pool(), pool -> OutlierEjection.create(EJECTION, set));
+                        set.pool(),
+                        pool -> OutlierEjection.create(EJECTION, set, mSpeeds::isAnyReported));
         ejection.onReplicas(set);
         return ejection;
     }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Call.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Call.java
@@ -55,11 +55,11 @@
         return mParts.stream().mapToInt(Part::tokens).sum();
     }
 
-    int outputTokens() {
+    public int outputTokens() {
         return mOutputTokens;
     }
 
-    int urgency() {
+    public int urgency() {
         return mUrgency;
     }
 
--- a/src/main/java/org/fescueport/internal/load/experiment/model/EngineModel.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/EngineModel.java
@@ -60,6 +60,7 @@
 
     private final Settings mSettings;
     private final VirtualTime mTime;
+    private final double mSlowness;
     private final PartCache mCache = new PartCache();
     private final List<Run> mRunning = new ArrayList<>();
     private final PriorityQueue<Run> mWaiting = new PriorityQueue<>(BY_URGENCY);
@@ -69,14 +70,24 @@
     private long mSharedRead;
     private long mPreempted;
 
-    private EngineModel(Settings settings, VirtualTime time) {
+    private EngineModel(Settings settings, VirtualTime time, double slowness) {
         mSettings = settings;
         mTime = time;
+        mSlowness = slowness;
     }
 
     /** Returns an idle engine that keeps nothing. */
     public static EngineModel create(Settings settings, VirtualTime time) {
-        return new EngineModel(settings, time);
+        return create(settings, time, 1);
+    }
+
+    /**
+     * Returns an idle engine that keeps nothing.
+     *
+     * @param slowness factor by which each step takes longer
+     */
+    public static EngineModel create(Settings settings, VirtualTime time, double slowness) {
+        return new EngineModel(settings, time, slowness);
     }
 
     @Override
@@ -119,9 +130,8 @@
         int read = readChunk();
         double reading = read / mSettings.readTokensPerMilli() * VirtualTime.MILLI;
         long others = mRunning.size() - 1L;
-        mTime.after(
-                mSettings.stepNanos() + others * mSettings.stepNanosEach() + (long) reading,
-                this::endStep);
+        double step = mSettings.stepNanos() + others * mSettings.stepNanosEach() + reading;
+        mTime.after((long) (mSlowness * step), this::endStep);
     }
 
     private void endStep() {
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
@@ -257,6 +257,7 @@
             if (mPlan.tellsLoad()) {
                 mRouter.mLoads.onReport(mNode, mBackend.held(), now);
             }
+            mRouter.mPlacer.onFirst(mNode, call, mSentNanos, now);
             mTally.onFirst(call, now);
             mAsked.caller().onFirst(call);
             mRouter.mAdmission.ifPresent(
@@ -266,6 +267,9 @@
         @Override
         public void onEnded(Call call, boolean complete) {
             mRouter.mLoads.onEnded(mNode);
+            if (complete) {
+                mRouter.mPlacer.onComplete(mNode, call, mTime.now());
+            }
             mTally.onEnded(complete);
             mRouter.mAdmission.ifPresent(
                     admission -> {
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.Affinity;
 import org.fescueport.internal.decision.placement.CandidateIterator;
 import org.fescueport.internal.decision.placement.PrefixPlacement;
@@ -18,6 +19,16 @@
     /** Returns where the request goes, or nothing when the filter allows no replica. */
     Optional<Replica> choose(ReplicaSet set, Affinity affinity, ReplicaFilter filter, long now);
 
+    /**
+     * The answer to a call begins.
+     *
+     * @param sentNanos when the call was sent to the replica
+     */
+    default void onFirst(NodeId replica, Call call, long sentNanos, long now) {}
+
+    /** The answer to a call is complete. */
+    default void onComplete(NodeId replica, Call call, long now) {}
+
     /** Returns the product's own decision. */
     static Placer own(ReplicaLoads loads) {
         return PrefixPlacement.create(loads)::choose;
