Move streams that stall, and withhold second tries that do not pay

Cause: a stream whose replica works on others was never moved, and a replica that sent nothing at all only after 900 ms; second tries that fail each time used up the retry budget; an unreadable load counted as none. Change, where replicas report their speed: a resumable stream goes on elsewhere 1.5 of its route's longest pauses after its last event, or before the first one when it is late by an objective and the replica sends nothing; second tries of a route are withheld, but for one in ten, while under a quarter of them are answered. A load or speed that makes no sense counts as not told, is counted, and is logged once a replica. StalledStreamTest: the stream is whole and in order within two pauses and 0.5 s.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -46,6 +46,7 @@
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaLiveness;
 import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.place.RetryYields;
 import org.fescueport.internal.direct.state.EraMetrics;
 import org.fescueport.internal.direct.state.EraTracker;
 import org.fescueport.internal.direct.state.FleetView;
@@ -142,10 +143,11 @@
         mColdReplicaLimiter = ColdReplicaLimiter.create(mRandom);
         var loads = ReplicaLoads.create();
         var speeds = ReplicaSpeeds.create();
+        parts.registry().gauge("fescue.replicas.slow", speeds, ReplicaSpeeds::slowReplicas);
         var notices = ReplicaNotices.create();
         var chooser =
                 ReplicaChooser.create(
-                        mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
+                        mView, loads, speeds, notices, mColdReplicaLimiter, parts.mechanisms());
         chooser.listen(new ChooserReports());
         var health = ReplicaLiveness.create();
         mView.listen(
@@ -175,6 +177,7 @@
                         health,
                         mAdmissionControl,
                         mBudgets,
+                        RetryYields.create(),
                         crashes,
                         CrashCheck.of(mConnectionPools, crashes),
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
--- a/src/main/java/org/fescueport/internal/direct/config/Route.java
+++ b/src/main/java/org/fescueport/internal/direct/config/Route.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.fescueport.internal.decision.PoolId;
 
 /**
@@ -14,6 +15,8 @@
  * @param priority 0 is the most urgent
  * @param maxAttempts maximum number of replicas that one request may be sent to
  * @param open whether no API key is required
+ * @param longestPause longest pause between the events of a stream that is still on time; absent if
+ *     the route declares none
  */
 public record Route(
         String name,
@@ -25,7 +28,8 @@
         Duration objective,
         int priority,
         int maxAttempts,
-        boolean open) {
+        boolean open,
+        Optional<Duration> longestPause) {
     /** A pool and the weight that determines its share of a route's requests. */
     public record Target(PoolId pool, int weight) {}
 
@@ -36,6 +40,32 @@
         }
     }
 
+    /** A route that declares no longest pause. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            List<Target> targets,
+            Duration timeout,
+            Duration objective,
+            int priority,
+            int maxAttempts,
+            boolean open) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                targets,
+                timeout,
+                objective,
+                priority,
+                maxAttempts,
+                open,
+                Optional.empty());
+    }
+
     /**
      * Returns the pool for a request.
      *
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.fescueport.internal.decision.placement.ReplicaNotice;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
@@ -12,6 +13,9 @@
  * attempt has ended or is cancelled.
  */
 final class Attempt implements ResponseListener {
+    /** Number of events from which their mean distance is meaningful. */
+    private static final int MIN_EVENTS = 4;
+
     private final Exchange mExchange;
     private final ForwardingContext mContext;
     private final ReplicaEntry mReplica;
@@ -22,6 +26,11 @@
     private boolean mEnded;
     private ResponseHead mHead;
     private boolean mHasContent;
+    private int mEvents;
+    private long mFirstEventNanos;
+    private long mLastEventNanos;
+    private boolean mWasSuspended;
+    private final double mHeldPerSlot;
 
     Attempt(Exchange exchange, ForwardingContext context, ReplicaEntry replica, int number) {
         mExchange = exchange;
@@ -29,6 +38,8 @@
         mReplica = replica;
         mNumber = number;
         mStartNanos = context.nowNanos();
+        int held = context.loads().inFlight(replica.id(), mStartNanos);
+        mHeldPerSlot = (double) held / Math.max(1, replica.slots());
         context.loads().onSent(replica.id());
     }
 
@@ -63,6 +74,35 @@
         return mHasContent;
     }
 
+    /** Returns the requests per slot that the replica had in flight when it got this one. */
+    double heldPerSlot() {
+        return mHeldPerSlot;
+    }
+
+    /** Records that a complete event of a stream was received. */
+    void onEvent(long nowNanos) {
+        mFirstEventNanos = mEvents == 0 ? nowNanos : mFirstEventNanos;
+        mLastEventNanos = nowNanos;
+        mEvents++;
+    }
+
+    /** Returns whether a complete event was received. */
+    boolean hasEvent() {
+        return mEvents > 0;
+    }
+
+    /** Returns the mean time between the events; empty for a few events. */
+    OptionalLong meanPauseNanos() {
+        return mEvents < MIN_EVENTS || mWasSuspended
+                ? OptionalLong.empty()
+                : OptionalLong.of((mLastEventNanos - mFirstEventNanos) / (mEvents - 1));
+    }
+
+    /** Returns the time since which the next event is awaited. */
+    long lastEventNanos() {
+        return mLastEventNanos;
+    }
+
     /** Stops the work at the replica; nothing more is reported. */
     void cancel() {
         if (end() && mConnection != null) {
@@ -73,6 +113,9 @@
     void setReading(boolean reading) {
         if (mConnection != null && !mEnded) {
             mConnection.setReading(reading);
+            // Events that were not read meanwhile are not late.
+            mWasSuspended = true;
+            mLastEventNanos = mContext.nowNanos();
         }
     }
 
@@ -127,20 +170,28 @@
         mContext.health().onDataReceived(mReplica.id(), now);
         mContext.crashes().onReplicaAlive(mReplica, mStartNanos);
         applyNotice(head.notice(), now);
-        head.load()
-                .ifPresent(
-                        load -> {
-                            int held = load.running() + load.waiting();
-                            mContext.loads().onReport(mReplica.id(), held, now);
-                            load.workPercent()
-                                    .ifPresent(
-                                            percent ->
-                                                    mContext.speeds()
-                                                            .onReport(mReplica.id(), percent, now));
-                        });
+        head.load().ifPresent(load -> onLoad(load, now));
         mExchange.onHead(this, head);
     }
 
+    private void onLoad(ResponseHead.Load load, long nowNanos) {
+        var id = mReplica.id();
+        load.held().ifPresent(held -> mContext.loads().onReport(id, held, nowNanos));
+        load.workPercent().ifPresent(percent -> mContext.speeds().onReport(id, percent, nowNanos));
+        load.unreadable().ifPresent(this::onUnreadableLoad);
+    }
+
+    private void onUnreadableLoad(String text) {
+        mContext.metrics().onUnreadableLoad();
+        if (mContext.speeds().onUnreadableReport(mReplica.id())) {
+            mContext.log()
+                    .change("replica-load-unreadable")
+                    .with("replica", mReplica.id())
+                    .with("load", text)
+                    .write();
+        }
+    }
+
     @Override
     public void onContent(ByteBuf content) {
         mHasContent = true;
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -47,6 +47,11 @@
      */
     private static final int MIN_REPORTED_TOKENS = 1_500;
 
+    /**
+     * Suffix of a route's name for the kind of work that is done between the events of a stream.
+     */
+    private static final String EVENTS = " events";
+
     /** Team of callers without an API key, on routes that require none. */
     private static final TeamId NO_TEAM = TeamId.of("");
 
@@ -73,6 +78,13 @@
     private boolean mMayRepeatAtSameReplica;
 
     private boolean mSilenceHandled;
+
+    /** Number of the attempt whose stall was handled last; 0 if none was. */
+    private int mStallHandledAttempt;
+
+    /** Why the request was sent again, as a kind of {@link RetryYields}. */
+    private Optional<String> mSecondTry = Optional.empty();
+
     private Attempt mAttempt;
     private Optional<AdmissionControl.Ticket> mTicket = Optional.empty();
     private boolean mFirstByteSeen;
@@ -198,7 +210,73 @@
             onTimeout();
         } else if (mAttempt != null && isReplicaSilent(nowNanos)) {
             onReplicaSilent(mAttempt, nowNanos);
+        } else if (mAttempt != null && isStreamStalled(mAttempt, nowNanos)) {
+            onStreamStalled(mAttempt, nowNanos);
+        }
+    }
+
+    /**
+     * Continues a stalled stream at another replica, once for each attempt. The replica does not
+     * count as failing: it may be working on other streams.
+     */
+    private void onStreamStalled(Attempt stalled, long nowNanos) {
+        mStallHandledAttempt = stalled.number();
+        if (tryAcquireSecondTry("stalled", nowNanos)) {
+            mMayHaveRun = true;
+            stalled.cancel();
+            mContext.metrics().onStalledStreamMoved();
+            mLog.attempt("moved", stalled, "the stream has stalled");
+            retry("stalled");
+        }
+    }
+
+    private boolean isStreamStalled(Attempt attempt, long nowNanos) {
+        if (!mContext.speeds().isAnyReported()
+                || !mContext.mechanisms().isEnabled(Mechanism.MOVING_ON)
+                || !mRoute.kind().isStream()
+                || !mResponseWriter.isWritable()
+                || mStallHandledAttempt == attempt.number()
+                || !mayRetry()) {
+            return false;
+        }
+        if (attempt.hasEvent()) {
+            long since = nowNanos - attempt.lastEventNanos();
+            return mRequestClock.stallLimit().filter(l -> since >= l.toNanos()).isPresent();
         }
+        boolean late = nowNanos - attempt.startNanos() >= mRequestClock.firstEventLimit().toNanos();
+        return late
+                && mRequestClock
+                        .replicaSilenceLimit()
+                        .filter(limit -> isSilentFor(attempt, limit, nowNanos))
+                        .isPresent();
+    }
+
+    private boolean isSilentFor(Attempt attempt, Duration limit, long nowNanos) {
+        return mContext.health()
+                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
+    }
+
+    /**
+     * Takes a retry from the budget, if requests of this kind that were sent again for the same
+     * reason have lately been answered.
+     */
+    private boolean tryAcquireSecondTry(String reason, long nowNanos) {
+        if (!mContext.speeds().isAnyReported()) {
+            return tryAcquireRetry();
+        }
+        String kind = mPool + " " + mRoute.name() + " " + reason;
+        if (!mContext.yields().isWorthwhile(kind, nowNanos)) {
+            mContext.metrics().onRetryWithheld();
+            mContext.log()
+                    .decision("retry-withheld")
+                    .with("request", mRequest.id())
+                    .with("reason", reason)
+                    .write();
+            return false;
+        }
+        boolean taken = tryAcquireRetry();
+        mSecondTry = taken ? Optional.of(kind) : mSecondTry;
+        return taken;
     }
 
     /**
@@ -206,9 +284,6 @@
      * Done once for each request; otherwise the request keeps waiting.
      */
     private void onReplicaSilent(Attempt silent, long nowNanos) {
-        if (mSilenceHandled) {
-            return;
-        }
         mSilenceHandled = true;
         mContext.chooser().onFailure(silent.replica(), nowNanos);
         if (mayRetry() && tryAcquireRetry()) {
@@ -260,12 +335,14 @@
         }
         if (!mFirstByteSeen && attempt.head().isSuccess()) {
             mFirstByteSeen = true;
+            onFirstByte(attempt);
             mTicket.ifPresent(
                     ticket ->
                             mContext.admissionControl()
                                     .onFirstResponseByte(
                                             ticket, attempt.startNanos(), mContext.nowNanos()));
         }
+        var lastEvent = mRelay.lastEventId();
         boolean first = !mRelay.hasStarted();
         boolean failure = attempt.head().status() >= FIRST_SERVER_ERROR;
         if (failure && mRelay.exceedsBufferLimit(content) && mayRetry()) {
@@ -275,6 +352,9 @@
             return;
         }
         mRelay.onContent(content);
+        if (!mRelay.lastEventId().equals(lastEvent)) {
+            attempt.onEvent(mContext.nowNanos());
+        }
         Optional<String> unusable = mRelay.unusableReason();
         if (unusable.isPresent()) {
             attempt.cancel();
@@ -286,6 +366,31 @@
         }
     }
 
+    private void onFirstByte(Attempt attempt) {
+        long now = mContext.nowNanos();
+        mContext.speeds()
+                .onWork(
+                        attempt.replica().id(),
+                        mRoute.name(),
+                        attempt.heldPerSlot(),
+                        now - attempt.startNanos(),
+                        now);
+    }
+
+    private void onEventsReceived(Attempt attempt) {
+        long now = mContext.nowNanos();
+        attempt.meanPauseNanos()
+                .ifPresent(
+                        nanos ->
+                                mContext.speeds()
+                                        .onWork(
+                                                attempt.replica().id(),
+                                                mRoute.name() + EVENTS,
+                                                attempt.heldPerSlot(),
+                                                nanos,
+                                                now));
+    }
+
     void onReadComplete(Attempt attempt) {
         mResponseWriter.flush();
         if (!mResponseWriter.isWritable()) {
@@ -310,6 +415,8 @@
             return;
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
+        endSecondTry(true);
+        onEventsReceived(attempt);
         if (head.isSuccess()) {
             mCrashEvidence.onSucceeded(attempt, endedByClose);
         }
@@ -326,7 +433,7 @@
     private void onErrorResponse(Attempt attempt, ResponseHead head) {
         mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
         mLog.attempt("failed-answer", attempt, "status " + head.status());
-        if (mayRetry() && tryAcquireRetry()) {
+        if (mayRetry() && tryAcquireSecondTry("failed", mContext.nowNanos())) {
             mMayRepeatAtSameReplica = true;
             retry("failed answer");
         } else if (head.statusImpliesNotRun()) {
@@ -478,15 +585,17 @@
     private boolean isReplicaSilent(long nowNanos) {
         Attempt attempt = mAttempt;
         boolean enabled = mContext.mechanisms().isEnabled(Mechanism.MOVING_ON);
-        if (!enabled || !mRoute.kind().isRepeatable() || !mResponseWriter.isWritable()) {
+        if (mSilenceHandled
+                || !enabled
+                || !mRoute.kind().isRepeatable()
+                || !mResponseWriter.isWritable()) {
             return false;
         }
         Duration limit = mRequestClock.silenceLimit(mRoute.kind(), mRelay.hasStarted());
         if (!mRoute.kind().isStream()) {
             return nowNanos - attempt.startNanos() > limit.toNanos();
         }
-        return mContext.health()
-                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
+        return isSilentFor(attempt, limit, nowNanos);
     }
 
     private TeamId teamId() {
@@ -548,7 +657,15 @@
         end(reason == Refusal.Reason.TIME_OVER ? End.TIME_OVER : End.FAILED, message);
     }
 
+    private void endSecondTry(boolean success) {
+        mSecondTry.ifPresent(kind -> mContext.yields().onEnded(kind, success, mContext.nowNanos()));
+        mSecondTry = Optional.empty();
+    }
+
     private void end(End end, String reason) {
+        if (end != End.CALLER_LEFT) {
+            endSecondTry(false);
+        }
         mEnded = true;
         mAttempt = null;
         mBody.release();
--- a/src/main/java/org/fescueport/internal/direct/forward/ExchangeLog.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ExchangeLog.java
@@ -32,7 +32,12 @@
     /** The request is sent to a replica. */
     void sent(ReplicaChooser.Selection chosen, Attempt attempt, String reason) {
         String holder = chosen.cacheHolder().map(r -> r.id().name()).orElse("");
-        line("sent", attempt, reason).with("cache_holder", holder).write();
+        var replica = attempt.replica();
+        var line = line("sent", attempt, reason).with("cache_holder", holder);
+        if (mContext.speeds().isAnyReported()) {
+            line.with("slowness", mContext.speeds().slowness(replica.pool(), replica.id()));
+        }
+        line.write();
     }
 
     /** Something happened to an attempt. */
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -12,6 +12,7 @@
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaLiveness;
 import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.place.RetryYields;
 import org.fescueport.internal.direct.state.FleetView;
 
 /** The components that forward requests; there is one instance per process. */
@@ -27,6 +28,7 @@
         ReplicaLiveness health,
         AdmissionControl admissionControl,
         RetryBudgets budgets,
+        RetryYields yields,
         CrashingRequestDetector crashes,
         CrashCheck crashCheck,
         CallerQuota quota,
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -43,6 +43,9 @@
     private final Counter mSends;
     private final Counter mRetries;
     private final Counter mPartRefusals;
+    private final Counter mUnreadableLoads;
+    private final Counter mStalledStreams;
+    private final Counter mRetriesWithheld;
 
     private ForwardingMetrics(MeterRegistry registry) {
         for (var end : End.values()) {
@@ -66,6 +69,9 @@
         mSends = registry.counter("fescue.sends");
         mRetries = registry.counter("fescue.retries");
         mPartRefusals = registry.counter("fescue.part.refusals");
+        mUnreadableLoads = registry.counter("fescue.replica.loads.unreadable");
+        mStalledStreams = registry.counter("fescue.streams.stalled");
+        mRetriesWithheld = registry.counter("fescue.retries.withheld");
     }
 
     /** Returns metrics that are registered in this registry. */
@@ -92,6 +98,21 @@
         mPartRefusals.increment();
     }
 
+    /** Counts a replica's statement of its load that counts as not told. */
+    void onUnreadableLoad() {
+        mUnreadableLoads.increment();
+    }
+
+    /** Counts a stream that went on at another replica because it had stalled. */
+    void onStalledStreamMoved() {
+        mStalledStreams.increment();
+    }
+
+    /** Counts a retry that was withheld because such retries have not succeeded lately. */
+    void onRetryWithheld() {
+        mRetriesWithheld.increment();
+    }
+
     void onSend(boolean retry) {
         mSends.increment();
         if (retry) {
--- a/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/RequestClock.java
@@ -28,6 +28,21 @@
      */
     private static final Duration STREAM_SILENCE_LIMIT = Duration.ofMillis(900);
 
+    /**
+     * Number of longest pauses after the last event for which a stream goes on at the same replica.
+     * Timeouts are checked in intervals, and the stream is to go on within two pauses.
+     */
+    private static final double PAUSES_BEFORE_STALL = 1.5;
+
+    /**
+     * Number of latency objectives after which a stream without any event may go on at another
+     * replica, if its replica sends nothing at all.
+     */
+    private static final int OBJECTIVES_BEFORE_FIRST_EVENT = 2;
+
+    /** Number of longest pauses for which a working replica sends nothing at most. */
+    private static final int PAUSES_OF_SILENT_REPLICA = 2;
+
     /** Callers are told to retry after at most this fraction of the time that they have left. */
     private static final double MAX_RETRY_AFTER_FRACTION = 0.3;
 
@@ -44,8 +59,15 @@
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Duration mObjective;
-
-    private RequestClock(Clock clock, long startNanos, long deadlineNanos, Duration objective) {
+    private final Optional<Duration> mLongestPause;
+
+    private RequestClock(
+            Clock clock,
+            long startNanos,
+            long deadlineNanos,
+            Duration objective,
+            Optional<Duration> longestPause) {
+        mLongestPause = longestPause;
         mClock = clock;
         mStartNanos = startNanos;
         mDeadlineNanos = deadlineNanos;
@@ -61,7 +83,7 @@
     static RequestClock start(Clock clock, Route route, OptionalLong timeoutMillis) {
         long start = clock.monotonicTime();
         long end = start + timeout(route, timeoutMillis).toNanos();
-        return new RequestClock(clock, start, end, route.objective());
+        return new RequestClock(clock, start, end, route.objective(), route.longestPause());
     }
 
     /**
@@ -100,6 +122,25 @@
         return Duration.ofNanos((long) (RESPONSE_FRACTION_OF_OBJECTIVE * mObjective.toNanos()));
     }
 
+    /**
+     * Returns the time after an event from which a stream without the next event has stalled; empty
+     * if the route declares no longest pause.
+     */
+    Optional<Duration> stallLimit() {
+        return mLongestPause.map(
+                pause -> Duration.ofNanos((long) (PAUSES_BEFORE_STALL * pause.toNanos())));
+    }
+
+    /** Returns the time after sending from which a stream without any event is very late. */
+    Duration firstEventLimit() {
+        return mObjective.multipliedBy(OBJECTIVES_BEFORE_FIRST_EVENT);
+    }
+
+    /** Returns how long the replica of a very late stream may send nothing; see stallLimit. */
+    Optional<Duration> replicaSilenceLimit() {
+        return mLongestPause.map(pause -> pause.multipliedBy(PAUSES_OF_SILENT_REPLICA));
+    }
+
     /** Returns the offer with which this request asks for admission to a pool. */
     PoolOffer offer(AttemptId id, TeamId team, int urgency) {
         long objective = mObjective.toNanos();
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -44,13 +44,13 @@
     /**
      * The load of a replica.
      *
-     * @param running requests that it is processing
-     * @param waiting requests that wait there
-     * @param slots requests that it can process at the same time
+     * @param held requests that it is processing and that wait there; absent if it does not tell
      * @param workPercent how long work takes on its machine at present, in percent of the usual;
      *     absent if it does not tell
+     * @param unreadable the statement, if part of it is missing or makes no sense and therefore
+     *     counts as not told
      */
-    public record Load(int running, int waiting, int slots, OptionalInt workPercent) {}
+    public record Load(OptionalInt held, OptionalInt workPercent, Optional<String> unreadable) {}
 
     /**
      * Returns whether callers take this status to mean that the request has not run and never will.
