--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -148,6 +148,7 @@
         var chooser =
                 ReplicaChooser.create(
                         mView, loads, speeds, notices, mColdReplicaLimiter, parts.mechanisms());
+        parts.registry().gauge("fescue.share.ejections", chooser, ReplicaChooser::shareEjections);
         chooser.listen(new ChooserReports());
         var health = ReplicaLiveness.create();
         mView.listen(
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -293,6 +293,11 @@
         mReports = reports;
     }
 
+    /** Returns how many times replicas of the present pools were ejected for failing too often. */
+    public long shareEjections() {
+        return mEjections.values().stream().mapToLong(OutlierEjection::shareEjections).sum();
+    }
+
     /** Drops the state of pools that no longer exist. */
     public void onReplicasChanged() {
         mEjections.keySet().retainAll(mView.pools());
