--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -74,11 +74,6 @@
         return mHasContent;
     }
 
-    /** Returns the requests per slot that the replica had in flight when it got this one. */
-    double heldPerSlot() {
-        return mHeldPerSlot;
-    }
-
     /** Records that a complete event of a stream was received. */
     void onEvent(long nowNanos) {
         mFirstEventNanos = mEvents == 0 ? nowNanos : mFirstEventNanos;
@@ -92,7 +87,7 @@
     }
 
     /** Returns the mean time between the events; empty for a few events. */
-    OptionalLong meanPauseNanos() {
+    private OptionalLong meanPauseNanos() {
         return mEvents < MIN_EVENTS || mWasSuspended
                 ? OptionalLong.empty()
                 : OptionalLong.of((mLastEventNanos - mFirstEventNanos) / (mEvents - 1));
@@ -103,6 +98,21 @@
         return mLastEventNanos;
     }
 
+    /** Reports the time to the first byte for the replica's speed. */
+    void reportFirstByte(String route) {
+        reportWork(route, mContext.nowNanos() - mStartNanos);
+    }
+
+    /** Reports the time between the events of a complete stream for the replica's speed. */
+    void reportEvents(String route) {
+        meanPauseNanos().ifPresent(nanos -> reportWork(route + " events", nanos));
+    }
+
+    private void reportWork(String kind, long nanos) {
+        mContext.speeds()
+                .onWork(mReplica.id(), kind, mHeldPerSlot, nanos, mContext.nowNanos());
+    }
+
     /** Stops the work at the replica; nothing more is reported. */
     void cancel() {
         if (end() && mConnection != null) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -47,11 +47,6 @@
      */
     private static final int MIN_REPORTED_TOKENS = 1_500;
 
-    /**
-     * Suffix of a route's name for the kind of work that is done between the events of a stream.
-     */
-    private static final String EVENTS = " events";
-
     /** Team of callers without an API key, on routes that require none. */
     private static final TeamId NO_TEAM = TeamId.of("");
 
@@ -82,9 +77,8 @@
     /** Number of the attempt whose stall was handled last; 0 if none was. */
     private int mStallHandledAttempt;
 
-    /** Why the request was sent again, as a kind of {@link RetryYields}. */
-    private Optional<String> mSecondTry = Optional.empty();
-
+    private final SecondTry mSecondTry;
+    private final StallDetector mStallDetector;
     private Attempt mAttempt;
     private Optional<AdmissionControl.Ticket> mTicket = Optional.empty();
     private boolean mFirstByteSeen;
@@ -109,6 +103,8 @@
         mRequestClock = RequestClock.start(context.clock(), mRoute, request.timeoutMillis());
         mLog = new ExchangeLog(context, request, mRequestClock);
         mRelay = ResponseRelay.of(mRoute.kind(), responseWriter, context.protocol());
+        mSecondTry = SecondTry.of(context, request, mPool, mRoute);
+        mStallDetector = StallDetector.of(context, mRoute, mRequestClock);
         mCrashEvidence = new CrashEvidence(context, request, body, teamId());
     }
 
@@ -221,34 +217,21 @@
      */
     private void onStreamStalled(Attempt stalled, long nowNanos) {
         mStallHandledAttempt = stalled.number();
-        if (tryAcquireSecondTry("stalled", nowNanos)) {
+        if (mSecondTry.isWorthwhile("stalled", nowNanos) && tryAcquireRetry()) {
             mMayHaveRun = true;
             stalled.cancel();
             mContext.metrics().onStalledStreamMoved();
             mLog.attempt("moved", stalled, "the stream has stalled");
+            mSecondTry.begin("stalled");
             retry("stalled");
         }
     }
 
     private boolean isStreamStalled(Attempt attempt, long nowNanos) {
-        if (!mContext.speeds().isAnyReported()
-                || !mContext.mechanisms().isEnabled(Mechanism.MOVING_ON)
-                || !mRoute.kind().isStream()
-                || !mResponseWriter.isWritable()
-                || mStallHandledAttempt == attempt.number()
-                || !mayRetry()) {
-            return false;
-        }
-        if (attempt.hasEvent()) {
-            long since = nowNanos - attempt.lastEventNanos();
-            return mRequestClock.stallLimit().filter(l -> since >= l.toNanos()).isPresent();
-        }
-        boolean late = nowNanos - attempt.startNanos() >= mRequestClock.firstEventLimit().toNanos();
-        return late
-                && mRequestClock
-                        .replicaSilenceLimit()
-                        .filter(limit -> isSilentFor(attempt, limit, nowNanos))
-                        .isPresent();
+        return mStallHandledAttempt != attempt.number()
+                && mResponseWriter.isWritable()
+                && mayRetry()
+                && mStallDetector.isStalled(attempt, nowNanos);
     }
 
     private boolean isSilentFor(Attempt attempt, Duration limit, long nowNanos) {
@@ -256,29 +239,6 @@
                 .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
     }
 
-    /**
-     * Takes a retry from the budget, if requests of this kind that were sent again for the same
-     * reason have lately been answered.
-     */
-    private boolean tryAcquireSecondTry(String reason, long nowNanos) {
-        if (!mContext.speeds().isAnyReported()) {
-            return tryAcquireRetry();
-        }
-        String kind = mPool + " " + mRoute.name() + " " + reason;
-        if (!mContext.yields().isWorthwhile(kind, nowNanos)) {
-            mContext.metrics().onRetryWithheld();
-            mContext.log()
-                    .decision("retry-withheld")
-                    .with("request", mRequest.id())
-                    .with("reason", reason)
-                    .write();
-            return false;
-        }
-        boolean taken = tryAcquireRetry();
-        mSecondTry = taken ? Optional.of(kind) : mSecondTry;
-        return taken;
-    }
-
     /**
      * Counts a failure of the replica and sends the request to another one if it may be retried.
      * Done once for each request; otherwise the request keeps waiting.
@@ -335,7 +295,7 @@
         }
         if (!mFirstByteSeen && attempt.head().isSuccess()) {
             mFirstByteSeen = true;
-            onFirstByte(attempt);
+            attempt.reportFirstByte(mRoute.name());
             mTicket.ifPresent(
                     ticket ->
                             mContext.admissionControl()
@@ -366,31 +326,6 @@
         }
     }
 
-    private void onFirstByte(Attempt attempt) {
-        long now = mContext.nowNanos();
-        mContext.speeds()
-                .onWork(
-                        attempt.replica().id(),
-                        mRoute.name(),
-                        attempt.heldPerSlot(),
-                        now - attempt.startNanos(),
-                        now);
-    }
-
-    private void onEventsReceived(Attempt attempt) {
-        long now = mContext.nowNanos();
-        attempt.meanPauseNanos()
-                .ifPresent(
-                        nanos ->
-                                mContext.speeds()
-                                        .onWork(
-                                                attempt.replica().id(),
-                                                mRoute.name() + EVENTS,
-                                                attempt.heldPerSlot(),
-                                                nanos,
-                                                now));
-    }
-
     void onReadComplete(Attempt attempt) {
         mResponseWriter.flush();
         if (!mResponseWriter.isWritable()) {
@@ -415,8 +350,8 @@
             return;
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
-        endSecondTry(true);
-        onEventsReceived(attempt);
+        mSecondTry.onEnded(true);
+        attempt.reportEvents(mRoute.name());
         if (head.isSuccess()) {
             mCrashEvidence.onSucceeded(attempt, endedByClose);
         }
@@ -433,8 +368,11 @@
     private void onErrorResponse(Attempt attempt, ResponseHead head) {
         mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
         mLog.attempt("failed-answer", attempt, "status " + head.status());
-        if (mayRetry() && tryAcquireSecondTry("failed", mContext.nowNanos())) {
+        if (mayRetry()
+                && mSecondTry.isWorthwhile("failed", mContext.nowNanos())
+                && tryAcquireRetry()) {
             mMayRepeatAtSameReplica = true;
+            mSecondTry.begin("failed");
             retry("failed answer");
         } else if (head.statusImpliesNotRun()) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "the replica's answer promises what it cannot");
@@ -657,14 +595,9 @@
         end(reason == Refusal.Reason.TIME_OVER ? End.TIME_OVER : End.FAILED, message);
     }
 
-    private void endSecondTry(boolean success) {
-        mSecondTry.ifPresent(kind -> mContext.yields().onEnded(kind, success, mContext.nowNanos()));
-        mSecondTry = Optional.empty();
-    }
-
     private void end(End end, String reason) {
         if (end != End.CALLER_LEFT) {
-            endSecondTry(false);
+            mSecondTry.onEnded(false);
         }
         mEnded = true;
         mAttempt = null;
