--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -50,6 +50,7 @@
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaLiveness;
 import org.fescueport.internal.direct.place.RetryBudgets;
+import org.fescueport.internal.direct.place.RetryYields;
 import org.fescueport.internal.direct.state.EraMetrics;
 import org.fescueport.internal.direct.state.EraTracker;
 import org.fescueport.internal.direct.state.FleetView;
@@ -176,6 +177,7 @@
                         health,
                         mAdmissionControl,
                         mBudgets,
+                        RetryYields.create(),
                         crashes,
                         CrashCheck.of(mConnectionPools, crashes),
                         newQuota(settings.limits()),
@@ -218,6 +220,9 @@
                         pace,
                         speeds,
                         mParts.mechanisms());
+        var registry = mParts.registry();
+        registry.gauge("fescue.replicas.slow", speeds, ReplicaSpeeds::slowReplicas);
+        registry.gauge("fescue.share.ejections", chooser, ReplicaChooser::shareEjections);
         chooser.listen(new ChooserReports());
         return chooser;
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.fescueport.internal.decision.placement.ReplicaNotice;
 import org.fescueport.internal.decision.placement.ReplicaPace;
 import org.fescueport.internal.decision.placement.WorkKind;
@@ -15,6 +16,9 @@
  * attempt has ended or is cancelled.
  */
 final class Attempt implements ResponseListener {
+    /** Number of events from which their mean distance is meaningful. */
+    private static final int MIN_EVENTS = 4;
+
     private final Exchange mExchange;
     private final ForwardingContext mContext;
     private final ReplicaEntry mReplica;
@@ -26,6 +30,11 @@
     private boolean mEnded;
     private ResponseHead mHead;
     private boolean mHasContent;
+    private int mEvents;
+    private long mFirstEventNanos;
+    private long mLastEventNanos;
+    private boolean mWasSuspended;
+    private final double mHeldPerSlot;
 
     Attempt(
             Exchange exchange,
@@ -38,6 +47,8 @@
         mReplica = selection.replica();
         mNumber = number;
         mStartNanos = context.nowNanos();
+        int held = context.loads().inFlight(mReplica.id(), mStartNanos);
+        mHeldPerSlot = (double) held / Math.max(1, mReplica.slots());
         context.loads().onSent(mReplica.id());
         mSending = context.chooser().onSent(selection, kind, mStartNanos);
     }
@@ -73,6 +84,45 @@
         return mHasContent;
     }
 
+    /** Records that a complete event of a stream was received. */
+    void onEvent(long nowNanos) {
+        mFirstEventNanos = mEvents == 0 ? nowNanos : mFirstEventNanos;
+        mLastEventNanos = nowNanos;
+        mEvents++;
+    }
+
+    /** Returns whether a complete event was received. */
+    boolean hasEvent() {
+        return mEvents > 0;
+    }
+
+    /** Returns the mean time between the events; empty for a few events. */
+    private OptionalLong meanPauseNanos() {
+        return mEvents < MIN_EVENTS || mWasSuspended
+                ? OptionalLong.empty()
+                : OptionalLong.of((mLastEventNanos - mFirstEventNanos) / (mEvents - 1));
+    }
+
+    /** Returns the time since which the next event is awaited. */
+    long lastEventNanos() {
+        return mLastEventNanos;
+    }
+
+    /** Reports the time to the first byte for the replica's speed. */
+    void reportFirstByte(String route) {
+        reportWork(route, mContext.nowNanos() - mStartNanos);
+    }
+
+    /** Reports the time between the events of a complete stream for the replica's speed. */
+    void reportEvents(String route) {
+        meanPauseNanos().ifPresent(nanos -> reportWork(route + " events", nanos));
+    }
+
+    private void reportWork(String kind, long nanos) {
+        mContext.speeds()
+                .onWork(mReplica.id(), kind, mHeldPerSlot, nanos, mContext.nowNanos());
+    }
+
     /** Stops the work at the replica; nothing more is reported. */
     void cancel() {
         if (end() && mConnection != null) {
@@ -83,6 +133,9 @@
     void setReading(boolean reading) {
         if (mConnection != null && !mEnded) {
             mConnection.setReading(reading);
+            // Events that were not read meanwhile are not late.
+            mWasSuspended = true;
+            mLastEventNanos = mContext.nowNanos();
         }
     }
 
@@ -137,20 +190,28 @@
         mContext.health().onDataReceived(mReplica.id(), now);
         mContext.crashes().onReplicaAlive(mReplica, mStartNanos);
         applyNotice(head.notice(), now);
-        head.load()
-                .ifPresent(
-                        load -> {
-                            int held = load.running() + load.waiting();
-                            mContext.loads().onReport(mReplica.id(), held, now);
-                            load.workPercent()
-                                    .ifPresent(
-                                            percent ->
-                                                    mContext.speeds()
-                                                            .onReport(mReplica.id(), percent, now));
-                        });
+        head.load().ifPresent(load -> onLoad(load, now));
         mExchange.onHead(this, head);
     }
 
+    private void onLoad(ResponseHead.Load load, long nowNanos) {
+        var id = mReplica.id();
+        load.held().ifPresent(held -> mContext.loads().onReport(id, held, nowNanos));
+        load.workPercent().ifPresent(percent -> mContext.speeds().onReport(id, percent, nowNanos));
+        load.unreadable().ifPresent(this::onUnreadableLoad);
+    }
+
+    private void onUnreadableLoad(String text) {
+        mContext.metrics().onUnreadableLoad();
+        if (mContext.speeds().onUnreadableReport(mReplica.id())) {
+            mContext.log()
+                    .change("replica-load-unreadable")
+                    .with("replica", mReplica.id())
+                    .with("load", text)
+                    .write();
+        }
+    }
+
     @Override
     public void onContent(ByteBuf content) {
         if (!mHasContent && mHead.isSuccess()) {
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -74,6 +74,12 @@
     private boolean mMayRepeatAtSameReplica;
 
     private boolean mSilenceHandled;
+
+    /** Number of the attempt whose stall was handled last; 0 if none was. */
+    private int mStallHandledAttempt;
+
+    private final SecondTry mSecondTry;
+    private final StallDetector mStallDetector;
     private Attempt mAttempt;
     private Optional<AdmissionControl.Ticket> mTicket = Optional.empty();
     private boolean mFirstByteSeen;
@@ -98,6 +104,8 @@
         mRequestClock = RequestClock.start(context.clock(), mRoute, request.timeoutMillis());
         mLog = new ExchangeLog(context, request, mRequestClock);
         mRelay = ResponseRelay.of(mRoute.kind(), responseWriter, context.protocol());
+        mSecondTry = SecondTry.of(context, request, mPool, mRoute);
+        mStallDetector = StallDetector.of(context, mRoute, mRequestClock);
         mCrashEvidence = new CrashEvidence(context, request, body, teamId());
     }
 
@@ -200,17 +208,44 @@
             onTimeout();
         } else if (mAttempt != null && isReplicaSilent(nowNanos)) {
             onReplicaSilent(mAttempt, nowNanos);
+        } else if (mAttempt != null && isStreamStalled(mAttempt, nowNanos)) {
+            onStreamStalled(mAttempt, nowNanos);
         }
     }
 
+    /**
+     * Continues a stalled stream at another replica, once for each attempt. The replica does not
+     * count as failing: it may be working on other streams.
+     */
+    private void onStreamStalled(Attempt stalled, long nowNanos) {
+        mStallHandledAttempt = stalled.number();
+        if (mSecondTry.isWorthwhile("stalled", nowNanos) && tryAcquireRetry()) {
+            mMayHaveRun = true;
+            stalled.cancel();
+            mContext.metrics().onStalledStreamMoved();
+            mLog.attempt("moved", stalled, "the stream has stalled");
+            mSecondTry.begin("stalled");
+            retry("stalled");
+        }
+    }
+
+    private boolean isStreamStalled(Attempt attempt, long nowNanos) {
+        return mStallHandledAttempt != attempt.number()
+                && mResponseWriter.isWritable()
+                && mayRetry()
+                && mStallDetector.isStalled(attempt, nowNanos);
+    }
+
+    private boolean isSilentFor(Attempt attempt, Duration limit, long nowNanos) {
+        return mContext.health()
+                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
+    }
+
     /**
      * Counts a failure of the replica and sends the request to another one if it may be retried.
      * Done once for each request; otherwise the request keeps waiting.
      */
     private void onReplicaSilent(Attempt silent, long nowNanos) {
-        if (mSilenceHandled) {
-            return;
-        }
         mSilenceHandled = true;
         mContext.chooser().onFailure(silent.replica(), nowNanos);
         if (mayRetry() && tryAcquireRetry()) {
@@ -262,12 +297,14 @@
         }
         if (!mFirstByteSeen && attempt.head().isSuccess()) {
             mFirstByteSeen = true;
+            attempt.reportFirstByte(mRoute.name());
             mTicket.ifPresent(
                     ticket ->
                             mContext.admissionControl()
                                     .onFirstResponseByte(
                                             ticket, attempt.startNanos(), mContext.nowNanos()));
         }
+        var lastEvent = mRelay.lastEventId();
         boolean first = !mRelay.hasStarted();
         boolean failure = attempt.head().status() >= FIRST_SERVER_ERROR;
         if (failure && mRelay.exceedsBufferLimit(content) && mayRetry()) {
@@ -277,6 +314,9 @@
             return;
         }
         mRelay.onContent(content);
+        if (!mRelay.lastEventId().equals(lastEvent)) {
+            attempt.onEvent(mContext.nowNanos());
+        }
         Optional<String> unusable = mRelay.unusableReason();
         if (unusable.isPresent()) {
             attempt.cancel();
@@ -312,6 +352,8 @@
             return;
         }
         mContext.chooser().onSuccess(attempt.replica(), now);
+        mSecondTry.onEnded(true);
+        attempt.reportEvents(mRoute.name());
         if (head.isSuccess()) {
             mCrashEvidence.onSucceeded(attempt, endedByClose);
         }
@@ -328,8 +370,11 @@
     private void onErrorResponse(Attempt attempt, ResponseHead head) {
         mContext.chooser().onFailure(attempt.replica(), mContext.nowNanos());
         mLog.attempt("failed-answer", attempt, "status " + head.status());
-        if (mayRetry() && tryAcquireRetry()) {
+        if (mayRetry()
+                && mSecondTry.isWorthwhile("failed", mContext.nowNanos())
+                && tryAcquireRetry()) {
             mMayRepeatAtSameReplica = true;
+            mSecondTry.begin("failed");
             retry("failed answer");
         } else if (head.statusImpliesNotRun()) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "the replica's answer promises what it cannot");
@@ -507,15 +552,17 @@
     private boolean isReplicaSilent(long nowNanos) {
         Attempt attempt = mAttempt;
         boolean enabled = mContext.mechanisms().isEnabled(Mechanism.MOVING_ON);
-        if (!enabled || !mRoute.kind().isRepeatable() || !mResponseWriter.isWritable()) {
+        if (mSilenceHandled
+                || !enabled
+                || !mRoute.kind().isRepeatable()
+                || !mResponseWriter.isWritable()) {
             return false;
         }
         Duration limit = mRequestClock.silenceLimit(mRoute.kind(), mRelay.hasStarted());
         if (!mRoute.kind().isStream()) {
             return nowNanos - attempt.startNanos() > limit.toNanos();
         }
-        return mContext.health()
-                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
+        return isSilentFor(attempt, limit, nowNanos);
     }
 
     private TeamId teamId() {
@@ -578,6 +625,9 @@
     }
 
     private void end(End end, String reason) {
+        if (end != End.CALLER_LEFT) {
+            mSecondTry.onEnded(false);
+        }
         mEnded = true;
         mAttempt = null;
         mBody.release();
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -74,6 +74,7 @@
     public record Selection(ReplicaEntry replica, Optional<ReplicaEntry> cacheHolder) {}
 
     private final FleetView mView;
+    private final ReplicaSpeeds mSpeeds;
     private final PrefixPlacement mPlacement;
     private final ReplicaNotices mNotices;
     private final ColdReplicaLimiter mColdReplicaLimiter;
@@ -98,7 +99,7 @@
         mColdReplicaLimiter = coldReplicaLimiter;
         mNotices = notices;
         mMechanisms = mechanisms;
-        mPlacement = PrefixPlacement.create(loads, mechanisms);
+        mPlacement = PrefixPlacement.create(loads, speeds, mechanisms);
     }
 
     /** Returns a chooser among the replicas of the view. */
@@ -346,6 +347,11 @@
         mReports = reports;
     }
 
+    /** Returns how many times replicas of the present pools were ejected for failing too often. */
+    public long shareEjections() {
+        return mEjections.values().stream().mapToLong(OutlierEjection::shareEjections).sum();
+    }
+
     /** Drops the state of pools that no longer exist. */
     public void onReplicasChanged() {
         mEjections.keySet().retainAll(mView.pools());
@@ -355,7 +361,8 @@
     private OutlierEjection ejection(ReplicaSet set) {
         var ejection =
                 mEjections.computeIfAbsent(
-                        set.pool(), pool -> OutlierEjection.create(EJECTION, set));
+                        set.pool(),
+                        pool -> OutlierEjection.create(EJECTION, set, mSpeeds::isAnyReported));
         ejection.onReplicas(set);
         return ejection;
     }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/ModelFleet.java
@@ -351,6 +351,7 @@
             if (mPlan.tellsLoad()) {
                 mRouter.mLoads.onReport(mNode, mBackend.held(), now);
             }
+            mRouter.mPlacer.onFirst(mNode, call, mSentNanos, now);
             mTally.onFirst(call, now);
             mRouter.meter().onStarted(mAsked.team(), now);
             mWatcher.onFirst(now);
@@ -362,6 +363,9 @@
         @Override
         public void onEnded(Call call, boolean complete) {
             mRouter.mLoads.onEnded(mNode);
+            if (complete) {
+                mRouter.mPlacer.onComplete(mNode, call, mTime.now());
+            }
             mTally.onEnded(complete);
             if (!complete) {
                 mWatcher.onFailed(mTime.now());
