Read responses ahead for slow callers within a budget

A replica cuts off a response that nobody reads for some seconds. The node stopped reading from the replica as soon as the caller's connection had 64 KiB unwritten, so a slow caller lost its response.

SlowReaderBudget now counts what is unwritten for each caller. The node reads on while the caller holds less than half of what is free (dynamic thresholds), and cuts responses off when the whole is exceeded: callers that have read nothing for 1 s first, and of these the one with the most unread bytes. Its connection is reset, so that the response does not look complete. In effect only where replicas report that they share their machines.

--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -34,6 +34,7 @@
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
 import org.fescueport.internal.direct.forward.ReplicaConnectionPools;
+import org.fescueport.internal.direct.forward.SlowReaderBudget;
 import org.fescueport.internal.direct.forward.WireProtocol;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.peer.PeerGroup;
@@ -178,6 +179,7 @@
                         crashes,
                         CrashCheck.of(mConnectionPools, crashes),
                         CallerQuota.of(settings.limits().callers(), settings.limits().bodyBytes()),
+                        SlowReaderBudget.of(settings.limits().unreadBytes(), parts.registry()),
                         ForwardingMetrics.create(parts.registry()),
                         ResponseTimes.create(),
                         parts.log(),
--- a/src/main/java/org/fescueport/internal/direct/MachineLimits.java
+++ b/src/main/java/org/fescueport/internal/direct/MachineLimits.java
@@ -26,6 +26,11 @@
     /** Of the heap; a body is held until its answer is complete, and is copied once to be sent. */
     private static final double BODIES_PART = 0.25;
 
+    /**
+     * Of the bytes for bodies, which are held twice; so that both take five eighths of the heap.
+     */
+    private static final double UNREAD_PART_OF_BODIES = 0.5;
+
     /** What Linux allows a process that was given no other limit. */
     private static final int STANDARD_FILES = 1_024;
 
@@ -47,10 +52,16 @@
                 .with("sockets", most)
                 .with("callers", limits.callers())
                 .with("body_bytes", limits.bodyBytes())
+                .with("unread_bytes", limits.unreadBytes())
                 .write();
         return limits;
     }
 
+    /** Returns how many bytes of responses are held at a time for callers that read slowly. */
+    public long unreadBytes() {
+        return (long) (UNREAD_PART_OF_BODIES * bodyBytes);
+    }
+
     /** Where the limit can't be read the least one that is usual holds. */
     private static long openFiles(EventLog log) {
         try (Stream<String> lines = Files.lines(LIMITS)) {
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -69,10 +70,14 @@
     private long mStateSinceNanos;
     private OptionalLong mHeaderStartNanos = OptionalLong.empty();
     private long mReservedBytes;
+    private final SlowReaderBudget.Unread mUnread;
+    private boolean mWriting;
+    private boolean mCutOff;
 
     CallerConnection(ForwardingContext context, CallerConnections connections) {
         mContext = context;
         mConnections = connections;
+        mUnread = context.slowReaders().open(this::cutOff);
     }
 
     @Override
@@ -85,6 +90,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mConnections.onClosed(this);
+        mContext.slowReaders().update(mUnread, 0, mContext.nowNanos());
         releaseAll();
         if (mExchange != null) {
             mExchange.onCallerDisconnected();
@@ -101,7 +107,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (mExchange != null) {
-            mExchange.onWritable(context.channel().isWritable());
+            mExchange.updateReading();
         }
     }
 
@@ -137,6 +143,22 @@
         if (mExchange != null) {
             mExchange.checkTimeouts(nowNanos);
         }
+        if (isReadingAhead()) {
+            observeUnread();
+            resumeReading();
+        }
+    }
+
+    /** Reads on from the replica if the caller, or another one, has made room. */
+    private void resumeReading() {
+        if (mExchange != null && mayReadOn()) {
+            mExchange.updateReading();
+        }
+    }
+
+    /** Returns whether this node holds bytes of a response that the caller has not read. */
+    boolean hasUnread() {
+        return mUnread.bytes() > 0;
     }
 
     /** Returns whether no request is being received or processed. */
@@ -199,7 +221,7 @@
         if (mOverLimit) {
             return FIRST_REQUEST_TIMEOUT;
         }
-        if (!stopping) {
+        if (!stopping || hasUnread()) {
             return limits.connectionIdleTimeout();
         }
         return mRequestReceived ? Duration.ZERO : FIRST_REQUEST_TIMEOUT;
@@ -344,12 +366,93 @@
 
     @Override
     public void sendContent(ByteBuf content) {
-        mChannel.write(new DefaultHttpContent(content));
+        if (isWritable()) {
+            mChannel.write(new DefaultHttpContent(content));
+            return;
+        }
+        observeUnread();
+        mChannel.write(new DefaultHttpContent(compact(content)));
+        observeUnread();
+        if (mExchange != null) {
+            mExchange.updateReading();
+        }
+    }
+
+    /**
+     * Copies content that stays here for a while, because a small part of a large buffer would
+     * occupy the whole buffer.
+     */
+    private ByteBuf compact(ByteBuf content) {
+        if (!isReadingAhead()) {
+            return content;
+        }
+        ByteBuf copy = Unpooled.copiedBuffer(content);
+        content.release();
+        return copy;
     }
 
     @Override
     public void flush() {
         mChannel.flush();
+        observeUnread();
+    }
+
+    /** Tells the budget what this connection holds, and cuts off responses if it is exceeded. */
+    private void observeUnread() {
+        long bytes = unwrittenBytes();
+        if (!isReadingAhead() || mCutOff || (bytes == 0 && !hasUnread())) {
+            return;
+        }
+        long now = mContext.nowNanos();
+        if (bytes < mUnread.bytes() && isIdle()) {
+            // A caller that still reads its last response is not idle.
+            mStateSinceNanos = now;
+        }
+        mContext.slowReaders().update(mUnread, bytes, now);
+        mWriting = true;
+        mContext.slowReaders().cutExcess(now);
+        mWriting = false;
+    }
+
+    private long unwrittenBytes() {
+        var outbound = mChannel.channel().unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+    }
+
+    /**
+     * Returns whether responses are read from the replicas faster than callers read them. Only
+     * replicas that share their machines cut off responses that are read slowly.
+     */
+    private boolean isReadingAhead() {
+        return mContext.speeds().isAnyReported();
+    }
+
+    /** Ends a response whose caller reads too slowly. */
+    private void cutOff(long unreadBytes) {
+        mContext.log()
+                .decision("slow-reader-cut")
+                .with("bytes", unreadBytes)
+                .with("held_bytes", mContext.slowReaders().bytes())
+                .with("max_bytes", mContext.slowReaders().maxBytes())
+                .write();
+        mCutOff = true;
+        if (mWriting) {
+            mChannel.executor().execute(this::reset);
+        } else {
+            reset();
+        }
+    }
+
+    /** Resets the connection; its caller sees an incomplete response. */
+    private void reset() {
+        if (mExchange != null) {
+            mExchange.onCutOff();
+            mExchange = null;
+        }
+        if (mChannel.channel().isActive()) {
+            mChannel.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            mChannel.close();
+        }
     }
 
     @Override
@@ -375,6 +478,12 @@
         return mChannel.channel().isWritable();
     }
 
+    @Override
+    public boolean mayReadOn() {
+        return isWritable()
+                || (isReadingAhead() && !mCutOff && mContext.slowReaders().hasRoom(mUnread));
+    }
+
     private void setConnectionClose(HttpResponse head) {
         if (mConnections.isStopping()) {
             mCloseAfterResponse = true;
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnections.java
@@ -140,6 +140,7 @@
         long now = mContext.nowNanos();
         return mOpen.stream()
                 .filter(CallerConnection::isIdle)
+                .filter(idle -> !idle.hasUnread())
                 .filter(idle -> idle.nanosInState(now) > MIN_IDLE_TIME.toNanos())
                 .max(Comparator.comparingLong(idle -> idle.nanosInState(now)));
     }
@@ -209,6 +210,7 @@
         for (var connection : List.copyOf(mOpen)) {
             connection.checkTimeouts(nowNanos);
         }
+        mContext.slowReaders().cutExcess(nowNanos);
     }
 
     /**
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -176,14 +176,25 @@
         }
     }
 
+    /** Resumes or suspends reading from the replica, as the caller's connection has room. */
+    void updateReading() {
+        if (mAttempt != null) {
+            mAttempt.setReading(mResponseWriter.mayReadOn());
+        }
+    }
+
     /**
-     * Called when the caller's connection becomes writable or stops being writable; resumes or
-     * suspends reading from the replica.
+     * Called when the bytes that this node holds for the caller have to be freed; the response is
+     * incomplete.
      */
-    void onWritable(boolean writable) {
+    void onCutOff() {
+        if (mEnded) {
+            return;
+        }
         if (mAttempt != null) {
-            mAttempt.setReading(writable);
+            mAttempt.cancel();
         }
+        end(End.CUT, "the caller reads too slowly");
     }
 
     /**
@@ -288,7 +299,7 @@
 
     void onReadComplete(Attempt attempt) {
         mResponseWriter.flush();
-        if (!mResponseWriter.isWritable()) {
+        if (!mResponseWriter.mayReadOn()) {
             attempt.setReading(false);
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingContext.java
@@ -30,6 +30,7 @@
         CrashingRequestDetector crashes,
         CrashCheck crashCheck,
         CallerQuota quota,
+        SlowReaderBudget slowReaders,
         ForwardingMetrics metrics,
         ResponseTimes responseTimes,
         EventLog log,
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseWriter.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseWriter.java
@@ -28,4 +28,7 @@
      * Returns whether more can be written without exceeding the connection's write buffer limit.
      */
     boolean isWritable();
+
+    /** Returns whether more of the response may be read from the replica. */
+    boolean mayReadOn();
 }
--- a/src/test/java/org/fescueport/platform/Installation.java
+++ b/src/test/java/org/fescueport/platform/Installation.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.fescueport.internal.direct.MachineLimits;
 import org.fescueport.platform.RawServer.Script;
 
 /** A store with a configuration, replicas of two services, and a router. */
@@ -33,7 +34,8 @@
     private final List<ReplicaStandIn> mReplicas = new ArrayList<>();
     private final TestRouter mRouter;
 
-    private Installation(StoreStandIn store, Script api, Script llm) throws IOException {
+    private Installation(StoreStandIn store, Script api, Script llm, MachineLimits limits)
+            throws IOException {
         mStore = store;
         store.configure(configuration(1));
         for (int i = 1; i <= 2; i++) {
@@ -41,12 +43,18 @@
             mReplicas.add(ReplicaStandIn.start("llm-" + i, "llm", llm));
         }
         mReplicas.forEach(replica -> replica.register(store, "ready"));
-        mRouter = TestRouter.start("edge-1", store.address()).awaitReady();
+        mRouter = TestRouter.start("edge-1", store.address(), limits).awaitReady();
     }
 
     /** Starts all; every replica of a service answers by its script. */
     static Installation start(Script api, Script llm) throws IOException {
-        return new Installation(StoreStandIn.start(), api, llm);
+        return start(
+                api, llm, new MachineLimits(TestRouter.MAX_CALLERS, TestRouter.MAX_BODY_BYTES));
+    }
+
+    /** Starts all, with a router that grants its callers these limits. */
+    static Installation start(Script api, Script llm, MachineLimits limits) throws IOException {
+        return new Installation(StoreStandIn.start(), api, llm, limits);
     }
 
     public static String configuration(int version) {
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -44,18 +44,21 @@
     private final MultiThreadIoEventLoopGroup mLoop;
     private final EventLog mLog;
     private final ByteArrayOutputStream mLines;
+    private final SimpleMeterRegistry mRegistry;
 
     private TestRouter(
             DirectRouter router,
             DirectRouterSettings settings,
             MultiThreadIoEventLoopGroup loop,
             EventLog log,
-            ByteArrayOutputStream lines) {
+            ByteArrayOutputStream lines,
+            SimpleMeterRegistry registry) {
         mRouter = router;
         mSettings = settings;
         mLoop = loop;
         mLog = log;
         mLines = lines;
+        mRegistry = registry;
     }
 
     /** Starts a router; it may not be ready yet. */
@@ -69,6 +72,12 @@
         return start(newSettings(node), store, clock);
     }
 
+    /** Starts a router that grants its callers these limits. */
+    static TestRouter start(String node, InetSocketAddress store, MachineLimits limits)
+            throws IOException {
+        return start(newSettings(node, limits), store, Clock.SYSTEM);
+    }
+
     /** Starts a router of the same name at the same addresses. */
     TestRouter startAgain(InetSocketAddress store) throws IOException {
         return start(mSettings, store, Clock.SYSTEM);
@@ -96,11 +105,16 @@
                         Mechanisms.all());
         var router = DirectRouter.create(settings, parts);
         router.start();
-        return new TestRouter(router, settings, loop, log, lines);
+        return new TestRouter(router, settings, loop, log, lines, registry);
     }
 
     private static DirectRouterSettings newSettings(String node, InetSocketAddress... seeds)
             throws IOException {
+        return newSettings(node, new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES), seeds);
+    }
+
+    private static DirectRouterSettings newSettings(
+            String node, MachineLimits limits, InetSocketAddress... seeds) throws IOException {
         return new DirectRouterSettings(
                 node,
                 FailureDomain.of("north"),
@@ -118,7 +132,7 @@
                 HEARTBEAT,
                 PlatformSettings.LOAD_BALANCER,
                 STOP_TIME,
-                new MachineLimits(MAX_CALLERS, MAX_BODY_BYTES));
+                limits);
     }
 
     /** Waits until the router wants callers. */
@@ -158,6 +172,11 @@
         return mLines.toString(StandardCharsets.UTF_8);
     }
 
+    /** Returns the present value of a gauge or counter of the router. */
+    double meter(String name) {
+        return mRegistry.get(name).meter().measure().iterator().next().getValue();
+    }
+
     /** Lets the router do nothing for this long, as when its machine has no processor for it. */
     void stall(Duration time) {
         mLoop.execute(() -> Await.pause(time.toMillis()));
