Refuse requests that no replica's memory can hold

Replicas that share their machines end if the requests they hold exceed their memory. A capacity that is missing, or no whole number in range, counts as not told, the latter with a log line and a counter. In effect only where replicas report how long work takes.

--- a/src/main/java/org/fescueport/internal/direct/config/FleetConfiguration.java
+++ b/src/main/java/org/fescueport/internal/direct/config/FleetConfiguration.java
@@ -12,6 +12,8 @@
  *     nodes together
  * @param coldRates requests per second that one replica of a pool can handle from all nodes
  *     together until it has warmed up; absent for pools without a limit
+ * @param replicaMemory tokens that one replica of a pool can hold for requests and cached prompts;
+ *     absent for pools whose configuration states none, 0 if what it states is unusable
  */
 public record FleetConfiguration(
         long version,
@@ -19,9 +21,11 @@
         KeyPolicy keys,
         Map<PoolId, Integer> maxConnections,
         Map<PoolId, Double> coldRates,
+        Map<PoolId, Long> replicaMemory,
         CallerLimits limits) {
     public FleetConfiguration {
         maxConnections = Map.copyOf(maxConnections);
         coldRates = Map.copyOf(coldRates);
+        replicaMemory = Map.copyOf(replicaMemory);
     }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -119,6 +119,11 @@
     }
 
     private void requestAdmission() {
+        if (exceedsReplicaMemory()) {
+            mContext.metrics().onLargerThanMemory();
+            refuse("the request is larger than the memory of a replica of " + mPool);
+            return;
+        }
         long now = mContext.nowNanos();
         mTicket = Optional.of(mContext.admissionControl().ticket(mPool));
         var offer = mRequestClock.offer(mTicket.get().id(), teamId(), mAccepted.urgency());
@@ -130,6 +135,17 @@
         }
     }
 
+    /**
+     * Returns whether no replica could hold the request alone. A replica that shares its machine
+     * ends if what it holds exceeds its memory.
+     */
+    private boolean exceedsReplicaMemory() {
+        long tokens = mConfiguration.replicaMemory().getOrDefault(mPool, 0L);
+        return tokens > 0
+                && mContext.speeds().isAnyReported()
+                && mRequest.prompt().memoryTokens() > tokens;
+    }
+
     @Override
     public void onAdmitted() {
         sendToNextReplica("waited for room");
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -43,6 +43,7 @@
     private final Counter mSends;
     private final Counter mRetries;
     private final Counter mPartRefusals;
+    private final Counter mLargerThanMemory;
 
     private ForwardingMetrics(MeterRegistry registry) {
         for (var end : End.values()) {
@@ -66,6 +67,7 @@
         mSends = registry.counter("fescue.sends");
         mRetries = registry.counter("fescue.retries");
         mPartRefusals = registry.counter("fescue.part.refusals");
+        mLargerThanMemory = registry.counter("fescue.requests.larger.than.memory");
     }
 
     /** Returns metrics that are registered in this registry. */
@@ -92,6 +94,11 @@
         mPartRefusals.increment();
     }
 
+    /** Counts a request that was refused because no replica's memory can hold it. */
+    void onLargerThanMemory() {
+        mLargerThanMemory.increment();
+    }
+
     void onSend(boolean retry) {
         mSends.increment();
         if (retry) {
--- a/src/main/java/org/fescueport/internal/direct/forward/SlowReaderBudget.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/SlowReaderBudget.java
@@ -17,8 +17,9 @@
  * slow caller while there is room. The room for one caller is half of what is free of the whole
  * (dynamic thresholds, as in the shared buffers of switches): a single slow caller may hold a third
  * of it, and the more callers are slow, the less each may hold, so that those with the most unread
- * bytes are paused first, and room for others is left. If the whole is exceeded nevertheless, responses are cut off: first those
- * of callers that have read nothing for a while, and of these the one with the most unread bytes.
+ * bytes are paused first, and room for others is left. If the whole is exceeded nevertheless,
+ * responses are cut off: first those of callers that have read nothing for a while, and of these
+ * the one with the most unread bytes.
  *
  * <p>Must be called on the event loop only.
  *
--- a/src/main/java/org/fescueport/internal/direct/state/FleetView.java
+++ b/src/main/java/org/fescueport/internal/direct/state/FleetView.java
@@ -45,6 +45,7 @@
     private Optional<StateRecord> mConfigurationRecord = Optional.empty();
     private final DrainedDomains mDrained = new DrainedDomains();
     private final UnusableEntries mUnusable;
+    private long mUnusableMemories;
     private StorePosition mNextConfiguration = StorePosition.START;
     private ReplicaListener mListener = () -> {};
 
@@ -154,6 +155,11 @@
         return mUnusable.count();
     }
 
+    /** Returns how many times a configuration stated a pool's memory in a way that is unusable. */
+    public long unusableMemories() {
+        return mUnusableMemories;
+    }
+
     /** Returns the version of the configuration in force, or empty if none has been read yet. */
     public OptionalLong configurationVersion() {
         return mConfiguration.stream().mapToLong(FleetConfiguration::version).findFirst();
@@ -356,6 +362,7 @@
                     .with("version", configuration.version())
                     .with("position", record.position())
                     .write();
+            reportUnusableMemory(configuration);
             return true;
         } catch (StateDecoder.UnusableRecordException | RuntimeException e) {
             mUnusable.add(record, e);
@@ -363,6 +370,22 @@
         }
     }
 
+    /** Reports pools whose memory is stated in a way that cannot be used, so that none is known. */
+    private void reportUnusableMemory(FleetConfiguration configuration) {
+        var pools =
+                configuration.replicaMemory().entrySet().stream()
+                        .filter(memory -> memory.getValue() == 0)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        if (!pools.isEmpty()) {
+            mUnusableMemories += pools.size();
+            mLog.change("replica-memory-unusable")
+                    .with("version", configuration.version())
+                    .with("pools", pools)
+                    .write();
+        }
+    }
+
     private void publish() {
         mPools = byPool(entry -> !entry.leaving() && !mDrained.contains(entry.domain()));
         mNotLeaving = mDrained.isNoneDrained() ? mPools : byPool(entry -> !entry.leaving());
--- a/src/main/java/org/fescueport/internal/direct/state/ViewMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/state/ViewMetrics.java
@@ -14,5 +14,7 @@
         FunctionCounter.builder(
                         "fescue.unusable.configurations", view, FleetView::unusableConfigurations)
                 .register(registry);
+        FunctionCounter.builder("fescue.unusable.memories", view, FleetView::unusableMemories)
+                .register(registry);
     }
 }
--- a/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
+++ b/src/test/java/org/fescueport/internal/direct/state/PlainDecoder.java
@@ -52,6 +52,7 @@
                     KeyPolicy.notRequired(),
                     Map.of(),
                     Map.of(POOL, COLD_RATE),
+                    Map.of(),
                     CallerLimits.defaults());
         } catch (NumberFormatException e) {
             throw UnusableRecordException.of("no number");
