--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -149,14 +149,7 @@
                         mView, loads, notices, mColdReplicaLimiter, parts.mechanisms());
         chooser.listen(new ChooserReports());
         var health = ReplicaLiveness.create();
-        mView.listen(
-                () -> {
-                    var present = mView.replicaIds();
-                    chooser.onReplicasChanged();
-                    loads.retain(present);
-                    speeds.retain(present);
-                    health.retain(present);
-                });
+        mView.listen(() -> onReplicasChanged(chooser, loads, speeds, health));
         mAdmissionControl = AdmissionControl.create(mView, loads, parts.mechanisms());
         mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create(mRandom);
@@ -190,6 +183,18 @@
         mStopped = mShutdown.finished().thenRun(() -> guarded("stop", this::close));
     }
 
+    private void onReplicasChanged(
+            ReplicaChooser chooser,
+            ReplicaLoads loads,
+            ReplicaSpeeds speeds,
+            ReplicaLiveness health) {
+        var present = mView.replicaIds();
+        chooser.onReplicasChanged();
+        loads.retain(present);
+        speeds.retain(present);
+        health.retain(present);
+    }
+
     private RetryBudgets newBudgets() {
         return RetryBudgets.create(
                 mSettings.retryShare(),
