Wait for the log lines that the test of replicas' memory reads

Lines are written in the background. One of ten cases failed in a run of 14 classes: status and arrivals were right, and the line of the refusal had not been written yet. The test now waits until both requests have their last line, and checks both lines in every case.

--- a/src/test/java/org/fescueport/platform/ReplicaMemoryTest.java
+++ b/src/test/java/org/fescueport/platform/ReplicaMemoryTest.java
@@ -3,7 +3,6 @@
 import static org.fescueport.platform.Installation.request;
 import static org.fescueport.platform.ReplicaStandIn.headersFor;
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 import org.fescueport.platform.RawServer.Script;
@@ -56,15 +55,19 @@
             assertThat(fleet.ask(prompt("/once/x", "1400,100")).status(), is(status));
             assertThat(fleet.arrivals("llm"), is(status == 200 ? 2 : 1));
             assertThat(fleet.router().meter("fescue.unusable.memories") > 0, is(unusable));
-            String line = "replica-memory-unusable";
-            assertThat(fleet.router().lines().contains(line), is(unusable));
-            if (status != 200) {
-                String reason = "larger than the memory of a replica of llm";
-                assertThat(fleet.router().lines(), containsString(reason));
-            }
+            // Lines are written in the background, in order.
+            Await.until("both requests have ended", () -> ends(fleet) == 2);
+            String lines = fleet.router().lines();
+            assertThat(lines.contains("replica-memory-unusable"), is(unusable));
+            String reason = "larger than the memory of a replica of llm";
+            assertThat(lines.contains(reason), is(status != 200));
         }
     }
 
+    private static long ends(Installation fleet) {
+        return fleet.router().lines().lines().filter(l -> l.contains("\"ended\"")).count();
+    }
+
     private static String configuration(String engine) {
         return Installation.configuration(2)
                 .replace("{\"name\":\"llm\"", "{\"engine\":" + engine + ",\"name\":\"llm\"");
