--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -37,6 +37,7 @@
 import org.fescueport.internal.direct.forward.ForwardingContext;
 import org.fescueport.internal.direct.forward.ForwardingMetrics;
 import org.fescueport.internal.direct.forward.ReplicaConnectionPools;
+import org.fescueport.internal.direct.forward.SlowReaderBudget;
 import org.fescueport.internal.direct.forward.WireProtocol;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.peer.PeerGroup;
@@ -181,6 +182,7 @@
                         crashes,
                         CrashCheck.of(mConnectionPools, crashes),
                         newQuota(settings.limits()),
+                        SlowReaderBudget.of(settings.limits().unreadBytes(), parts.registry()),
                         ForwardingMetrics.create(parts.registry()),
                         ResponseTimes.create(),
                         parts.log(),
--- a/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Attempt.java
@@ -119,8 +119,7 @@
     }
 
     private void reportWork(String kind, long nanos) {
-        mContext.speeds()
-                .onWork(mReplica.id(), kind, mHeldPerSlot, nanos, mContext.nowNanos());
+        mContext.speeds().onWork(mReplica.id(), kind, mHeldPerSlot, nanos, mContext.nowNanos());
     }
 
     /** Stops the work at the replica; nothing more is reported. */
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -75,12 +76,16 @@
     private long mStateSinceNanos;
     private OptionalLong mHeaderStartNanos = OptionalLong.empty();
     private long mReservedBytes;
+    private final SlowReaderBudget.Unread mUnread;
+    private boolean mWriting;
+    private boolean mCutOff;
 
     CallerConnection(
             ForwardingContext context, CallerConnections connections, HeadAccount account) {
         mContext = context;
         mConnections = connections;
         mAccount = account;
+        mUnread = context.slowReaders().open(this::cutOff);
     }
 
     /** Sets the decoder of this connection; must be called once, before anything is read. */
@@ -98,6 +103,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         mConnections.onClosed(this);
+        mContext.slowReaders().update(mUnread, 0, mContext.nowNanos());
         releaseAll();
         mAccount.close();
         if (mExchange != null) {
@@ -115,7 +121,7 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (mExchange != null) {
-            mExchange.onWritable(context.channel().isWritable());
+            mExchange.updateReading();
         }
         if (mAnswersUnread && context.channel().isWritable()) {
             mAnswersUnread = false;
@@ -163,6 +169,22 @@
         if (mExchange != null) {
             mExchange.checkTimeouts(nowNanos);
         }
+        if (isReadingAhead()) {
+            observeUnread();
+            resumeReading();
+        }
+    }
+
+    /** Reads on from the replica if the caller, or another one, has made room. */
+    private void resumeReading() {
+        if (mExchange != null && mayReadOn()) {
+            mExchange.updateReading();
+        }
+    }
+
+    /** Returns whether this node holds bytes of a response that the caller has not read. */
+    boolean hasUnread() {
+        return mUnread.bytes() > 0;
     }
 
     /** Returns the method of the request that is being received or processed, or was last. */
@@ -234,7 +256,7 @@
         if (mOverLimit) {
             return FIRST_REQUEST_TIMEOUT;
         }
-        if (!stopping) {
+        if (!stopping || hasUnread()) {
             return limits.connectionIdleTimeout();
         }
         return mRequestReceived ? Duration.ZERO : FIRST_REQUEST_TIMEOUT;
@@ -397,12 +419,93 @@
 
     @Override
     public void sendContent(ByteBuf content) {
-        mChannel.write(new DefaultHttpContent(content));
+        if (isWritable()) {
+            mChannel.write(new DefaultHttpContent(content));
+            return;
+        }
+        observeUnread();
+        mChannel.write(new DefaultHttpContent(compact(content)));
+        observeUnread();
+        if (mExchange != null) {
+            mExchange.updateReading();
+        }
+    }
+
+    /**
+     * Copies content that stays here for a while, because a small part of a large buffer would
+     * occupy the whole buffer.
+     */
+    private ByteBuf compact(ByteBuf content) {
+        if (!isReadingAhead()) {
+            return content;
+        }
+        ByteBuf copy = Unpooled.copiedBuffer(content);
+        content.release();
+        return copy;
     }
 
     @Override
     public void flush() {
         mChannel.flush();
+        observeUnread();
+    }
+
+    /** Tells the budget what this connection holds, and cuts off responses if it is exceeded. */
+    private void observeUnread() {
+        long bytes = unwrittenBytes();
+        if (!isReadingAhead() || mCutOff || (bytes == 0 && !hasUnread())) {
+            return;
+        }
+        long now = mContext.nowNanos();
+        if (bytes < mUnread.bytes() && isIdle()) {
+            // A caller that still reads its last response is not idle.
+            mStateSinceNanos = now;
+        }
+        mContext.slowReaders().update(mUnread, bytes, now);
+        mWriting = true;
+        mContext.slowReaders().cutExcess(now);
+        mWriting = false;
+    }
+
+    private long unwrittenBytes() {
+        var outbound = mChannel.channel().unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+    }
+
+    /**
+     * Returns whether responses are read from the replicas faster than callers read them. Only
+     * replicas that share their machines cut off responses that are read slowly.
+     */
+    private boolean isReadingAhead() {
+        return mContext.speeds().isAnyReported();
+    }
+
+    /** Ends a response whose caller reads too slowly. */
+    private void cutOff(long unreadBytes) {
+        mContext.log()
+                .decision("slow-reader-cut")
+                .with("bytes", unreadBytes)
+                .with("held_bytes", mContext.slowReaders().bytes())
+                .with("max_bytes", mContext.slowReaders().maxBytes())
+                .write();
+        mCutOff = true;
+        if (mWriting) {
+            mChannel.executor().execute(this::reset);
+        } else {
+            reset();
+        }
+    }
+
+    /** Resets the connection; its caller sees an incomplete response. */
+    private void reset() {
+        if (mExchange != null) {
+            mExchange.onCutOff();
+            mExchange = null;
+        }
+        if (mChannel.channel().isActive()) {
+            mChannel.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+            mChannel.close();
+        }
     }
 
     @Override
@@ -428,6 +531,12 @@
         return mChannel.channel().isWritable();
     }
 
+    @Override
+    public boolean mayReadOn() {
+        return isWritable()
+                || (isReadingAhead() && !mCutOff && mContext.slowReaders().hasRoom(mUnread));
+    }
+
     private void setConnectionClose(HttpResponse head) {
         if (mConnections.isStopping() || mAccount.isWorthClosing()) {
             mCloseAfterResponse = true;
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -128,6 +128,11 @@
     }
 
     private void requestAdmission() {
+        if (exceedsReplicaMemory()) {
+            mContext.metrics().onLargerThanMemory();
+            refuse("the request is larger than the memory of a replica of " + mPool);
+            return;
+        }
         long now = mContext.nowNanos();
         mTicket = Optional.of(mContext.admissionControl().ticket(mPool, teamId()));
         var offer = mRequestClock.offer(mTicket.get().id(), teamId(), mAccepted.urgency());
@@ -139,6 +144,17 @@
         }
     }
 
+    /**
+     * Returns whether no replica could hold the request alone. A replica that shares its machine
+     * ends if what it holds exceeds its memory.
+     */
+    private boolean exceedsReplicaMemory() {
+        long tokens = mConfiguration.replicaMemory().getOrDefault(mPool, 0L);
+        return tokens > 0
+                && mContext.speeds().isAnyReported()
+                && mRequest.prompt().memoryTokens() > tokens;
+    }
+
     @Override
     public void onAdmitted() {
         sendToNextReplica("waited for room");
@@ -186,14 +202,25 @@
         }
     }
 
+    /** Resumes or suspends reading from the replica, as the caller's connection has room. */
+    void updateReading() {
+        if (mAttempt != null) {
+            mAttempt.setReading(mResponseWriter.mayReadOn());
+        }
+    }
+
     /**
-     * Called when the caller's connection becomes writable or stops being writable; resumes or
-     * suspends reading from the replica.
+     * Called when the bytes that this node holds for the caller have to be freed; the response is
+     * incomplete.
      */
-    void onWritable(boolean writable) {
+    void onCutOff() {
+        if (mEnded) {
+            return;
+        }
         if (mAttempt != null) {
-            mAttempt.setReading(writable);
+            mAttempt.cancel();
         }
+        end(End.CUT, "the caller reads too slowly");
     }
 
     /**
@@ -330,7 +357,7 @@
 
     void onReadComplete(Attempt attempt) {
         mResponseWriter.flush();
-        if (!mResponseWriter.isWritable()) {
+        if (!mResponseWriter.mayReadOn()) {
             attempt.setReading(false);
         }
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ForwardingMetrics.java
@@ -55,6 +55,7 @@
     private final Counter mUnreadableLoads;
     private final Counter mStalledStreams;
     private final Counter mRetriesWithheld;
+    private final Counter mLargerThanMemory;
 
     private ForwardingMetrics(MeterRegistry registry) {
         for (var end : End.values()) {
@@ -88,6 +89,7 @@
         mUnreadableLoads = registry.counter("fescue.replica.loads.unreadable");
         mStalledStreams = registry.counter("fescue.streams.stalled");
         mRetriesWithheld = registry.counter("fescue.retries.withheld");
+        mLargerThanMemory = registry.counter("fescue.requests.larger.than.memory");
     }
 
     /** Returns metrics that are registered in this registry. */
@@ -134,6 +136,11 @@
         mRetriesWithheld.increment();
     }
 
+    /** Counts a request that was refused because no replica's memory can hold it. */
+    void onLargerThanMemory() {
+        mLargerThanMemory.increment();
+    }
+
     void onSend(boolean retry) {
         mSends.increment();
         if (retry) {
--- a/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
+++ b/src/main/java/org/fescueport/internal/direct/place/ReplicaChooser.java
@@ -79,7 +79,6 @@
     private final ReplicaNotices mNotices;
     private final ColdReplicaLimiter mColdReplicaLimiter;
     private final ReplicaPace mPace;
-    private final ReplicaSpeeds mSpeeds;
     private final Mechanisms mMechanisms;
     private final Map<PoolId, OutlierEjection> mEjections = new HashMap<>();
     private final PrefixHolders mHolders = PrefixHolders.create();
@@ -167,7 +166,7 @@
     /** Records that a request is sent; the pace learns from what becomes of it. */
     public ReplicaPace.Sending onSent(Selection selection, WorkKind kind, long nowNanos) {
         var replica = selection.replica();
-        double slowness = mSpeeds.slowness(replica.id());
+        double slowness = mSpeeds.slowness(replica.pool(), replica.id());
         double slowFactor = ReplicaPace.slowFactor(selection.cacheHolder().isEmpty(), slowness);
         return mPace.onSent(replica.pool(), replica.life(), kind, slowFactor, nowNanos);
     }
--- a/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
+++ b/src/main/java/org/fescueport/internal/load/experiment/model/Placer.java
@@ -38,6 +38,7 @@
     default Watcher onSent(Replica replica, long now) {
         return Watcher.NONE;
     }
+
     /**
      * The answer to a call begins.
      *
--- a/src/test/java/org/fescueport/internal/load/experiment/UnevenReplicasTest.java
+++ b/src/test/java/org/fescueport/internal/load/experiment/UnevenReplicasTest.java
@@ -107,7 +107,7 @@
                     new ModelFleet.Plan(
                             routers,
                             Router::new,
-                            false,
+                            ModelFleet.Admission.NONE,
                             true,
                             ENGINE.slots(),
                             replicas,
--- a/src/test/java/org/fescueport/internal/load/experiment/model/PaceTrial.java
+++ b/src/test/java/org/fescueport/internal/load/experiment/model/PaceTrial.java
@@ -84,7 +84,7 @@
                         new ModelFleet.Plan(
                                 plan.nodes(),
                                 loads -> new Counting(placers.apply(loads), time),
-                                false,
+                                ModelFleet.Admission.NONE,
                                 true,
                                 SLOTS,
                                 REPLICAS,
