--- a/src/main/java/org/fescueport/internal/direct/DirectRouter.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouter.java
@@ -28,7 +28,6 @@
 import org.fescueport.internal.decision.placement.ReplicaNotices;
 import org.fescueport.internal.decision.placement.ReplicaPace;
 import org.fescueport.internal.decision.placement.ReplicaSpeeds;
-import org.fescueport.internal.decision.poison.Fingerprint;
 import org.fescueport.internal.direct.forward.AdmissionControl;
 import org.fescueport.internal.direct.forward.AdmissionMetrics;
 import org.fescueport.internal.direct.forward.CallerQuota;
@@ -43,11 +42,7 @@
 import org.fescueport.internal.direct.peer.PeerGroup;
 import org.fescueport.internal.direct.peer.StrikeCodec;
 import org.fescueport.internal.direct.place.CrashingRequestDetector;
-import org.fescueport.internal.direct.place.CrashingRequestDetector.Loss;
-import org.fescueport.internal.direct.place.CrashingRequestDetector.Outcome;
 import org.fescueport.internal.direct.place.PaceReports;
-import org.fescueport.internal.direct.place.PartStrike;
-import org.fescueport.internal.direct.place.PromptPartId;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 import org.fescueport.internal.direct.place.ReplicaLiveness;
 import org.fescueport.internal.direct.place.RetryBudgets;
@@ -57,7 +52,6 @@
 import org.fescueport.internal.direct.state.FleetView;
 import org.fescueport.internal.direct.state.NodeRegistrar;
 import org.fescueport.internal.direct.state.RecordBatch;
-import org.fescueport.internal.direct.state.ReplicaEntry;
 import org.fescueport.internal.direct.state.StateDecoder;
 import org.fescueport.internal.direct.state.StateReader;
 import org.fescueport.internal.direct.state.StateRecord;
@@ -152,18 +146,11 @@
         var chooser = newChooser(loads, speeds, notices);
         var health = ReplicaLiveness.create();
         mView.listen(() -> onReplicasChanged(chooser, loads, speeds, health));
-        mAdmissionControl =
-                AdmissionControl.create(
-                        mView,
-                        loads,
-                        speeds,
-                        mPeers.demand(),
-                        AdmissionMetrics.create(parts.registry()),
-                        parts.mechanisms());
+        mAdmissionControl = newAdmissionControl(loads, speeds);
         mBudgets = newBudgets();
         var crashes = CrashingRequestDetector.create(mRandom);
         crashes.onNodes(NODES_WHILE_UNKNOWN);
-        crashes.listen(new CrashListener());
+        crashes.listen(new CrashReports(parts.log(), mPeers.reports()));
         mPeers.listen(new PeerListener(chooser, crashes, loads));
         var context =
                 new ForwardingContext(
@@ -229,6 +216,16 @@
         return chooser;
     }
 
+    private AdmissionControl newAdmissionControl(ReplicaLoads loads, ReplicaSpeeds speeds) {
+        return AdmissionControl.create(
+                mView,
+                loads,
+                speeds,
+                mPeers.demand(),
+                AdmissionMetrics.create(mParts.registry()),
+                mParts.mechanisms());
+    }
+
     private RetryBudgets newBudgets() {
         return RetryBudgets.create(
                 mSettings.retryShare(),
@@ -456,49 +453,6 @@
         }
     }
 
-    /** Receives requests that may have crashed replicas, as observed by this node. */
-    private final class CrashListener implements CrashingRequestDetector.Listener {
-        @Override
-        public void onStrike(Fingerprint request, AgentIncarnation replica) {
-            mParts.log()
-                    .change("replica-died-of-request")
-                    .with("replica", replica)
-                    .with("team", request.team())
-                    .write();
-            mPeers.reports().onStrike(StrikeCodec.encode(request, replica));
-        }
-
-        @Override
-        public void onCleared(Fingerprint request) {
-            mParts.log().change("request-cleared").with("team", request.team()).write();
-            mPeers.reports().onStrike(StrikeCodec.encodeAnswered(request));
-        }
-
-        @Override
-        public void onPartStrike(PartStrike strike, Optional<PromptPartId> part, int crashes) {
-            mParts.log()
-                    .change(strike.cleared() ? "part-cleared" : "replica-died-of-part")
-                    .with("replica", strike.replica())
-                    .with("part", part.map(PromptPartId::part).orElse(""))
-                    .with("evidence", strike.evidence())
-                    .with("crashes", crashes)
-                    .write();
-            mPeers.reports().onStrike(StrikeCodec.encode(strike));
-        }
-
-        @Override
-        public void onSuspicionEnded(Loss loss, ReplicaEntry replica, Outcome outcome) {
-            mParts.log()
-                    .decision("crash-suspicion")
-                    .with("replica", replica.life())
-                    .with("outcome", outcome)
-                    .with("progress", loss.progress())
-                    .with("parts", loss.parts().size())
-                    .with("suspects", loss.suspects().size())
-                    .write();
-        }
-    }
-
     /** Receives what this node reads from the store itself. */
     private final class StoreListener implements StateReader.Listener {
         @Override
--- a/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/CallerConnection.java
@@ -375,7 +375,7 @@
         switch (RequestResolver.of(mContext.view()).resolve(request)) {
             case Resolution.Refused refused -> {
                 body.release();
-                logRefused(request, refused.refusal());
+                CallerLog.refused(mContext, request, refused.refusal());
                 sendFull(mContext.protocol().writeRefusal(refused.refusal()));
             }
             case Resolution.Accepted accepted -> onAccepted(request, body, accepted);
@@ -387,7 +387,7 @@
             body.release();
             var refusal =
                     Refusal.notRun(request.id(), "this node is stopping", STOPPING_RETRY_AFTER);
-            logRefused(request, refusal);
+            CallerLog.refused(mContext, request, refusal);
             sendFull(mContext.protocol().writeRefusal(refusal));
             return;
         }
@@ -424,26 +424,15 @@
             return;
         }
         observeUnread();
-        mChannel.write(new DefaultHttpContent(compact(content)));
+        mChannel.write(
+                new DefaultHttpContent(
+                        isReadingAhead() ? SlowReaderBudget.compact(content) : content));
         observeUnread();
         if (mExchange != null) {
             mExchange.updateReading();
         }
     }
 
-    /**
-     * Copies content that stays here for a while, because a small part of a large buffer would
-     * occupy the whole buffer.
-     */
-    private ByteBuf compact(ByteBuf content) {
-        if (!isReadingAhead()) {
-            return content;
-        }
-        ByteBuf copy = Unpooled.copiedBuffer(content);
-        content.release();
-        return copy;
-    }
-
     @Override
     public void flush() {
         mChannel.flush();
@@ -452,7 +441,7 @@
 
     /** Tells the budget what this connection holds, and cuts off responses if it is exceeded. */
     private void observeUnread() {
-        long bytes = unwrittenBytes();
+        long bytes = SlowReaderBudget.unwrittenBytes(mChannel.channel());
         if (!isReadingAhead() || mCutOff || (bytes == 0 && !hasUnread())) {
             return;
         }
@@ -467,11 +456,6 @@
         mWriting = false;
     }
 
-    private long unwrittenBytes() {
-        var outbound = mChannel.channel().unsafe().outboundBuffer();
-        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
-    }
-
     /**
      * Returns whether responses are read from the replicas faster than callers read them. Only
      * replicas that share their machines cut off responses that are read slowly.
@@ -482,12 +466,7 @@
 
     /** Ends a response whose caller reads too slowly. */
     private void cutOff(long unreadBytes) {
-        mContext.log()
-                .decision("slow-reader-cut")
-                .with("bytes", unreadBytes)
-                .with("held_bytes", mContext.slowReaders().bytes())
-                .with("max_bytes", mContext.slowReaders().maxBytes())
-                .write();
+        CallerLog.slowReaderCut(mContext, unreadBytes);
         mCutOff = true;
         if (mWriting) {
             mChannel.executor().execute(this::reset);
@@ -594,28 +573,10 @@
         mCloseAfterResponse = true;
         mProcessing = true;
         releaseAll();
-        mContext.log()
-                .decision("refused")
-                .with("request", id.orElse(""))
-                .with("reason", reason)
-                .with("message", message)
-                .write();
+        CallerLog.refusedIncomplete(mContext, id, reason, message);
         sendFull(mContext.protocol().writeRefusal(refusal));
     }
 
-    private void logRefused(CallerRequest request, Refusal refusal) {
-        long version = mContext.view().configuration().map(c -> c.version()).orElse(-1L);
-        mContext.log()
-                .decision("refused")
-                .with("request", request.id())
-                .with("reason", refusal.reason())
-                .with("message", refusal.message())
-                .with("host", request.host())
-                .with("path", request.path())
-                .with("version", version)
-                .write();
-    }
-
     private void releaseQuota() {
         mContext.quota().release(mReservedBytes);
         mReservedBytes = 0;
--- a/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Exchange.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fescueport.internal.decision.Invariants;
-import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.TeamId;
@@ -128,7 +127,7 @@
     }
 
     private void requestAdmission() {
-        if (exceedsReplicaMemory()) {
+        if (mAccepted.exceedsReplicaMemory(mPool, mRequest, mContext.speeds())) {
             mContext.metrics().onLargerThanMemory();
             refuse("the request is larger than the memory of a replica of " + mPool);
             return;
@@ -144,17 +143,6 @@
         }
     }
 
-    /**
-     * Returns whether no replica could hold the request alone. A replica that shares its machine
-     * ends if what it holds exceeds its memory.
-     */
-    private boolean exceedsReplicaMemory() {
-        long tokens = mConfiguration.replicaMemory().getOrDefault(mPool, 0L);
-        return tokens > 0
-                && mContext.speeds().isAnyReported()
-                && mRequest.prompt().memoryTokens() > tokens;
-    }
-
     @Override
     public void onAdmitted() {
         sendToNextReplica("waited for room");
@@ -233,7 +221,7 @@
         }
         if (mRequestClock.isExpired(nowNanos)) {
             onTimeout();
-        } else if (mAttempt != null && isReplicaSilent(nowNanos)) {
+        } else if (mAttempt != null && isReplicaSilent(mAttempt, nowNanos)) {
             onReplicaSilent(mAttempt, nowNanos);
         } else if (mAttempt != null && isStreamStalled(mAttempt, nowNanos)) {
             onStreamStalled(mAttempt, nowNanos);
@@ -246,7 +234,7 @@
      */
     private void onStreamStalled(Attempt stalled, long nowNanos) {
         mStallHandledAttempt = stalled.number();
-        if (mSecondTry.isWorthwhile("stalled", nowNanos) && tryAcquireRetry()) {
+        if (mSecondTry.isWorthwhile("stalled", nowNanos) && mSecondTry.tryAcquire()) {
             mMayHaveRun = true;
             stalled.cancel();
             mContext.metrics().onStalledStreamMoved();
@@ -256,6 +244,12 @@
         }
     }
 
+    private boolean isReplicaSilent(Attempt attempt, long nowNanos) {
+        return !mSilenceHandled
+                && mResponseWriter.isWritable()
+                && mStallDetector.isReplicaSilent(attempt, mRelay.hasStarted(), nowNanos);
+    }
+
     private boolean isStreamStalled(Attempt attempt, long nowNanos) {
         return mStallHandledAttempt != attempt.number()
                 && mResponseWriter.isWritable()
@@ -263,11 +257,6 @@
                 && mStallDetector.isStalled(attempt, nowNanos);
     }
 
-    private boolean isSilentFor(Attempt attempt, Duration limit, long nowNanos) {
-        return mContext.health()
-                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
-    }
-
     /**
      * Counts a failure of the replica and sends the request to another one if it may be retried.
      * Done once for each request; otherwise the request keeps waiting.
@@ -275,7 +264,7 @@
     private void onReplicaSilent(Attempt silent, long nowNanos) {
         mSilenceHandled = true;
         mContext.chooser().onFailure(silent.replica(), nowNanos);
-        if (mayRetry() && tryAcquireRetry()) {
+        if (mayRetry() && mSecondTry.tryAcquire()) {
             mMayHaveRun = true;
             silent.cancel();
             mLog.attempt("moved", silent, "the replica is silent");
@@ -306,7 +295,7 @@
             return;
         }
         mMayHaveRun = true;
-        if (!isAuthentic(head)) {
+        if (!head.isAuthentic()) {
             attempt.cancel();
             onLost(attempt, "an answer without its stamp or id");
         } else if (!mRelay.accepts(head)) {
@@ -399,7 +388,7 @@
         mLog.attempt("failed-answer", attempt, "status " + head.status());
         if (mayRetry()
                 && mSecondTry.isWorthwhile("failed", mContext.nowNanos())
-                && tryAcquireRetry()) {
+                && mSecondTry.tryAcquire()) {
             mMayRepeatAtSameReplica = true;
             mSecondTry.begin("failed");
             retry("failed answer");
@@ -420,7 +409,7 @@
         mContext.chooser().onLost(attempt.replica(), now);
         mCrashEvidence.onLost(attempt);
         mLog.attempt("lost", attempt, reason);
-        if (mayRetry() && tryAcquireRetry()) {
+        if (mayRetry() && mSecondTry.tryAcquire()) {
             retry("lost");
         } else {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "the replica's answer was lost: " + reason);
@@ -441,7 +430,9 @@
                             mContext.admissionControl().onReplicaFull(ticket, mContext.nowNanos()));
         }
         mRelay.discardBuffered();
-        if (mAttemptCount < mRoute.maxAttempts() && hasTimeLeft() && tryAcquireRetry()) {
+        if (mAttemptCount < mRoute.maxAttempts()
+                && mRequestClock.hasTimeToSend()
+                && mSecondTry.tryAcquire()) {
             sendToNextReplica("refused by a replica");
         } else if (mMayHaveRun) {
             fail(Refusal.Reason.UNKNOWN_OUTCOME, "it may have run, and no replica answers now");
@@ -465,11 +456,7 @@
     }
 
     private void onUnexpected(RuntimeException failure) {
-        mContext.log()
-                .decision("unexpected-failure")
-                .with("request", mRequest.id())
-                .with("reason", failure)
-                .write();
+        mLog.unexpected(failure);
         if (mEnded) {
             return;
         }
@@ -499,7 +486,7 @@
         var replica = chosen.get().replica();
         boolean triedBefore = !mTriedReplicas.add(replica.id());
         mAttemptCount++;
-        checkSendAllowed();
+        Sendability.check(mRequest, mRoute, mMayHaveRun, mAttemptCount);
         var kind = WorkKind.of(mRoute.name(), mRequest.prompt().tokens());
         mAttempt = new Attempt(this, mContext, chosen.get(), kind, mAttemptCount);
         mContext.metrics().onSend(mAttemptCount > 1);
@@ -518,30 +505,12 @@
         var message = mContext.protocol().writeRequest(mRequest, mBody, dispatch);
         int connections = mConfiguration.maxConnections().getOrDefault(mPool, Integer.MAX_VALUE);
         var connectionPool = mContext.connectionPools().connectionPool(replica);
-        connectionPool.send(message, mRequest.id(), reuse(triedBefore), connections, mAttempt);
-    }
-
-    private ReplicaConnectionPool.Reuse reuse(boolean triedBefore) {
-        if (triedBefore) {
-            return ReplicaConnectionPool.Reuse.NONE;
-        }
-        return mRoute.kind().isRepeatable()
-                ? ReplicaConnectionPool.Reuse.ANY
-                : ReplicaConnectionPool.Reuse.RECENT;
-    }
-
-    private void checkSendAllowed() {
-        Invariants.check(
-                mRoute.kind().isRepeatable() || !mMayHaveRun,
-                "request %s may already have run but is being sent again",
-                mRequest.id());
-        Invariants.check(
-                mAttemptCount <= Math.max(1, mRoute.maxAttempts()),
-                "request %s has been sent %d times but route %s allows %d",
+        connectionPool.send(
+                message,
                 mRequest.id(),
-                mAttemptCount,
-                mRoute.name(),
-                mRoute.maxAttempts());
+                Sendability.reuse(mRoute, triedBefore),
+                connections,
+                mAttempt);
     }
 
     private void onNoReplica() {
@@ -576,22 +545,6 @@
         }
     }
 
-    private boolean isReplicaSilent(long nowNanos) {
-        Attempt attempt = mAttempt;
-        boolean enabled = mContext.mechanisms().isEnabled(Mechanism.MOVING_ON);
-        if (mSilenceHandled
-                || !enabled
-                || !mRoute.kind().isRepeatable()
-                || !mResponseWriter.isWritable()) {
-            return false;
-        }
-        Duration limit = mRequestClock.silenceLimit(mRoute.kind(), mRelay.hasStarted());
-        if (!mRoute.kind().isStream()) {
-            return nowNanos - attempt.startNanos() > limit.toNanos();
-        }
-        return isSilentFor(attempt, limit, nowNanos);
-    }
-
     private TeamId teamId() {
         return mTeam.map(Team::id).orElse(NO_TEAM);
     }
@@ -600,27 +553,7 @@
         return mRoute.kind().isRepeatable()
                 && mRelay.canContinueElsewhere()
                 && mAttemptCount < mRoute.maxAttempts()
-                && hasTimeLeft();
-    }
-
-    private boolean hasTimeLeft() {
-        return mRequestClock.hasTimeToSend();
-    }
-
-    private boolean tryAcquireRetry() {
-        boolean taken = mContext.budgets().tryAcquireRetry(mPool);
-        if (!taken) {
-            mContext.log().decision("retry-budget-empty").with("request", mRequest.id()).write();
-        }
-        return taken;
-    }
-
-    /**
-     * Returns whether the response is the replica's own to this request: it echoes the request id
-     * and, if successful, bears the replica's stamp.
-     */
-    private static boolean isAuthentic(ResponseHead head) {
-        return head.requestId().isPresent() && (head.signed() || !head.isSuccess());
+                && mRequestClock.hasTimeToSend();
     }
 
     private void refuse(String message) {
@@ -660,17 +593,7 @@
         mBody.release();
         mRelay.discardBuffered();
         mContext.metrics().onEnd(end);
-        mContext.log()
-                .decision("ended")
-                .with("request", mRequest.id())
-                .with("end", end)
-                .with("reason", reason)
-                .with("route", mRoute.name())
-                .with("team", mTeam.map(Team::id).map(TeamId::name).orElse(""))
-                .with("version", mConfiguration.version())
-                .with("sends", mAttemptCount)
-                .with("ms", mRequestClock.elapsedNanos() / 1_000_000)
-                .write();
+        mLog.ended(end, reason, mAccepted, mAttemptCount);
         mTicket.ifPresent(
                 ticket -> mContext.admissionControl().onRequestEnded(ticket, mContext.nowNanos()));
     }
--- a/src/main/java/org/fescueport/internal/direct/forward/ExchangeLog.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ExchangeLog.java
@@ -1,7 +1,10 @@
 package org.fescueport.internal.direct.forward;
 
 import org.fescueport.internal.decision.PoolId;
+import org.fescueport.internal.decision.TeamId;
 import org.fescueport.internal.decision.admission.AdmissionDecision;
+import org.fescueport.internal.direct.config.Team;
+import org.fescueport.internal.direct.forward.ForwardingMetrics.End;
 import org.fescueport.internal.direct.log.LogLine;
 import org.fescueport.internal.direct.place.ReplicaChooser;
 
@@ -40,6 +43,30 @@
         line.write();
     }
 
+    /** The request has ended. */
+    void ended(End end, String reason, Resolution.Accepted accepted, int sends) {
+        mContext.log()
+                .decision("ended")
+                .with("request", mRequest.id())
+                .with("end", end)
+                .with("reason", reason)
+                .with("route", accepted.route().name())
+                .with("team", accepted.team().map(Team::id).map(TeamId::name).orElse(""))
+                .with("version", accepted.configuration().version())
+                .with("sends", sends)
+                .with("ms", mRequestClock.elapsedNanos() / 1_000_000)
+                .write();
+    }
+
+    /** This node failed in a way that it does not know. */
+    void unexpected(RuntimeException failure) {
+        mContext.log()
+                .decision("unexpected-failure")
+                .with("request", mRequest.id())
+                .with("reason", failure)
+                .write();
+    }
+
     /** Something happened to an attempt. */
     void attempt(String event, Attempt attempt, String reason) {
         line(event, attempt, reason).write();
--- a/src/main/java/org/fescueport/internal/direct/forward/Resolution.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/Resolution.java
@@ -1,7 +1,9 @@
 package org.fescueport.internal.direct.forward;
 
 import java.util.Optional;
+import org.fescueport.internal.decision.PoolId;
 import org.fescueport.internal.decision.admission.Urgency;
+import org.fescueport.internal.decision.placement.ReplicaSpeeds;
 import org.fescueport.internal.direct.config.FleetConfiguration;
 import org.fescueport.internal.direct.config.Route;
 import org.fescueport.internal.direct.config.Team;
@@ -26,6 +28,15 @@
         int urgency() {
             return Urgency.of(priority(), route.priority());
         }
+
+        /**
+         * Returns whether no replica could hold the request alone. A replica that shares its
+         * machine ends if what it holds exceeds its memory.
+         */
+        boolean exceedsReplicaMemory(PoolId pool, CallerRequest request, ReplicaSpeeds speeds) {
+            long tokens = configuration.replicaMemory().getOrDefault(pool, 0L);
+            return tokens > 0 && speeds.isAnyReported() && request.prompt().memoryTokens() > tokens;
+        }
     }
 
     /** The request is not allowed, or no configuration is known yet. */
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ResponseHead.java
@@ -123,6 +123,14 @@
         return headers.get(HttpHeaderNames.CONTENT_ENCODING, "").strip().toLowerCase(Locale.ROOT);
     }
 
+    /**
+     * Returns whether the response is the replica's own to this request: it echoes the request id
+     * and, if successful, bears the replica's stamp.
+     */
+    public boolean isAuthentic() {
+        return requestId.isPresent() && (signed || !isSuccess());
+    }
+
     /** Returns whether the status is a success (2xx). */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
--- a/src/main/java/org/fescueport/internal/direct/forward/SecondTry.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/SecondTry.java
@@ -11,18 +11,21 @@
 final class SecondTry {
     private final ForwardingContext mContext;
     private final CallerRequest mRequest;
+    private final PoolId mPool;
     private final String mKindPrefix;
     private Optional<String> mKind = Optional.empty();
 
-    private SecondTry(ForwardingContext context, CallerRequest request, String kindPrefix) {
+    private SecondTry(
+            ForwardingContext context, CallerRequest request, PoolId pool, String kindPrefix) {
         mContext = context;
         mRequest = request;
+        mPool = pool;
         mKindPrefix = kindPrefix;
     }
 
     static SecondTry of(
             ForwardingContext context, CallerRequest request, PoolId pool, Route route) {
-        return new SecondTry(context, request, pool + " " + route.name() + " ");
+        return new SecondTry(context, request, pool, pool + " " + route.name() + " ");
     }
 
     /** Returns whether requests that were sent again for this reason have lately been answered. */
@@ -52,4 +55,13 @@
         mKind.ifPresent(kind -> mContext.yields().onEnded(kind, success, mContext.nowNanos()));
         mKind = Optional.empty();
     }
+
+    /** Takes one retry from the fleet's budget; returns false if none is left. */
+    boolean tryAcquire() {
+        boolean taken = mContext.budgets().tryAcquireRetry(mPool);
+        if (!taken) {
+            mContext.log().decision("retry-budget-empty").with("request", mRequest.id()).write();
+        }
+        return taken;
+    }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/SlowReaderBudget.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/SlowReaderBudget.java
@@ -3,6 +3,9 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -143,4 +146,20 @@
     public long maxBytes() {
         return mMaxBytes;
     }
+
+    /** Returns how many bytes a connection holds that the operating system has not taken. */
+    static long unwrittenBytes(Channel channel) {
+        var outbound = channel.unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+    }
+
+    /**
+     * Copies content that stays here for a while, because a small part of a large buffer would
+     * occupy the whole buffer.
+     */
+    static ByteBuf compact(ByteBuf content) {
+        ByteBuf copy = Unpooled.copiedBuffer(content);
+        content.release();
+        return copy;
+    }
 }
--- a/src/main/java/org/fescueport/internal/direct/forward/StallDetector.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/StallDetector.java
@@ -1,9 +1,13 @@
 package org.fescueport.internal.direct.forward;
 
+import java.time.Duration;
 import org.fescueport.internal.decision.Mechanism;
 import org.fescueport.internal.direct.config.Route;
 
-/** Detects that a stream has stalled at its replica, where replicas report their speed. */
+/**
+ * Detects that a replica has fallen silent, and, where replicas report their speed, that a stream
+ * has stalled at a replica that still works on others.
+ */
 final class StallDetector {
     private final ForwardingContext mContext;
     private final Route mRoute;
@@ -19,6 +23,25 @@
         return new StallDetector(context, route, requestClock);
     }
 
+    /**
+     * Returns whether a replica has been silent for so long that a repeatable request is sent to
+     * another one.
+     *
+     * @param started whether part of the response has been sent to the caller
+     */
+    boolean isReplicaSilent(Attempt attempt, boolean started, long nowNanos) {
+        if (!mContext.mechanisms().isEnabled(Mechanism.MOVING_ON)
+                || !mRoute.kind().isRepeatable()) {
+            return false;
+        }
+        Duration limit = mRequestClock.silenceLimit(mRoute.kind(), started);
+        if (!mRoute.kind().isStream()) {
+            return nowNanos - attempt.startNanos() > limit.toNanos();
+        }
+        return mContext.health()
+                .isSilent(attempt.replica().id(), attempt.startNanos(), limit, nowNanos);
+    }
+
     /** Returns whether the next event of the stream is overdue. */
     boolean isStalled(Attempt attempt, long nowNanos) {
         if (!mContext.speeds().isAnyReported()
--- a/src/test/java/org/fescueport/internal/load/experiment/FairSharesModelTest.java
+++ b/src/test/java/org/fescueport/internal/load/experiment/FairSharesModelTest.java
@@ -84,6 +84,7 @@
                 case NONE -> {}
                 case CUT_OFF -> mTime.after(at, () -> mFleet.setCutOff(0, true));
                 case STARTS_ANEW -> mTime.after(at, () -> mFleet.restart(0));
+                default -> throw new IllegalStateException("trouble " + trouble);
             }
         }
 
