--- a/src/main/java/org/fescueport/internal/decision/placement/ReplicaSpeeds.java
+++ b/src/main/java/org/fescueport/internal/decision/placement/ReplicaSpeeds.java
@@ -119,25 +119,26 @@
     private final Map<String, KindOfWork> mKinds = new HashMap<>();
     private final Map<PoolId, Comparison> mComparisons = new HashMap<>();
     private final Set<NodeId> mUnreadable = new HashSet<>();
+    private final SharedReplicas mShared;
     private boolean mAnyReported;
 
-    private ReplicaSpeeds(boolean declared) {
-        mAnyReported = declared;
+    private ReplicaSpeeds(SharedReplicas shared) {
+        mShared = shared;
+        mAnyReported = shared == SharedReplicas.DECLARED;
     }
 
-    /** Returns a tracker without any reports. */
+    /** Returns a tracker without any reports, which the first report makes active. */
     public static ReplicaSpeeds create() {
-        return new ReplicaSpeeds(false);
+        return create(SharedReplicas.BY_REPORTS);
     }
 
     /**
      * Returns a tracker without any reports.
      *
-     * @param declared whether the settings say that the replicas are shared, so that {@link
-     *     #isAnyReported} holds before the first report
+     * @param shared what makes {@link #isAnyReported} hold
      */
-    public static ReplicaSpeeds create(boolean declared) {
-        return new ReplicaSpeeds(declared);
+    public static ReplicaSpeeds create(SharedReplicas shared) {
+        return new ReplicaSpeeds(shared);
     }
 
     /**
@@ -146,6 +147,9 @@
      * @param workPercent time that work takes on the replica's machine, in percent of the usual
      */
     public void onReport(NodeId replica, int workPercent, long nowNanos) {
+        if (mShared == SharedReplicas.NO) {
+            return;
+        }
         mAnyReported = true;
         Speed speed = speed(replica);
         double reported = workPercent / PERCENT;
--- a/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
+++ b/src/main/java/org/fescueport/internal/direct/DirectRouterSettings.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.admission.LoadBalancerTimes;
+import org.fescueport.internal.decision.placement.SharedReplicas;
 
 /**
  * What a router that reaches replicas directly is told at its start.
@@ -27,8 +28,7 @@
  * @param loadBalancer what this node may rely on of the load balancer before it
  * @param stopTime from the signal to stop until the process is ended by force
  * @param limits what callers may take of this process
- * @param sharedReplicas whether the replicas are short of capacity at times, so that it is divided
- *     fairly among the teams
+ * @param sharedReplicas how it is known that replicas are short of capacity at times
  */
 public record DirectRouterSettings(
         String node,
@@ -48,7 +48,7 @@
         LoadBalancerTimes loadBalancer,
         Duration stopTime,
         MachineLimits limits,
-        boolean sharedReplicas) {
+        SharedReplicas sharedReplicas) {
     public DirectRouterSettings {
         seeds = List.copyOf(seeds);
     }
--- a/src/test/java/org/fescueport/platform/TestRouter.java
+++ b/src/test/java/org/fescueport/platform/TestRouter.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.decision.FailureDomain;
 import org.fescueport.internal.decision.Mechanisms;
+import org.fescueport.internal.decision.placement.SharedReplicas;
 import org.fescueport.internal.direct.DirectRouter;
 import org.fescueport.internal.direct.DirectRouterSettings;
 import org.fescueport.internal.direct.MachineLimits;
@@ -135,7 +136,7 @@
                 PlatformSettings.LOAD_BALANCER,
                 STOP_TIME,
                 limits,
-                false);
+                SharedReplicas.BY_REPORTS);
     }
 
     /** Waits until the router wants callers. */
