--- a/review/standin-2/src/Consumer.java
+++ b/review/standin-2/src/Consumer.java
@@ -14,6 +14,9 @@
     /** Status of a request whose connection ended without an answer, or was never opened. */
     static final int NO_ANSWER = 0;
 
+    /** Status of a request whose answer could not be read to its end. */
+    static final int CUT = -1;
+
     private static final Pattern LENGTH = Pattern.compile("(?im)^content-length: *([0-9]+)$");
 
     private Consumer() {}
--- a/review/standin-2/src/Replica.java
+++ b/review/standin-2/src/Replica.java
@@ -21,6 +21,10 @@
     /** A second answer that breaks off after its first bytes. */
     private static final String EXTRA = "HTTP/1.1 200 OK\r\nContent-Type: app";
 
+    /** Events of a stream. */
+    static final int EVENTS = 20;
+
+    private static final long EVENT_MILLIS = 80;
     private static final long HEARTBEAT_MILLIS = 1_200;
     private static final AtomicInteger NEXT_ID = new AtomicInteger(1);
 
@@ -42,6 +46,8 @@
     private volatile boolean mClosed;
     private volatile int mCutOff;
     private final Random mRandom;
+    private volatile long mPauseMillis;
+    private volatile String mState = "ready";
     private volatile double mErrorShare;
     private volatile double mExtraShare;
     private final AtomicInteger mExtras = new AtomicInteger();
@@ -83,10 +89,10 @@
                 "keyed.servers",
                 mId,
                 ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\","
-                                + "\"slots\":%d,\"state\":\"ready\",\"cold_remaining_ms\":%d,"
+                                + "\"slots\":%d,\"state\":\"%s\",\"cold_remaining_ms\":%d,"
                                 + "\"born\":%d,\"seq\":%d}")
                         .formatted(
-                                mService, mServer.port(), mZone, mSlots, cold, mBorn, ++mSeq));
+                                mService, mServer.port(), mZone, mSlots, mState, cold, mBorn, ++mSeq));
     }
 
     private void beat() {
@@ -170,12 +176,62 @@
             send(socket, 500, stamp(), attempt, "error " + attempt + "\n");
         } else if (request.header("Fescueport-Model").isEmpty()) {
             send(socket, 200, stamp(), attempt, "done " + attempt + "\n");
+        } else if (mPauseMillis > 0) {
+            stream(socket, request, attempt, id);
         } else {
             String events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
             send(socket, 200, stamp() + "Content-Type: text/event-stream\r\n", attempt, events);
         }
     }
 
+    /**
+     * From now on it writes {@link #EVENTS} events for a streaming request, in chunks, and goes on
+     * after {@code Last-Event-Id}. Where it has written the first half itself, it has to read the
+     * prompt in again, as after a preemption, and writes nothing for this time.
+     */
+    void streamWithPause(long millis) {
+        mPauseMillis = millis;
+    }
+
+    private void stream(Socket socket, HttpStub.Request request, String attempt, String id)
+            throws IOException, InterruptedException {
+        String last = request.header("Last-Event-Id");
+        int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+        var out = socket.getOutputStream();
+        out.write(
+                ("HTTP/1.1 200 OK\r\n"
+                                + stamp()
+                                + "Fescueport-Attempt-Id: "
+                                + attempt
+                                + "\r\nContent-Type: text/event-stream"
+                                + "\r\nTransfer-Encoding: chunked\r\n\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1));
+        for (int event = first; event <= EVENTS; event++) {
+            if (event == EVENTS / 2 + 1 && first == 1) {
+                mLog.line("%s pauses in %s after event %d", id, attempt, event - 1);
+                Thread.sleep(mPauseMillis);
+            }
+            Thread.sleep(EVENT_MILLIS);
+            String text = "id: " + event + "\ndata: piece\n\n";
+            String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+            try {
+                out.write(chunk.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                mLog.line("%s: the connection of %s was closed before event %d", id, attempt, event);
+                throw e;
+            }
+        }
+        out.write("0\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        mLog.line("%s has written all of %s", id, attempt);
+    }
+
+    /** Says in the store that it leaves; it goes on serving. */
+    void drain() {
+        mState = "draining";
+        register();
+        mLog.line("%s is draining", mId);
+    }
+
     private static String stamp() {
         return "Fescueport-Replica-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
     }
--- a/review/standin-2/src/Router.java
+++ b/review/standin-2/src/Router.java
@@ -149,6 +149,13 @@
         mLog.line("%s has ended", mName);
     }
 
+    /** Changes the settings file and sends SIGHUP. */
+    void hangUp(String from, String to) throws IOException, InterruptedException {
+        Files.writeString(mSettings, Files.readString(mSettings).replace(from, to));
+        new ProcessBuilder("kill", "-HUP", Long.toString(mProcess.pid())).start().waitFor();
+        mLog.line("%s gets SIGHUP, its settings file has changed", mName);
+    }
+
     /** Sends SIGKILL and doesn't wait. */
     void signalKill() {
         mProcess.destroyForcibly();
--- a/review/standin-2/src/SuccessFromFailure.java
+++ b/review/standin-2/src/SuccessFromFailure.java
@@ -18,16 +18,16 @@
  */
 public final class SuccessFromFailure {
     private static final int ROUTERS = 2;
-    private static final int REPLICAS = 3;
+    private static final int REPLICAS = 5;
     private static final int SLOTS = 6;
     private static final long WORK_MILLIS = 20;
-    private static final int REQUESTS_PER_SECOND = 100;
+    private static final int REQUESTS_PER_SECOND = 150;
 
     /** As in the site file inec-niveles for level-read. */
     private static final double ERROR_SHARE = 0.14;
 
     /** Replicas, part of their answers, and time: within the troubles of the same file. */
-    private static final int GARBLING_REPLICAS = 1;
+    private static final int GARBLING_REPLICAS = 3;
     private static final double EXTRA_SHARE = 0.03;
     private static final long GARBLE_MILLIS = 5_000;
     private static final int GARBLE_TIMES = 6;
@@ -73,7 +73,7 @@
                 for (int i = 0; i < REPLICAS; i++) {
                     var replica =
                             new Replica(
-                                    store, "avisos", ZONES.get(i), SLOTS, WORK_MILLIS, 3_000, log);
+                                    store, "avisos", ZONES.get(i % 3), SLOTS, WORK_MILLIS, 3_000, log);
                     replica.failShare(ERROR_SHARE);
                     replicas.add(replica);
                 }
@@ -108,7 +108,7 @@
         for (int i = 0; i < GARBLE_TIMES; i++) {
             Thread.sleep(2_000);
             if (trouble) {
-                log.line("%d replica begins a second answer after some answers", GARBLING_REPLICAS);
+                log.line("%d replicas begin a second answer after some answers", GARBLING_REPLICAS);
                 replicas.stream().limit(GARBLING_REPLICAS).forEach(r -> r.extraShare(EXTRA_SHARE));
             }
             Thread.sleep(GARBLE_MILLIS);
