review/7: four replicas, three of them taken away one after the other

Cause: one of two replicas taken away at once is more than the share of scale_in in the site file. Change: the case takes one of four away, three times.

--- a/review/standin-2/src/CutBySilence.java
+++ b/review/standin-2/src/CutBySilence.java
@@ -5,14 +5,15 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /**
- * One of two model replicas is taken away as planned, and a router gets SIGHUP. The other replica
- * writes nothing for a while in the middle of a stream, as it reads a prompt in again, and then
- * goes on.
+ * Three of four model replicas are taken away as planned, one after the other, and a router gets
+ * SIGHUP. The replica that stays writes nothing for a while in the middle of its streams, as it
+ * reads prompts in again, and then goes on.
  *
  * <p>Rule LOST: around planned work no answer ends incomplete; "a replica's silence is no reason to
  * end an answer sooner".
  */
 public final class CutBySilence {
+    private static final int REPLICAS = 4;
     private static final int SLOTS = 64;
     private static final long PAUSE_MILLIS = 1_200;
     private static final int STREAMS = 10;
@@ -52,9 +53,9 @@
                 var store = Store.start()) {
             try {
                 store.put("keyed.op", "config", CONFIGURATION);
-                for (int i = 0; i < 2; i++) {
+                for (int i = 0; i < REPLICAS; i++) {
                     var replica =
-                            new Replica(store, "modelos", ZONES.get(i), SLOTS, 20, 3_000, log);
+                            new Replica(store, "modelos", ZONES.get(i % 3), SLOTS, 20, 3_000, log);
                     replica.streamWithPause(PAUSE_MILLIS);
                     replicas.add(replica);
                 }
@@ -85,10 +86,13 @@
             }
         }
         Thread.sleep(4_000);
-        if (trouble) {
-            replicas.get(1).drain();
+        for (Replica leaving : replicas.subList(1, REPLICAS)) {
+            if (trouble) {
+                leaving.drain();
+            }
+            Thread.sleep(2_000);
         }
-        Thread.sleep(4_000);
+        Thread.sleep(2_000);
         Router router = routers.get(0);
         router.hangUp("\"budget_slack\":56", "\"budget_slack\":60");
         var results = new ConcurrentLinkedQueue<Result>();
