Replicas' answers: hold the status line to its grammar

What callers saw: a replica in trouble sent "HTTP/1.1 000 None" with the request's own id and a stamp; the caller got "HTTP/1.1 0 Unknown Status (0)" with the replica's stamp and body, on safe and unsafe routes.

Cause: Netty's decoder splits a status line at any white space and reads the status as a number, and the version as any name; what it returns no longer shows what was received, and nothing looked at the bytes.

Why the mend works: ResponseScanner checks each line of a head (internal.http1) in the buffer of received bytes before Netty's decoder sees it. A refusal breaks the connection, so the outcome is that of any lost answer: 502, or another replica where the request may be repeated. Every head passes there, also interim ones and those that answer another request.

--- a/src/main/java/org/fescueport/internal/direct/forward/StrictResponseDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/StrictResponseDecoder.java
@@ -8,11 +8,17 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
+import org.fescueport.internal.http1.MalformedResponseException;
 
 /**
- * Decodes the responses of one connection to a replica. Bytes that arrive while no response is
- * expected are reported at once, even if they are only the beginning of a response.
+ * Decodes the responses of one connection to a replica.
+ *
+ * <p>Netty's decoder repairs what HTTP/1.1 does not allow, so a {@link ResponseScanner} checks the
+ * bytes first. What it refuses ends the connection with a {@link MalformedResponseException} and
+ * never reaches the decoder. Bytes that arrive while no response is expected are reported at once,
+ * even if they are only the beginning of a response.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEADER_BYTES = 32_768;
@@ -31,6 +37,10 @@
     }
 
     private final Requests mRequests;
+    private final ResponseScanner mScanner = new ResponseScanner();
+
+    /** Whether malformed bytes came, so that nothing that follows can be told for certain. */
+    private boolean mIsRefused;
 
     StrictResponseDecoder(Requests requests) {
         super(
@@ -43,12 +53,40 @@
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
             throws Exception {
-        if (mRequests.isResponseExpected()) {
+        if (mIsRefused) {
+            bytes.skipBytes(bytes.readableBytes());
+        } else if (mRequests.isResponseExpected()) {
+            decodeChecked(context, bytes, messages);
+        } else {
+            bytes.skipBytes(bytes.readableBytes());
+            mRequests.onStrayBytes();
+        }
+    }
+
+    private void decodeChecked(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages)
+            throws Exception {
+        try {
+            mScanner.scan(bytes);
+            int readable = bytes.readableBytes();
+            int first = messages.size();
             super.decode(context, bytes, messages);
-            return;
+            mScanner.onConsumed(readable - bytes.readableBytes());
+            for (Object message : messages.subList(first, messages.size())) {
+                onDecoded(message);
+            }
+        } catch (MalformedResponseException e) {
+            mIsRefused = true;
+            throw e;
+        }
+    }
+
+    private void onDecoded(Object message) throws MalformedResponseException {
+        if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+            mScanner.onHeadDecoded();
+        }
+        if (message instanceof LastHttpContent) {
+            mScanner.onMessageDecoded();
         }
-        bytes.skipBytes(bytes.readableBytes());
-        mRequests.onStrayBytes();
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/fescueport/internal/http1/HeadLines.java
@@ -0,0 +1,45 @@
+package org.fescueport.internal.http1;
+
+/** Checks the lines of a response's head one after the other, from the status line on. */
+public final class HeadLines {
+    private enum Next {
+        STATUS_LINE,
+        FIELD,
+        NOTHING
+    }
+
+    private Next mNext = Next.STATUS_LINE;
+
+    private HeadLines() {}
+
+    /** Returns an object that expects the status line. */
+    public static HeadLines create() {
+        return new HeadLines();
+    }
+
+    /**
+     * Checks the next line.
+     *
+     * @param line without its end
+     */
+    public void accept(CharSequence line) throws MalformedResponseException {
+        switch (mNext) {
+            case STATUS_LINE -> {
+                StatusLine.check(line);
+                mNext = Next.FIELD;
+            }
+            case FIELD -> {
+                if (line.isEmpty()) {
+                    mNext = Next.NOTHING;
+                }
+            }
+            case NOTHING -> throw new IllegalStateException("The head has ended.");
+            default -> throw new IllegalStateException("next " + mNext);
+        }
+    }
+
+    /** Returns whether the empty line has come that ends the head. */
+    public boolean isComplete() {
+        return mNext == Next.NOTHING;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
@@ -0,0 +1,80 @@
+package org.fescueport.platform;
+
+import static org.fescueport.platform.Installation.get;
+import static org.fescueport.platform.Installation.post;
+import static org.fescueport.platform.ReplicaStandIn.headersFor;
+import static org.fescueport.platform.Scripts.GOOD;
+import static org.fescueport.platform.Scripts.firstThen;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.fescueport.platform.RawServer.Script;
+import org.fescueport.testing.BrokenResponse;
+import org.fescueport.testing.SoundResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against broken answers of replicas that reach callers as answers (issue 55). */
+class BrokenAnswersTest {
+    private static Script writing(BrokenResponse response) {
+        return (request, wire) -> wire.write(response.bytes(headersFor(request)));
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"STATUS_000", "STATUS_600", "STATUS_OF_FOUR_DIGITS"})
+    void shouldNotForwardBrokenResponse(BrokenResponse response) throws Exception {
+        for (String path : List.of("/unsafe/x", "/once/x")) {
+            try (var fleet = Installation.start(writing(response), writing(response))) {
+                assertThat(fleet.ask(post(path, "siren")).status(), is(502));
+                assertThat(fleet.arrivals("api") + fleet.arrivals("llm"), is(1));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"STATUS_000", "STATUS_600", "STATUS_OF_FOUR_DIGITS"})
+    void shouldAskAnotherReplicaAfterBrokenResponse(BrokenResponse response) throws Exception {
+        try (var fleet = Installation.start(firstThen(writing(response), GOOD), GOOD)) {
+            var answer = fleet.ask(get("/safe/x"));
+            assertThat(answer.status(), is(200));
+            assertThat(answer.body(), is("whole"));
+            assertThat(fleet.arrivals("api"), is(2));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/", "/safe/", "/once/", "/stream/"})
+    void shouldForwardSoundResponses(String route) throws Exception {
+        Script sound =
+                (request, wire) -> {
+                    var response = SoundResponse.valueOf(request.target().split("/")[2]);
+                    wire.write(response.bytes(headersFor(request)));
+                };
+        try (var fleet = Installation.start(sound, sound)) {
+            for (var response : SoundResponse.values()) {
+                var answer = fleet.ask(get(route + response));
+                assertThat(response.name(), answer.status(), is(response.status()));
+                assertThat(response.name(), answer.body(), is(response.body()));
+                assertThat(response.name(), answer.complete(), is(true));
+            }
+        }
+    }
+
+    /** Interim answers and answers to other requests must not become a way round the check. */
+    @Test
+    void shouldCheckAnswersToOtherRequestsToo() throws Exception {
+        Script broken =
+                (request, wire) -> {
+                    String other = "Fescueport-Attempt-Id: other\r\n";
+                    wire.write(BrokenResponse.STATUS_000.bytes(other));
+                    wire.write(SoundResponse.LENGTH.bytes(headersFor(request)));
+                };
+        try (var fleet = Installation.start(broken, broken)) {
+            assertThat(fleet.ask(post("/unsafe/x", "siren")).status(), is(502));
+            assertThat(fleet.arrivals("api"), is(1));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/fescueport/testing/SoundResponse.java
@@ -0,0 +1,65 @@
+package org.fescueport.testing;
+
+import java.nio.charset.StandardCharsets;
+
+/** Responses that HTTP/1.1 allows, and that every reader of responses must accept. */
+public enum SoundResponse {
+    LENGTH("HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    NO_REASON("HTTP/1.1 200 \r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    REASON_OF_ALL_CHARACTERS(
+            "HTTP/1.1 200 " + text() + "\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    REASON_OF_BLANKS("HTTP/1.1 200   \t \r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    REASON_OF_DIGITS("HTTP/1.1 200 000\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    UNUSUAL_SUCCESS("HTTP/1.1 299 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 299),
+    UNUSUAL_REDIRECTION("HTTP/1.1 399 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 399),
+    UNUSUAL_CLIENT_ERROR("HTTP/1.1 499 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 499),
+    HIGHEST_STATUS("HTTP/1.1 599 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 599),
+    OLD_VERSION("HTTP/1.0 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    LATER_VERSION("HTTP/1.2 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    INTERIM(
+            "HTTP/1.1 100 Continue\r\n\r\n"
+                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    UNUSUAL_INTERIM(
+            "HTTP/1.1 199 \r\n\r\n"
+                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole");
+
+    private static final String FIELDS = "{fields}";
+
+    private final String mText;
+    private final int mStatus;
+
+    SoundResponse(String text) {
+        this(text, 200);
+    }
+
+    SoundResponse(String text, int status) {
+        mText = text;
+        mStatus = status;
+    }
+
+    /** Returns the bytes with these fields among those of the final head. */
+    public byte[] bytes(String fields) {
+        return mText.replace(FIELDS, fields).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Returns the status of the final response. */
+    public int status() {
+        return mStatus;
+    }
+
+    /** Returns the body, which is the same in all of them. */
+    public String body() {
+        return "whole";
+    }
+
+    /** Returns each character that HTTP allows in reasons and values, of one byte each. */
+    private static String text() {
+        var text = new StringBuilder("a\t ");
+        for (char c = '!'; c <= 0xff; c++) {
+            if (c != 0x7f) {
+                text.append(c);
+            }
+        }
+        return text.append('z').toString();
+    }
+}
