Replicas' answers: hold the lines of a head to their grammar

What callers saw: a line whose name holds a blank or a tab was passed on under a shorter name ("X Probe: 1" as "X: 1"). Where the shorter name tells the body's end ("Content-Length x: 3", "Transfer-Encoding x: chunked"), callers got a body that wasn't the replica's, framed as whole.

Cause: Netty's decoder ends the name of a response's field at the first blank; it accepts folded lines and a blank before the colon as well.

Handled already, and kept as rows: control characters in names (other than tabs) and in values, lines that end without CR.

Why the mend works: FieldLine accepts a name of token characters, a colon and a value without control characters, and runs on each line of each head before Netty's decoder reads it.

--- a/src/main/java/org/fescueport/internal/http1/HeadLines.java
+++ b/src/main/java/org/fescueport/internal/http1/HeadLines.java
@@ -31,6 +31,8 @@
             case FIELD -> {
                 if (line.isEmpty()) {
                     mNext = Next.NOTHING;
+                } else {
+                    FieldLine.check(line);
                 }
             }
             case NOTHING -> throw new IllegalStateException("The head has ended.");
--- a/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
@@ -6,6 +6,7 @@
 import static org.fescueport.platform.Scripts.GOOD;
 import static org.fescueport.platform.Scripts.firstThen;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
@@ -24,7 +25,17 @@
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"STATUS_000", "STATUS_600", "STATUS_OF_FOUR_DIGITS"})
+    @EnumSource(
+            names = {
+                "STATUS_000",
+                "STATUS_600",
+                "STATUS_OF_FOUR_DIGITS",
+                "BLANK_IN_NAME",
+                "TAB_IN_NAME",
+                "CONTROL_IN_NAME",
+                "LENGTH_BEFORE_BLANK_IN_NAME",
+                "CODING_BEFORE_BLANK_IN_NAME"
+            })
     void shouldNotForwardBrokenResponse(BrokenResponse response) throws Exception {
         for (String path : List.of("/unsafe/x", "/once/x")) {
             try (var fleet = Installation.start(writing(response), writing(response))) {
@@ -35,7 +46,17 @@
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"STATUS_000", "STATUS_600", "STATUS_OF_FOUR_DIGITS"})
+    @EnumSource(
+            names = {
+                "STATUS_000",
+                "STATUS_600",
+                "STATUS_OF_FOUR_DIGITS",
+                "BLANK_IN_NAME",
+                "TAB_IN_NAME",
+                "CONTROL_IN_NAME",
+                "LENGTH_BEFORE_BLANK_IN_NAME",
+                "CODING_BEFORE_BLANK_IN_NAME"
+            })
     void shouldAskAnotherReplicaAfterBrokenResponse(BrokenResponse response) throws Exception {
         try (var fleet = Installation.start(firstThen(writing(response), GOOD), GOOD)) {
             var answer = fleet.ask(get("/safe/x"));
@@ -45,6 +66,21 @@
         }
     }
 
+    @Test
+    void shouldForwardEachCharacterOfAValue() throws Exception {
+        Script script =
+                (request, wire) ->
+                        wire.write(
+                                SoundResponse.VALUE_OF_ALL_CHARACTERS.bytes(headersFor(request)));
+        try (var fleet = Installation.start(script, script);
+                var caller = RawCaller.connect(fleet.router().callers())) {
+            caller.send(get("/safe/x"));
+            String head = caller.receiveBytesThrough("\r\n\r\n");
+            String line = SoundResponse.VALUE_OF_ALL_CHARACTERS.line("X-Probe: ");
+            assertThat(head, containsString("\r\n" + line + "\r\n"));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"/unsafe/", "/safe/", "/once/", "/stream/"})
     void shouldForwardSoundResponses(String route) throws Exception {
--- a/src/test/java/org/fescueport/platform/RawCaller.java
+++ b/src/test/java/org/fescueport/platform/RawCaller.java
@@ -8,6 +8,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
@@ -87,15 +88,24 @@
 
     /** Returns all bytes that come until the text has come, chunk sizes among them. */
     String receiveThrough(String text) throws IOException {
+        return receiveThrough(text, StandardCharsets.UTF_8);
+    }
+
+    /** Returns the same with one character for each byte. */
+    String receiveBytesThrough(String text) throws IOException {
+        return receiveThrough(text, StandardCharsets.ISO_8859_1);
+    }
+
+    private String receiveThrough(String text, Charset charset) throws IOException {
         var received = new ByteArrayOutputStream();
-        while (!text(received.toByteArray()).contains(text)) {
+        while (!received.toString(charset).contains(text)) {
             int next = mSocket.getInputStream().read();
             if (next < 0) {
                 throw new EOFException("'" + text + "' did not come: " + received);
             }
             received.write(next);
         }
-        return text(received.toByteArray());
+        return received.toString(charset);
     }
 
     /** Returns whether the first byte of an answer is there. */
--- a/src/test/java/org/fescueport/testing/BrokenResponse.java
+++ b/src/test/java/org/fescueport/testing/BrokenResponse.java
@@ -32,7 +32,40 @@
     DELETE_IN_REASON("HTTP/1.1 200 O\u007fK"),
     CR_IN_REASON("HTTP/1.1 200 O\rK"),
     INTERIM_STATUS_000("HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK"),
-    STATUS_000_BEHIND_INTERIM("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None");
+    STATUS_000_BEHIND_INTERIM("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None"),
+    BLANK_IN_NAME(field("X Probe: 1")),
+    TAB_IN_NAME(field("X\tProbe: 1")),
+    CONTROL_IN_NAME(field("X\u0001Probe: 1")),
+    NUL_IN_NAME(field("X\0Probe: 1")),
+    DELETE_IN_NAME(field("X\u007fProbe: 1")),
+    CR_IN_NAME(field("X\rProbe: 1")),
+    VERTICAL_TAB_IN_NAME(field("X\u000bProbe: 1")),
+    HIGH_CHARACTER_IN_NAME(field("X\u00e9Probe: 1")),
+    SEPARATOR_IN_NAME(field("X/Probe: 1")),
+    BLANK_BEFORE_NAME(field("X-Other: 1\r\n X-Probe: 1")),
+    BLANK_BEFORE_FIRST_NAME(field(" X-Probe: 1")),
+    BLANK_BEFORE_COLON(field("X-Probe : 1")),
+    TAB_BEFORE_COLON(field("X-Probe\t: 1")),
+    CR_BEFORE_COLON(field("X-Probe\r: 1")),
+    NO_NAME(field(": 1")),
+    NO_COLON(field("X-Probe")),
+    FOLDED_WITH_BLANK(field("X-Probe: 1\r\n 2")),
+    FOLDED_WITH_TAB(field("X-Probe: 1\r\n\t2")),
+    LENGTH_BEFORE_BLANK_IN_NAME("HTTP/1.1 200 OK\r\n{fields}Content-Length x: 3\r\n\r\nwhole"),
+    LENGTH_BEFORE_TAB_IN_NAME("HTTP/1.1 200 OK\r\n{fields}Content-Length\tx: 3\r\n\r\nwhole"),
+    CODING_BEFORE_BLANK_IN_NAME(
+            "HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding x: chunked\r\n\r\n3\r\nwho\r\n0\r\n\r\n"),
+    BLANK_IN_NAME_OF_INTERIM("HTTP/1.1 103 Early\r\nX Probe: 1\r\n\r\nHTTP/1.1 200 OK"),
+    CONTROL_IN_VALUE(field("X-Probe: a\u0001b")),
+    NUL_IN_VALUE(field("X-Probe: a\0b")),
+    DELETE_IN_VALUE(field("X-Probe: a\u007fb")),
+    ESCAPE_IN_VALUE(field("X-Probe: \u001b[2J")),
+    CR_IN_VALUE(field("X-Probe: a\rX-Other: b")),
+    CR_BEFORE_END_OF_LINE(field("X-Probe: a\r")),
+    CR_BEFORE_END_OF_HEAD("HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\r\nwhole"),
+    LF_WITHOUT_CR(field("X-Probe: a\nX-Other: b")),
+    LF_BEHIND_STATUS_LINE("HTTP/1.1 200 OK\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    LF_AT_END_OF_HEAD("HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\nwhole");
 
     private static final String REST = "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
 
@@ -44,6 +77,10 @@
         mText = text.contains(FIELDS) ? text : text + REST;
     }
 
+    private static String field(String line) {
+        return "HTTP/1.1 200 OK\r\n" + line;
+    }
+
     /** Returns the bytes with these fields among those of the final head. */
     public byte[] bytes(String fields) {
         return mText.replace(FIELDS, fields).getBytes(StandardCharsets.ISO_8859_1);
--- a/src/test/java/org/fescueport/testing/SoundResponse.java
+++ b/src/test/java/org/fescueport/testing/SoundResponse.java
@@ -20,8 +20,26 @@
             "HTTP/1.1 100 Continue\r\n\r\n"
                     + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
     UNUSUAL_INTERIM(
-            "HTTP/1.1 199 \r\n\r\n"
-                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole");
+            "HTTP/1.1 199 \r\n\r\n" + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    NAME_IN_UPPER_CASE("HTTP/1.1 200 OK\r\n{fields}CONTENT-LENGTH: 5\r\n\r\nwhole"),
+    NAME_IN_LOWER_CASE("HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nwhole"),
+    NAME_OF_ALL_CHARACTERS(field("!#$%&'*+-.^_`|~09azAZ: 1")),
+    NAME_OF_ONE_CHARACTER(field("x: 1")),
+    NAME_OF_DIGITS(field("1: 1")),
+    NAME_TWICE(field("X-Probe: 1\r\nX-Probe: 2")),
+    VALUE_EMPTY(field("X-Probe:")),
+    VALUE_OF_BLANKS(field("X-Probe: \t ")),
+    VALUE_BEHIND_NO_BLANK(field("X-Probe:1")),
+    VALUE_BETWEEN_BLANKS(field("X-Probe:\t \t1 \t ")),
+    VALUE_OF_COLONS(field("X-Probe: :a: b:")),
+    VALUE_OF_ALL_CHARACTERS(field("X-Probe: " + text())),
+    VALUE_OF_A_QUOTED_STRING(field("X-Probe: \"a, \\\" b;c\"")),
+    VALUE_THAT_IS_LONG(field("X-Probe: " + "a".repeat(20_000))),
+    VALUE_THAT_NAMES_THE_PROTOCOL(field("Via: HTTP/1.1 proxy")),
+    FIELDS_OF_INTERIM(
+            "HTTP/1.1 103 Early\r\nLink: <a>; rel=preload\r\nX-Probe:\r\n\r\n"
+                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    MANY_FIELDS(field("X-Probe: 1" + "\r\nX-Probe: 1".repeat(200)));
 
     private static final String FIELDS = "{fields}";
 
@@ -42,6 +60,11 @@
         return mText.replace(FIELDS, fields).getBytes(StandardCharsets.ISO_8859_1);
     }
 
+    /** Returns the line that starts so, without its end. */
+    public String line(String start) {
+        return mText.lines().filter(line -> line.startsWith(start)).findFirst().orElseThrow();
+    }
+
     /** Returns the status of the final response. */
     public int status() {
         return mStatus;
@@ -52,6 +75,10 @@
         return "whole";
     }
 
+    private static String field(String line) {
+        return "HTTP/1.1 200 OK\r\n" + line + "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
+    }
+
     /** Returns each character that HTTP allows in reasons and values, of one byte each. */
     private static String text() {
         var text = new StringBuilder("a\t ");
