Replicas' answers: tests of an early answer that is reset inside a long upload

Kept as a test: the router handles this case, so nothing changes in it.

Why it holds: when the router reads the end, Netty closes the connection and fails what is being written before it reports the end, so ReplicaConnection has given the answer up by the time the decoder would call it complete.

--- a/src/test/java/org/fescueport/platform/RawServer.java
+++ b/src/test/java/org/fescueport/platform/RawServer.java
@@ -75,6 +75,11 @@
     @FunctionalInterface
     public interface Script {
         void answer(Request request, Wire wire) throws Exception;
+
+        /** Returns whether it is given requests whole; otherwise once their heads have come. */
+        default boolean awaitsBody() {
+            return true;
+        }
     }
 
     private final ServerSocket mServer;
@@ -132,10 +137,10 @@
         try (socket) {
             InputStream input = new BufferedInputStream(socket.getInputStream());
             var wire = new Wire(socket, socket.getOutputStream());
-            Request request = read(input);
+            Request request = read(input, mScript.awaitsBody());
             while (request != null) {
                 mScript.answer(request, wire);
-                request = read(input);
+                request = read(input, mScript.awaitsBody());
             }
         } catch (Exception e) {
             // A script that fails, or a connection that ends, ends the connection.
@@ -144,14 +149,14 @@
         }
     }
 
-    private static Request read(InputStream input) throws IOException {
+    private static Request read(InputStream input, boolean withBody) throws IOException {
         String start = RawHttp.readLine(input);
         if (start == null) {
             return null;
         }
         Map<String, String> headers = RawHttp.readHeaders(input);
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        byte[] body = input.readNBytes(length);
+        byte[] body = input.readNBytes(withBody ? length : 0);
         String[] words = start.split(" ");
         return new Request(words[0], words[1], headers, body);
     }
--- a/src/test/java/org/fescueport/platform/ReplicaStandIn.java
+++ b/src/test/java/org/fescueport/platform/ReplicaStandIn.java
@@ -20,7 +20,7 @@
     private ReplicaStandIn(String id, String service, Script script) throws IOException {
         mId = id;
         mService = service;
-        mServer = RawServer.start((request, wire) -> record(request, wire, script));
+        mServer = RawServer.start(recording(script));
     }
 
     static ReplicaStandIn start(String id, String service, Script script) throws IOException {
@@ -66,7 +66,7 @@
     }
 
     void script(Script script) {
-        mServer.script((request, wire) -> record(request, wire, script));
+        mServer.script(recording(script));
     }
 
     synchronized List<Request> requests() {
@@ -104,7 +104,7 @@
         mLife++;
         mWords = 0;
         mUp = true;
-        mServer = RawServer.start((request, wire) -> record(request, wire, script));
+        mServer = RawServer.start(recording(script));
         register(store, "ready");
     }
 
@@ -113,10 +113,20 @@
         mServer.close();
     }
 
-    private void record(Request request, Wire wire, Script script) throws Exception {
-        synchronized (this) {
-            mRequests.add(request);
-        }
-        script.answer(request, wire);
+    private Script recording(Script script) {
+        return new Script() {
+            @Override
+            public void answer(Request request, Wire wire) throws Exception {
+                synchronized (ReplicaStandIn.this) {
+                    mRequests.add(request);
+                }
+                script.answer(request, wire);
+            }
+
+            @Override
+            public boolean awaitsBody() {
+                return script.awaitsBody();
+            }
+        };
     }
 }
