Answers to agents: give up an early answer whose connection ends inside the request

What callers could see: a server that answered a long request at once, with a 200 that had no length, sent part of its body and ended its output before it reset the connection; agents, routers of the own interface, fescuectl and the load tool took that part for the whole answer.

Cause: only the end of the connection marks the end of such a body, and ClientExchange didn't ask whether the request had been written by then. A reset that was read first was handled, an end that was read before the writing failed was not.

Why the mend works: an answer that ends with its connection while part of the request is still to be written is lost (the request may have run), whichever of the two events comes first. Answers with a length or in chunks tell their ends themselves and are taken as before.

--- a/src/main/java/org/fescueport/internal/http/ClientExchange.java
+++ b/src/main/java/org/fescueport/internal/http/ClientExchange.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -53,6 +54,13 @@
     private volatile Exception mBreakCause;
     private volatile Future<?> mTimer;
     private volatile boolean mClosing;
+
+    /**
+     * Whether only the end of the connection marks the end of the answer. If part of the request is
+     * still to be written then, the connection broke, and the answer may be incomplete.
+     */
+    private boolean mEndsWithConnection;
+
     private CapacityChannel mCapacity;
     private int mUnreadCredit;
     private boolean mReading = true;
@@ -137,6 +145,10 @@
         }
         Header type = response.getFirstHeader("Content-Type");
         mListener.onHead(response.getCode(), type == null ? "" : type.getValue());
+        mEndsWithConnection =
+                entity != null
+                        && entity.getContentLength() < 0
+                        && entity.getContentLength() != ContentLengthStrategy.CHUNKED;
         if (entity == null) {
             finish();
         }
@@ -166,7 +178,11 @@
 
     @Override
     public void streamEnd(List<? extends Header> trailers) {
-        finish();
+        if (mEndsWithConnection && mBody.hasRemaining()) {
+            fail(new ConnectionClosedException("The connection ended inside the request."));
+        } else {
+            finish();
+        }
     }
 
     @Override
