--- a/src/main/java/org/fescueport/internal/http1/FieldLine.java
+++ b/src/main/java/org/fescueport/internal/http1/FieldLine.java
@@ -31,6 +31,7 @@
         if (!Characters.isText(line, colon + 1)) {
             throw MalformedResponseException.of("a control character in the value of a field");
         }
+        StatusLine.checkNoneWithin(line, colon + 1);
         return colon;
     }
 
--- a/src/main/java/org/fescueport/internal/http1/StatusLine.java
+++ b/src/main/java/org/fescueport/internal/http1/StatusLine.java
@@ -23,6 +23,26 @@
         if (!Characters.isText(line, REASON)) {
             throw MalformedResponseException.of("a control character in a reason");
         }
+        checkNoneWithin(line, REASON);
+    }
+
+    /**
+     * Fails if another status line begins in this line. The response was cut off there, and the
+     * lines that follow belong to the next one.
+     */
+    static void checkNoneWithin(CharSequence line, int from) throws MalformedResponseException {
+        for (int i = from; i + REASON - 1 <= line.length(); i++) {
+            if (line.charAt(i) == VERSION.charAt(0) && isAt(line, i)) {
+                throw MalformedResponseException.of("a line into which another response runs");
+            }
+        }
+    }
+
+    /** Returns whether a status line begins here, of which the reason may be missing. */
+    private static boolean isAt(CharSequence line, int index) {
+        CharSequence rest = line.subSequence(index, line.length());
+        boolean endsBehindStatus = rest.length() == REASON - 1;
+        return startsWithVersion(rest) && hasStatus(endsBehindStatus ? rest + " " : rest);
     }
 
     /** Returns whether this status line is of HTTP/1.0. */
--- a/src/test/java/org/fescueport/testing/SoundResponse.java
+++ b/src/test/java/org/fescueport/testing/SoundResponse.java
@@ -36,6 +36,9 @@
     VALUE_OF_A_QUOTED_STRING(field("X-Probe: \"a, \\\" b;c\"")),
     VALUE_THAT_IS_LONG(field("X-Probe: " + "a".repeat(20_000))),
     VALUE_THAT_NAMES_THE_PROTOCOL(field("Via: HTTP/1.1 proxy")),
+    VALUE_THAT_RESEMBLES_A_STATUS_LINE(field("X-Probe: HTTP/1.1 1000 HTTP/1.1 OK HTTP/2.0 200 OK")),
+    REASON_THAT_NAMES_THE_PROTOCOL(
+            "HTTP/1.1 200 HTTP/1.1\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
     FIELDS_OF_INTERIM(
             "HTTP/1.1 103 Early\r\nLink: <a>; rel=preload\r\nX-Probe:\r\n\r\n"
                     + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
