Answers to agents: hold heads and chunks to the same grammar

What callers could see: agents read engines and services, and routers of the own interface, fescuectl and the load tool read the log, the weight store, the list of VMs and one another, with HttpCore's decoders. They took 64 of the 106 broken answers of the table for answers: a status of 600, names with blanks or control characters (which changed the framing where the name began like "Content-Length"), folded lines, control characters in values, a length with a sign or beside a transfer coding, sizes of chunks with signs and blanks, lines without CR, a status line within a line.

Cause: the library's parsers are lenient, and WholeHeadParser and WholeChunkLines only asked that lines be whole.

Why the mend works: CheckedLines stands between the library's decoders and the received bytes, and gives each line to the grammar of internal.http1 before the decoder sees it. A refusal ends the call as one that may have run.

--- a/src/main/java/org/fescueport/internal/http/CallerConnectionFactory.java
+++ b/src/main/java/org/fescueport/internal/http/CallerConnectionFactory.java
@@ -26,10 +26,12 @@
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.fescueport.internal.http1.HeadLines;
 
 /**
  * Creates connections of a caller that end at the first byte that arrives while no answer is due,
- * even if it is only the beginning of one.
+ * even if it is only the beginning of one, and at the first line that HTTP/1.1 does not allow in an
+ * answer.
  */
 final class CallerConnectionFactory implements IOEventHandlerFactory {
     private final HttpProcessor mProcessor;
@@ -89,8 +91,9 @@
                 SessionInputBuffer buffer,
                 BasicHttpTransportMetrics metrics)
                 throws HttpException {
-            return super.createContentDecoder(
-                    length, channel, WholeChunkLines.of(length, buffer), metrics);
+            SessionInputBuffer lines =
+                    CheckedLines.ofBody(length, WholeChunkLines.of(length, buffer));
+            return super.createContentDecoder(length, channel, lines, metrics);
         }
     }
 
@@ -102,6 +105,7 @@
     private static final class StrictParser implements NHttpMessageParser<HttpResponse> {
         private final NHttpMessageParser<HttpResponse> mParser;
         private final DueAnswer mDue;
+        private HeadLines mLines = HeadLines.create();
 
         private StrictParser(NHttpMessageParser<HttpResponse> parser, DueAnswer due) {
             mParser = parser;
@@ -119,7 +123,10 @@
             if (!mDue.mIsDue && buffer.hasData()) {
                 throw new ProtocolException("Bytes arrived that belong to no answer.");
             }
-            HttpResponse response = mParser.parse(buffer, endOfStream);
+            HttpResponse response = mParser.parse(CheckedLines.ofHead(mLines, buffer), endOfStream);
+            if (response != null) {
+                mLines = HeadLines.create();
+            }
             if (response != null && response.getCode() >= HttpStatus.SC_SUCCESS) {
                 mDue.mIsDue = false;
             }
--- a/src/test/java/org/fescueport/internal/direct/forward/StrictResponseDecoderTest.java
+++ b/src/test/java/org/fescueport/internal/direct/forward/StrictResponseDecoderTest.java
@@ -88,6 +88,12 @@
         assertWhole(SoundResponse.LENGTH, decode(SoundResponse.LENGTH.bytes(line), 1));
     }
 
+    @Test
+    void shouldDecodeHeadOfManyLines() {
+        String lines = "X-Probe: 1\r\n".repeat(2_000);
+        assertWhole(SoundResponse.LENGTH, decode(SoundResponse.LENGTH.bytes(lines), 1_000));
+    }
+
     @Test
     void shouldRefuseHeadWithoutEnd() {
         byte[] bytes = new byte[100_000];
