--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.Optional;
+import org.fescueport.internal.direct.net.StrictResponseDecoder;
 
 /**
  * One connection to a replica, with at most one request in progress.
--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnectionPools.java
@@ -19,6 +19,7 @@
 import org.fescueport.internal.decision.NodeId;
 import org.fescueport.internal.decision.placement.KeepAliveLimit;
 import org.fescueport.internal.direct.net.ClientSockets;
+import org.fescueport.internal.direct.net.StrictResponseDecoder;
 import org.fescueport.internal.direct.state.ReplicaEntry;
 
 /** The connections of this node to all replicas. They are opened on demand and closed when idle. */
--- a/src/main/java/org/fescueport/internal/direct/forward/ResponseScanner.java
+++ b/src/main/java/org/fescueport/internal/direct/net/ResponseScanner.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.direct.forward;
+package org.fescueport.internal.direct.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.util.AsciiString;
--- a/src/main/java/org/fescueport/internal/direct/forward/StrictResponseDecoder.java
+++ b/src/main/java/org/fescueport/internal/direct/net/StrictResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.direct.forward;
+package org.fescueport.internal.direct.net;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,19 +14,19 @@
 import org.fescueport.internal.http1.MalformedResponseException;
 
 /**
- * Decodes the responses of one connection to a replica.
+ * Decodes the responses of one connection to a replica or to the shared store.
  *
  * <p>Netty's decoder repairs what HTTP/1.1 does not allow, so a {@link ResponseScanner} checks the
  * bytes first. What it refuses ends the connection with a {@link MalformedResponseException} and
  * never reaches the decoder. Bytes that arrive while no response is expected are reported at once,
  * even if they are only the beginning of a response.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder {
+public final class StrictResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 16_384;
 
     /** What the decoder needs to know about the request in progress. */
-    interface Requests {
+    public interface Requests {
         /** Returns whether a request is in progress, so that a response may arrive. */
         boolean isResponseExpected();
 
@@ -43,7 +43,8 @@
     /** Whether malformed bytes came, so that nothing that follows can be told for certain. */
     private boolean mIsRefused;
 
-    StrictResponseDecoder(Requests requests) {
+    /** Creates the decoder of one connection. */
+    public StrictResponseDecoder(Requests requests) {
         super(
                 new HttpDecoderConfig()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
--- a/src/test/java/org/fescueport/internal/direct/forward/StrictResponseDecoderTest.java
+++ b/src/test/java/org/fescueport/internal/direct/net/StrictResponseDecoderTest.java
@@ -1,4 +1,4 @@
-package org.fescueport.internal.direct.forward;
+package org.fescueport.internal.direct.net;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
