--- a/src/test/java/org/fescueport/platform/BrokenStoreAnswerTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStoreAnswerTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.micrometer.core.instrument.Clock;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -12,19 +14,25 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.EraTracker;
+import org.fescueport.internal.direct.state.StoreException;
 import org.fescueport.testing.SoundResponse;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against broken answers of the store that pass for answers (issue 55). */
 class BrokenStoreAnswerTest {
     private static final Duration LIMIT = Duration.ofSeconds(5);
 
+    /** More than the buffers of both sockets hold, so that it cannot be written whole. */
+    private static final int LONG_BODY_BYTES = 12_000_000;
+
     private static MultiThreadIoEventLoopGroup sLoop;
     private static EventLog sLog;
 
@@ -48,6 +56,46 @@
         assertThat(new String(reply.body(), StandardCharsets.ISO_8859_1), is(response.body()));
     }
 
+    /**
+     * Part of an answer must not pass for the whole one: it comes while a long call is still being
+     * written, states no length, and ends with its connection.
+     */
+    @ParameterizedTest
+    @CsvSource({"0, false", "5, false", "60000, false", "0, true", "5, true", "60000, true"})
+    void shouldNotTakePartOfAnEarlyAnswerForTheWhole(int bytes, boolean endsOutput) {
+        var script = new EarlyScript(bytes, endsOutput);
+        var failure =
+                assertThrows(
+                        ExecutionException.class,
+                        () -> call(script, Unpooled.wrappedBuffer(new byte[LONG_BODY_BYTES])));
+        assertThat(
+                ((StoreException) failure.getCause()).reason(),
+                is(StoreException.Cause.UNANSWERED));
+    }
+
+    /**
+     * Answers as soon as the head of a call has come, whose body it never reads.
+     *
+     * @param endsOutput whether the end of the answer is read before the writing fails
+     */
+    private record EarlyScript(int bytes, boolean endsOutput) implements RawServer.Script {
+        @Override
+        public void answer(RawServer.Request request, RawServer.Wire wire) throws Exception {
+            wire.write("HTTP/1.1 200 OK\r\n\r\n" + "p".repeat(bytes));
+            Await.pause(30);
+            if (endsOutput) {
+                wire.socket().shutdownOutput();
+                Await.pause(30);
+            }
+            wire.reset();
+        }
+
+        @Override
+        public boolean awaitsBody() {
+            return false;
+        }
+    }
+
     /** Returns what is made of these bytes; the store's output ends behind them. */
     private static StoreCalls.Reply call(byte[] bytes) throws Exception {
         RawServer.Script script =
@@ -55,12 +103,15 @@
                     wire.write(bytes);
                     wire.socket().shutdownOutput();
                 };
+        return call(script, Unpooled.EMPTY_BUFFER);
+    }
+
+    private static StoreCalls.Reply call(RawServer.Script script, ByteBuf body) throws Exception {
         try (var store = RawServer.start(script)) {
             var calls =
                     new StoreCalls(sLoop, store.address(), EraTracker.create(Clock.SYSTEM, sLog));
             return CompletableFuture.supplyAsync(
-                            () -> calls.call(HttpMethod.GET, "/x", Unpooled.EMPTY_BUFFER, LIMIT),
-                            sLoop)
+                            () -> calls.call(HttpMethod.POST, "/x", body, LIMIT), sLoop)
                     .thenCompose(reply -> reply)
                     .get();
         }
