--- a/src/test/java/org/fescueport/platform/BrokenStoreAnswerTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenStoreAnswerTest.java
@@ -1,6 +1,7 @@
 package org.fescueport.platform;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -19,6 +20,7 @@
 import org.fescueport.internal.direct.log.EventLog;
 import org.fescueport.internal.direct.state.EraTracker;
 import org.fescueport.internal.direct.state.StoreException;
+import org.fescueport.testing.BrokenResponse;
 import org.fescueport.testing.SoundResponse;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -56,6 +58,15 @@
         assertThat(new String(reply.body(), StandardCharsets.ISO_8859_1), is(response.body()));
     }
 
+    @ParameterizedTest
+    @EnumSource
+    void shouldFailForBrokenResponse(BrokenResponse response) {
+        var failure =
+                assertThrows(
+                        ExecutionException.class, () -> call(response.bytes("Store-Era: 1\r\n")));
+        assertThat(failure.getCause(), instanceOf(StoreException.class));
+    }
+
     /**
      * Part of an answer must not pass for the whole one: it comes while a long call is still being
      * written, states no length, and ends with its connection.
