Answers: the reason why bytes are refused, without the library's wrapping

A replica's connection says "bytes that are no answer" and the grammar's reason, as it did for what Netty refuses. The search for a status line inside another compares the constant start first, and the rows that are tested against a whole router are named once.

--- a/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
+++ b/src/main/java/org/fescueport/internal/direct/forward/ReplicaConnection.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.fescueport.internal.direct.net.StrictResponseDecoder;
+import org.fescueport.internal.http1.MalformedResponseException;
 
 /**
  * One connection to a replica, with at most one request in progress.
@@ -192,7 +193,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail("the connection broke: " + cause);
+        if (cause.getCause() instanceof MalformedResponseException malformed) {
+            fail("bytes that are no answer: " + malformed.getMessage());
+        } else {
+            fail("the connection broke: " + cause);
+        }
     }
 
     private void onResponse(HttpResponse response) {
@@ -247,8 +252,9 @@
     }
 
     /**
-     * Returns whether another response begins within this head. The first one is cut then, and the
-     * request id may be that of the second.
+     * Returns whether another response may begin within this head. The first one is cut then, and
+     * the request id may be that of the second. The decoder refuses every head that contains a
+     * status line; for a head after which a request is sent again, the beginning of one suffices.
      */
     private static boolean containsStatusLine(HttpResponse response) {
         return response.status().reasonPhrase().contains(STATUS_LINE_START)
--- a/src/main/java/org/fescueport/internal/http1/StatusLine.java
+++ b/src/main/java/org/fescueport/internal/http1/StatusLine.java
@@ -32,7 +32,7 @@
      */
     static void checkNoneWithin(CharSequence line, int from) throws MalformedResponseException {
         for (int i = from; i + REASON - 1 <= line.length(); i++) {
-            if (line.charAt(i) == VERSION.charAt(0) && isAt(line, i)) {
+            if (Characters.startsWith(line, i, VERSION) && isAt(line, i)) {
                 throw MalformedResponseException.of("a line into which another response runs");
             }
         }
--- a/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
@@ -20,22 +20,17 @@
 
 /** Guards against broken answers of replicas that reach callers as answers (issue 55). */
 class BrokenAnswersTest {
+    /** Some that a lenient decoder takes for sound ones; the whole table is tested elsewhere. */
+    private static final String REPAIRED_BY_LENIENT_DECODERS =
+            "STATUS_(000|600|OF_FOUR_DIGITS)|(BLANK|TAB|CONTROL)_IN_NAME"
+                    + "|(LENGTH|CODING)_BEFORE_BLANK_IN_NAME|STATUS_LINE_IN_VALUE";
+
     private static Script writing(BrokenResponse response) {
         return (request, wire) -> wire.write(response.bytes(headersFor(request)));
     }
 
     @ParameterizedTest
-    @EnumSource(
-            names = {
-                "STATUS_000",
-                "STATUS_600",
-                "STATUS_OF_FOUR_DIGITS",
-                "BLANK_IN_NAME",
-                "TAB_IN_NAME",
-                "CONTROL_IN_NAME",
-                "LENGTH_BEFORE_BLANK_IN_NAME",
-                "CODING_BEFORE_BLANK_IN_NAME"
-            })
+    @EnumSource(names = REPAIRED_BY_LENIENT_DECODERS, mode = EnumSource.Mode.MATCH_ANY)
     void shouldNotForwardBrokenResponse(BrokenResponse response) throws Exception {
         for (String path : List.of("/unsafe/x", "/once/x")) {
             try (var fleet = Installation.start(writing(response), writing(response))) {
@@ -46,17 +41,7 @@
     }
 
     @ParameterizedTest
-    @EnumSource(
-            names = {
-                "STATUS_000",
-                "STATUS_600",
-                "STATUS_OF_FOUR_DIGITS",
-                "BLANK_IN_NAME",
-                "TAB_IN_NAME",
-                "CONTROL_IN_NAME",
-                "LENGTH_BEFORE_BLANK_IN_NAME",
-                "CODING_BEFORE_BLANK_IN_NAME"
-            })
+    @EnumSource(names = REPAIRED_BY_LENIENT_DECODERS, mode = EnumSource.Mode.MATCH_ANY)
     void shouldAskAnotherReplicaAfterBrokenResponse(BrokenResponse response) throws Exception {
         try (var fleet = Installation.start(firstThen(writing(response), GOOD), GOOD)) {
             var answer = fleet.ask(get("/safe/x"));
