--- a/src/test/java/org/fescueport/internal/direct/net/StrictResponseDecoderTest.java
+++ b/src/test/java/org/fescueport/internal/direct/net/StrictResponseDecoderTest.java
@@ -14,11 +14,14 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.stream.IntStream;
 import org.fescueport.testing.BrokenResponse;
 import org.fescueport.testing.SoundResponse;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against responses of which the decoder makes something that was not sent. */
 class StrictResponseDecoderTest {
@@ -81,6 +84,39 @@
         }
     }
 
+    /** Behind 101, another protocol would follow, for which nobody asks. */
+    private static IntStream statuses() {
+        return IntStream.rangeClosed(100, 599).filter(status -> status != 101);
+    }
+
+    @ParameterizedTest
+    @MethodSource("statuses")
+    void shouldDecodeEachStatus(int status) {
+        boolean isInterim = status < 200;
+        boolean hasNoBody = status == 204 || status == 304;
+        String text =
+                "HTTP/1.1 %d \r\n".formatted(status)
+                        + (isInterim ? "\r\nHTTP/1.1 200 OK\r\n" : "")
+                        + "Content-Length: "
+                        + (hasNoBody ? "0\r\n\r\n" : "5\r\n\r\nwhole");
+        var result = decode(text.getBytes(StandardCharsets.ISO_8859_1), 7);
+        assertThat(result.mWhole && !result.mRefused, is(true));
+        assertThat(result.mStatus, is(isInterim ? 200 : status));
+    }
+
+    /** A hexadecimal size of a chunk, in both cases of its letters. */
+    @ParameterizedTest
+    @ValueSource(strings = {"2ab", "2AB", "02aB"})
+    void shouldDecodeLargeChunk(String size) {
+        String body = "b".repeat(0x2ab);
+        String text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + (size + "\r\n" + body + "\r\n0\r\n\r\n");
+        var result = decode(text.getBytes(StandardCharsets.ISO_8859_1), 100);
+        assertThat(result.mBody.toString(), is(body));
+        assertThat(result.mWhole && !result.mRefused, is(true));
+    }
+
     /** The bytes of an incomplete line were searched again for each packet, were this quadratic. */
     @Test
     void shouldDecodeLongLineThatArrivesInSingleBytes() {
--- a/src/test/java/org/fescueport/testing/SoundResponse.java
+++ b/src/test/java/org/fescueport/testing/SoundResponse.java
@@ -14,6 +14,68 @@
     UNUSUAL_REDIRECTION("HTTP/1.1 399 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 399),
     UNUSUAL_CLIENT_ERROR("HTTP/1.1 499 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 499),
     HIGHEST_STATUS("HTTP/1.1 599 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 599),
+    STATUS_201(head("HTTP/1.1 201 X"), 201),
+    STATUS_202(head("HTTP/1.1 202 X"), 202),
+    STATUS_203(head("HTTP/1.1 203 X"), 203),
+    STATUS_206(head("HTTP/1.1 206 X"), 206),
+    STATUS_226(head("HTTP/1.1 226 X"), 226),
+    STATUS_300(head("HTTP/1.1 300 X"), 300),
+    STATUS_301(head("HTTP/1.1 301 X"), 301),
+    STATUS_302(head("HTTP/1.1 302 X"), 302),
+    STATUS_303(head("HTTP/1.1 303 X"), 303),
+    STATUS_307(head("HTTP/1.1 307 X"), 307),
+    STATUS_308(head("HTTP/1.1 308 X"), 308),
+    STATUS_400(head("HTTP/1.1 400 X"), 400),
+    STATUS_401(head("HTTP/1.1 401 X"), 401),
+    STATUS_402(head("HTTP/1.1 402 X"), 402),
+    STATUS_403(head("HTTP/1.1 403 X"), 403),
+    STATUS_404(head("HTTP/1.1 404 X"), 404),
+    STATUS_405(head("HTTP/1.1 405 X"), 405),
+    STATUS_406(head("HTTP/1.1 406 X"), 406),
+    STATUS_407(head("HTTP/1.1 407 X"), 407),
+    STATUS_409(head("HTTP/1.1 409 X"), 409),
+    STATUS_410(head("HTTP/1.1 410 X"), 410),
+    STATUS_411(head("HTTP/1.1 411 X"), 411),
+    STATUS_412(head("HTTP/1.1 412 X"), 412),
+    STATUS_413(head("HTTP/1.1 413 X"), 413),
+    STATUS_414(head("HTTP/1.1 414 X"), 414),
+    STATUS_415(head("HTTP/1.1 415 X"), 415),
+    STATUS_416(head("HTTP/1.1 416 X"), 416),
+    STATUS_417(head("HTTP/1.1 417 X"), 417),
+    STATUS_418(head("HTTP/1.1 418 X"), 418),
+    STATUS_422(head("HTTP/1.1 422 X"), 422),
+    STATUS_423(head("HTTP/1.1 423 X"), 423),
+    STATUS_424(head("HTTP/1.1 424 X"), 424),
+    STATUS_425(head("HTTP/1.1 425 X"), 425),
+    STATUS_426(head("HTTP/1.1 426 X"), 426),
+    STATUS_428(head("HTTP/1.1 428 X"), 428),
+    STATUS_431(head("HTTP/1.1 431 X"), 431),
+    STATUS_451(head("HTTP/1.1 451 X"), 451),
+    STATUS_500(head("HTTP/1.1 500 X"), 500),
+    STATUS_501(head("HTTP/1.1 501 X"), 501),
+    STATUS_502(head("HTTP/1.1 502 X"), 502),
+    STATUS_504(head("HTTP/1.1 504 X"), 504),
+    STATUS_505(head("HTTP/1.1 505 X"), 505),
+    STATUS_506(head("HTTP/1.1 506 X"), 506),
+    STATUS_507(head("HTTP/1.1 507 X"), 507),
+    STATUS_508(head("HTTP/1.1 508 X"), 508),
+    STATUS_510(head("HTTP/1.1 510 X"), 510),
+    STATUS_511(head("HTTP/1.1 511 X"), 511),
+    REASON_OF_ONE_CHARACTER(head("HTTP/1.1 200 -")),
+    REASON_OF_MANY_WORDS(head("HTTP/1.1 200 Done: all (5) of \"them\", \\o/")),
+    TWO_INTERIMS(
+            head("HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early\r\nLink: <b>\r\n\r\nHTTP/1.1 200 OK")),
+    NAME_LIKE_A_LENGTH(field("Content-Lengths: 3\r\nX-Content-Length: 3")),
+    NAME_LIKE_A_CODING(field("Transfer-Encodings: chunked\r\nTE: chunked")),
+    VALUE_OF_A_DATE(field("Date: Mon, 07 Dec 2026 02:14:07 GMT")),
+    VALUE_OF_AN_ADDRESS(field("Location: http://[::1]:80/a%20b?c=d;e&f#g")),
+    VALUE_OF_A_COOKIE(field("Set-Cookie: a=b; Path=/; Expires=Mon, 07 Dec 2026 02:14:07 GMT")),
+    VALUE_OF_AN_ENTITY_TAG(field("ETag: W/\"a-b\"")),
+    VALUE_OF_JSON(field("X-Probe: {\"a\": [1, 2.5, null], \"b\": \"c\"}")),
+    VALUE_OF_BASE64(field("X-Probe: AAECAwQ+/w==")),
+    VALUE_OF_ONE_HIGH_CHARACTER(field("X-Probe: \u00ff")),
+    VALUES_OF_ONE_LINE_EACH(field("Accept-Ranges: none\r\nVary: *\r\nAge: 0\r\nServer: a/1.0 (b)")),
+    CHUNK_SIZE_OF_TWO_DIGITS(chunks("05;A\r\nwhole\r\n00\r\nX-Sum: A\r\n\r\n")),
     OLD_VERSION("HTTP/1.0 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
     LATER_VERSION("HTTP/1.2 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
     INTERIM(
@@ -95,8 +157,12 @@
         return "whole";
     }
 
+    private static String head(String start) {
+        return start + "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
+    }
+
     private static String field(String line) {
-        return "HTTP/1.1 200 OK\r\n" + line + "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
+        return head("HTTP/1.1 200 OK\r\n" + line);
     }
 
     private static String chunks(String body) {
