--- a/src/test/java/org/fescueport/testing/BrokenResponse.java
+++ b/src/test/java/org/fescueport/testing/BrokenResponse.java
@@ -2,7 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 
-/** Responses that HTTP/1.1 does not allow, and that no reader may take for a response. */
+/**
+ * Responses that HTTP/1.1 does not allow, and that no reader may take for a response. Their bodies
+ * are sound except where a row is about them.
+ */
 public enum BrokenResponse {
     STATUS_000("HTTP/1.1 000 None"),
     STATUS_099("HTTP/1.1 099 None"),
@@ -118,10 +121,12 @@
     LF_BEHIND_TRAILER(chunks("5\r\nwhole\r\n0\r\nX-Sum: 1\n\r\n")),
     LF_AT_END_OF_TRAILERS(chunks("5\r\nwhole\r\n0\r\n\n"));
 
-    private static final String REST = "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
-
+    /** Holds the place of fields that a test adds to the final head. */
     private static final String FIELDS = "{fields}";
 
+    /** What follows the start of a head, unless a row says more. */
+    private static final String REST = "\r\n{fields}Content-Length: 5\r\n\r\nwhole";
+
     private final String mText;
 
     BrokenResponse(String text) {
--- a/src/test/java/org/fescueport/testing/SoundResponse.java
+++ b/src/test/java/org/fescueport/testing/SoundResponse.java
@@ -2,18 +2,22 @@
 
 import java.nio.charset.StandardCharsets;
 
-/** Responses that HTTP/1.1 allows, and that every reader of responses must accept. */
+/**
+ * Responses that HTTP/1.1 allows, and that every reader of responses must accept.
+ *
+ * <p>The counterpart of {@link BrokenResponse}, with at least as many rows; both are sent to the
+ * decoder of replicas' responses, to the client of the store and to that of agents and tools.
+ */
 public enum SoundResponse {
-    LENGTH("HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    NO_REASON("HTTP/1.1 200 \r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    REASON_OF_ALL_CHARACTERS(
-            "HTTP/1.1 200 " + text() + "\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    REASON_OF_BLANKS("HTTP/1.1 200   \t \r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    REASON_OF_DIGITS("HTTP/1.1 200 000\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    UNUSUAL_SUCCESS("HTTP/1.1 299 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 299),
-    UNUSUAL_REDIRECTION("HTTP/1.1 399 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 399),
-    UNUSUAL_CLIENT_ERROR("HTTP/1.1 499 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 499),
-    HIGHEST_STATUS("HTTP/1.1 599 Odd\r\n{fields}Content-Length: 5\r\n\r\nwhole", 599),
+    LENGTH(head("HTTP/1.1 200 OK")),
+    NO_REASON(head("HTTP/1.1 200 ")),
+    REASON_OF_ALL_CHARACTERS(head("HTTP/1.1 200 " + text())),
+    REASON_OF_BLANKS(head("HTTP/1.1 200   \t ")),
+    REASON_OF_DIGITS(head("HTTP/1.1 200 000")),
+    UNUSUAL_SUCCESS(head("HTTP/1.1 299 Odd"), 299),
+    UNUSUAL_REDIRECTION(head("HTTP/1.1 399 Odd"), 399),
+    UNUSUAL_CLIENT_ERROR(head("HTTP/1.1 499 Odd"), 499),
+    HIGHEST_STATUS(head("HTTP/1.1 599 Odd"), 599),
     STATUS_201(head("HTTP/1.1 201 X"), 201),
     STATUS_202(head("HTTP/1.1 202 X"), 202),
     STATUS_203(head("HTTP/1.1 203 X"), 203),
@@ -76,13 +80,10 @@
     VALUE_OF_ONE_HIGH_CHARACTER(field("X-Probe: \u00ff")),
     VALUES_OF_ONE_LINE_EACH(field("Accept-Ranges: none\r\nVary: *\r\nAge: 0\r\nServer: a/1.0 (b)")),
     CHUNK_SIZE_OF_TWO_DIGITS(chunks("05;A\r\nwhole\r\n00\r\nX-Sum: A\r\n\r\n")),
-    OLD_VERSION("HTTP/1.0 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    LATER_VERSION("HTTP/1.2 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    INTERIM(
-            "HTTP/1.1 100 Continue\r\n\r\n"
-                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
-    UNUSUAL_INTERIM(
-            "HTTP/1.1 199 \r\n\r\n" + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    OLD_VERSION(head("HTTP/1.0 200 OK")),
+    LATER_VERSION(head("HTTP/1.2 200 OK")),
+    INTERIM(head("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK")),
+    UNUSUAL_INTERIM(head("HTTP/1.1 199 \r\n\r\nHTTP/1.1 200 OK")),
     NAME_IN_UPPER_CASE("HTTP/1.1 200 OK\r\n{fields}CONTENT-LENGTH: 5\r\n\r\nwhole"),
     NAME_IN_LOWER_CASE("HTTP/1.1 200 OK\r\n{fields}content-length: 5\r\n\r\nwhole"),
     NAME_OF_ALL_CHARACTERS(field("!#$%&'*+-.^_`|~09azAZ: 1")),
@@ -99,11 +100,9 @@
     VALUE_THAT_IS_LONG(field("X-Probe: " + "a".repeat(8_000))),
     VALUE_THAT_NAMES_THE_PROTOCOL(field("Via: HTTP/1.1 proxy")),
     VALUE_THAT_RESEMBLES_A_STATUS_LINE(field("X-Probe: HTTP/1.1 1000 HTTP/1.1 OK HTTP/2.0 200 OK")),
-    REASON_THAT_NAMES_THE_PROTOCOL(
-            "HTTP/1.1 200 HTTP/1.1\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+    REASON_THAT_NAMES_THE_PROTOCOL(head("HTTP/1.1 200 HTTP/1.1")),
     FIELDS_OF_INTERIM(
-            "HTTP/1.1 103 Early\r\nLink: <a>; rel=preload\r\nX-Probe:\r\n\r\n"
-                    + "HTTP/1.1 200 OK\r\n{fields}Content-Length: 5\r\n\r\nwhole"),
+            head("HTTP/1.1 103 Early\r\nLink: <a>; rel=b\r\nX-Probe:\r\n\r\nHTTP/1.1 200 OK")),
     MANY_FIELDS(field("X-Probe: 1" + "\r\nX-Probe: 1".repeat(80))),
     LENGTH_WITH_ZEROS("HTTP/1.1 200 OK\r\n{fields}Content-Length: 0005\r\n\r\nwhole"),
     LENGTH_BETWEEN_BLANKS("HTTP/1.1 200 OK\r\n{fields}Content-Length:\t 5 \t\r\n\r\nwhole"),
@@ -123,6 +122,7 @@
             chunks("5\r\nwhole\r\n0\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\n\r\n")),
     VALUE_OF_TRAILER_OF_ALL_CHARACTERS(chunks("5\r\nwhole\r\n0\r\nX-Sum: " + text() + "\r\n\r\n"));
 
+    /** Holds the place of fields that a test adds to the final head. */
     private static final String FIELDS = "{fields}";
 
     private final String mText;
