--- a/src/test/java/org/fescueport/internal/direct/net/StrictResponseDecoderTest.java
+++ b/src/test/java/org/fescueport/internal/direct/net/StrictResponseDecoderTest.java
@@ -117,6 +117,18 @@
         assertThat(result.mWhole && !result.mRefused, is(true));
     }
 
+    /** Blanks around a second extension, and characters above 0x7f in a quoted string. */
+    @ParameterizedTest
+    @ValueSource(strings = {"5 \t; a = b ; c", "5;a=\"b;c \\\" \t\u00e9\""})
+    void shouldDecodeEveryChunkExtension(String size) {
+        String text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + (size + "\r\nwhole\r\n0\r\n\r\n");
+        var result = decode(text.getBytes(StandardCharsets.ISO_8859_1), Integer.MAX_VALUE);
+        assertThat(result.mBody.toString(), is("whole"));
+        assertThat(result.mWhole && !result.mRefused, is(true));
+    }
+
     /** The bytes of an incomplete line were searched again for each packet, were this quadratic. */
     @Test
     void shouldDecodeLongLineThatArrivesInSingleBytes() {
--- a/src/test/java/org/fescueport/internal/http/BrokenAnswerToCallerTest.java
+++ b/src/test/java/org/fescueport/internal/http/BrokenAnswerToCallerTest.java
@@ -13,6 +13,7 @@
 import org.fescueport.testing.SoundResponse;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against broken answers of servers that pass for answers (issue 55). */
 class BrokenAnswerToCallerTest {
@@ -37,6 +38,17 @@
         }
     }
 
+    /** Blanks around a second extension, and characters above 0x7f in a quoted string. */
+    @ParameterizedTest
+    @ValueSource(strings = {"5 \t; a = b ; c", "5;a=\"b;c \\\" \t\u00e9\""})
+    void shouldReturnResponseWithAnyChunkExtension(String size) throws Exception {
+        String text =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + (size + "\r\nwhole\r\n0\r\n\r\n");
+        var answer = call(text.getBytes(StandardCharsets.ISO_8859_1), Integer.MAX_VALUE);
+        assertThat(new String(answer.body(), StandardCharsets.ISO_8859_1), is("whole"));
+    }
+
     @ParameterizedTest
     @EnumSource
     void shouldFailForBrokenResponse(BrokenResponse response) {
--- a/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
+++ b/src/test/java/org/fescueport/platform/BrokenAnswersTest.java
@@ -84,6 +84,33 @@
         }
     }
 
+    /** More than agents read (8,189 bytes in a line, 100 fields): 20,000 bytes, and 200 fields. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/unsafe/x", "/safe/x", "/once/x", "/stream/x"})
+    void shouldForwardLongHeads(String path) throws Exception {
+        String value = "a".repeat(20_000);
+        for (String lines : List.of("X-Long: " + value + "\r\n", "X-Long: 1\r\n".repeat(200))) {
+            Script longHead =
+                    (request, wire) ->
+                            wire.write(SoundResponse.LENGTH.bytes(headersFor(request) + lines));
+            try (var fleet = Installation.start(longHead, longHead)) {
+                var answer = fleet.ask(get(path));
+                assertThat(answer.status(), is(200));
+                assertThat(answer.body(), is("whole"));
+                assertThat(answer.header("X-Long"), is(lines.contains(value) ? value : "1"));
+            }
+        }
+    }
+
+    @Test
+    void shouldTellWhyBytesAreNoAnswer() throws Exception {
+        Script broken = writing(BrokenResponse.STATUS_000);
+        try (var fleet = Installation.start(broken, broken)) {
+            String reason = "bytes that are no answer: a status other than three digits";
+            assertThat(fleet.ask(post("/unsafe/x", "siren")).body(), containsString(reason));
+        }
+    }
+
     /** Interim answers and answers to other requests must not become a way round the check. */
     @Test
     void shouldCheckAnswersToOtherRequestsToo() throws Exception {
