--- a/review/standin-3/Stage.java
+++ b/review/standin-3/Stage.java
@@ -66,6 +66,11 @@
         return new InetSocketAddress("127.0.3." + number, mBasePort + 5);
     }
 
+    /** Returns the port at which the other nodes reach each router. */
+    int controlPort() {
+        return mBasePort + 3;
+    }
+
     void startAll() throws IOException {
         for (Router router : routers) {
             router.start();
