--- a/review/standin-3/Stage.java
+++ b/review/standin-3/Stage.java
@@ -1,6 +1,5 @@
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -18,6 +17,9 @@
 
     private static final int FIRST_PORT = 17_000;
     private static final int LAST_PORT = 29_000;
+    private static final int PORTS = 6;
+    private static final int MAX_REPLICAS = 16;
+    private static final String STORE_IP = "127.0.2.1";
 
     final Store store;
     final List<Router> routers = new ArrayList<>();
@@ -38,7 +40,7 @@
         mFolder = Files.createTempDirectory("fescueport-case");
         mRecord = new PrintWriter(Files.newBufferedWriter(record));
         mBasePort = freePorts(zones.length);
-        var storeAddress = new InetSocketAddress("127.0.2.1", mBasePort);
+        var storeAddress = new InetSocketAddress(STORE_IP, mBasePort);
         store = new Store(storeAddress);
         int[] ports = {mBasePort + 1, mBasePort + 2, mBasePort + 3, mBasePort + 4};
         var seedList = new StringBuilder();
@@ -53,7 +55,9 @@
                         + contracts
                         + "],\"bounds\":{\"seed_lag_s\":3,\"reuse_after_s\":2,\"stable_window_ms\":3000,\"ack_ms\":4000,\"catch_up_s\":4,\"drain_ms\":2000,\"grace_s\":8,\"loss_slack_ms\":200,\"config_ms\":2000,\"rollback_slack_ms\":250,\"outer_ms\":5000,\"retry_budget_ratio\":0.2,\"budget_window_s\":10,\"budget_slack\":56,\"recover_s\":12"
                         + bounds
-                        + "},\"platform\":{\"address\":\"127.0.2.1:"
+                        + "},\"platform\":{\"address\":\""
+                        + STORE_IP
+                        + ":"
                         + mBasePort
                         + "\",\"form\":\"log\",\"writes_per_s\":400,\"reads_per_s\":2000,\"parts\":24,\"append_ms\":1.0,\"keep_s\":300}}";
         for (int i = 0; i < zones.length; i++) {
@@ -63,7 +67,7 @@
 
     /** Returns an address for a replica. */
     InetSocketAddress replicaAddress(int number) {
-        return new InetSocketAddress("127.0.3." + number, mBasePort + 5);
+        return new InetSocketAddress(replicaIp(number), mBasePort + 5);
     }
 
     /** Returns the port at which the other nodes reach each router. */
@@ -129,14 +133,29 @@
         throw new IOException("no free ports");
     }
 
+    /** Tries the ports on each loopback address that the case may use. */
     private static boolean areFree(int base, int routers) {
-        for (int port = base; port < base + 6; port++) {
-            try (var probe = new ServerSocket(port, 1, InetAddress.getByName("0.0.0.0"))) {
-                probe.setReuseAddress(true);
-            } catch (IOException e) {
-                return false;
+        List<String> addresses = new ArrayList<>(List.of(STORE_IP));
+        for (int i = 1; i <= routers; i++) {
+            addresses.add(Router.ip(i));
+        }
+        for (int i = 1; i <= MAX_REPLICAS; i++) {
+            addresses.add(replicaIp(i));
+        }
+        for (String address : addresses) {
+            for (int port = base; port < base + PORTS; port++) {
+                try (var probe = new ServerSocket()) {
+                    probe.setReuseAddress(true);
+                    probe.bind(new InetSocketAddress(address, port), 1);
+                } catch (IOException e) {
+                    return false;
+                }
             }
         }
         return true;
     }
+
+    private static String replicaIp(int number) {
+        return "127.0.3." + number;
+    }
 }
