--- a/review/standin-3/HostCase.java
+++ b/review/standin-3/HostCase.java
@@ -39,6 +39,7 @@
     private final AtomicInteger mRetries = new AtomicInteger();
     private final AtomicInteger mStarts = new AtomicInteger();
     private final AtomicInteger mNext = new AtomicInteger();
+    private volatile boolean mEnd;
 
     private HostCase(Stage stage) {
         mStage = stage;
@@ -126,7 +127,8 @@
         Thread.ofVirtual().start(() -> repeat("notice.example", 1_500, answered));
         Replica.pause(45_000);
         others.end();
-        Replica.pause(1_500);
+        mEnd = true;
+        Replica.pause(2_500);
         mStage.say("answers to other requests by status: " + others.answers);
         mStage.say("answers 200 to " + PATH + ": " + answered);
         mStage.say(
@@ -140,7 +142,7 @@
 
     /** Sends the request again and again, at each machine in turn. */
     private void repeat(String host, long pauseMillis, AtomicInteger answered) {
-        for (int i = 0; i < 45_000 / pauseMillis; i++) {
+        for (int i = 0; !mEnd; i++) {
             Router router = mStage.routers.get(i % mStage.routers.size());
             String id = "%016x".formatted(0xc000_0000L + mNext.incrementAndGet());
             mInTouch.put(id, router.ranFor(STABLE_MS));
--- a/review/standin-3/Replica.java
+++ b/review/standin-3/Replica.java
@@ -87,12 +87,16 @@
         mEnded = true;
         try {
             mServer.close();
-            for (Socket socket : mOpen) {
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        for (Socket socket : mOpen) {
+            try {
                 socket.setSoLinger(true, 0);
                 socket.close();
+            } catch (IOException e) {
+                // Its caller has closed it in the same moment.
             }
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
         }
         // The store drops the entry after three heartbeats of silence.
         Thread.ofVirtual()
